--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,17 @@
+//! Shared vocabulary of all crates: units, names, verdicts, time and log
+//! events.
+//!
+//! This crate knows nothing of the others. Everything in it is a small value
+//! or a thin service over the runtime.
+
+mod event;
+mod name;
+mod timer;
+mod units;
+mod verdict;
+
+pub use event::Event;
+pub use name::Name;
+pub use timer::{Ticks, Timer};
+pub use units::Resources;
+pub use verdict::{Failure, Remedy, Result, Verdict};
--- /dev/null
+++ b/crates/daemon/src/connection/fleet.rs
@@ -0,0 +1,30 @@
+//! The platform's list of instances.
+
+use std::{sync::Arc, time::Duration};
+
+use base::emit;
+
+use crate::process::Context;
+
+/// Reads the platform's list over and over.
+pub(crate) async fn keep_list(ctx: Arc<Context>) {
+    let mut ticks = ctx.timer.every(Duration::from_millis(ctx.settings.platform.list_ms));
+    while ticks.next().await.is_some() {
+        match ctx.fleet.list().await {
+            Ok(mut list) => {
+                list.sort_by(|a, b| a.name.cmp(&b.name));
+                ctx.instances.send_if_modified(|known| {
+                    let is_changed = **known != list;
+                    if is_changed {
+                        *known = Arc::new(list);
+                    }
+                    is_changed
+                });
+            }
+            // What was read last goes on to hold.
+            Err(error) => {
+                emit!(ctx.log, warn, StoreFailed; "what" => "list", "reason" => %error);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/connection/watch.rs
@@ -0,0 +1,117 @@
+//! The watch on the shared keys.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use base::{Name, emit};
+use bytes::Bytes;
+use futures::StreamExt;
+use platform::{Entry, Event, Store};
+
+use crate::{
+    process::{Context, MEMBER_PREFIX, Member, Members},
+    version::{CONFIG_KEY, DIVISION_PREFIX, Division, Update, learn_division},
+};
+
+/// Prefix of all keys that every instance follows.
+const SHARED_PREFIX: &str = "s/";
+
+/// Time between attempts while the store fails.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Follows the shared keys until the process stops.
+pub(crate) async fn keep_watch(ctx: Arc<Context>) {
+    loop {
+        tokio::select! {
+            () = follow(&ctx) => {}
+            () = ctx.timer.stopped() => return,
+        }
+        if !ctx.timer.sleep(RETRY_PAUSE).await {
+            return;
+        }
+    }
+}
+
+/// Follows the shared keys until the watch breaks.
+async fn follow(ctx: &Context) {
+    let mut events = match ctx.store.watch(SHARED_PREFIX).await {
+        Ok(events) => events,
+        Err(error) => {
+            emit!(ctx.log, warn, StoreFailed; "what" => "watch", "reason" => %error);
+            return;
+        }
+    };
+    // All members come first; the first heartbeat ends them. Only then is it
+    // known which ones are gone.
+    let mut fresh: Option<BTreeMap<Name, Member>> = Some(BTreeMap::new());
+    while let Some(event) = events.next().await {
+        match event {
+            Event::Heartbeat => {
+                if let Some(by_name) = fresh.take() {
+                    let synced_at = ctx.timer.now();
+                    ctx.members.send_replace(Arc::new(Members { by_name, synced_at }));
+                }
+            }
+            Event::Put(entry) => take_entry(ctx, entry, fresh.as_mut()),
+            Event::Deleted { key, .. } => {
+                if let Some(name) = key.strip_prefix(MEMBER_PREFIX) {
+                    drop_member(ctx, name);
+                }
+            }
+        }
+    }
+}
+
+fn take_entry(ctx: &Context, entry: Entry, fresh: Option<&mut BTreeMap<Name, Member>>) {
+    if entry.key == CONFIG_KEY {
+        take_config(ctx, entry.value);
+    } else if let Some(region) = entry.key.strip_prefix(DIVISION_PREFIX) {
+        if let Some(division) = Division::decode(&entry.value) {
+            learn_division(ctx, region.into(), division, entry.revision);
+        }
+    } else if let Some(member) = Member::decode(&entry.value) {
+        match fresh {
+            Some(fresh) => {
+                fresh.insert(member.name.clone(), member);
+            }
+            None => add_member(ctx, member),
+        }
+    }
+}
+
+/// Puts a configuration in force and passes it on to the peers, in case the
+/// store is out of their reach.
+pub(crate) fn take_config(ctx: &Context, body: Bytes) {
+    match ctx.configs.apply(body) {
+        Ok(Update::Applied) => {
+            let version = ctx.configs.version();
+            ctx.counters.config_version.set(version);
+            emit!(ctx.log, info, ConfigApplied; "version" => version);
+            ctx.peers.send_config(ctx);
+        }
+        Ok(Update::Stale) => {}
+        Err(failure) => emit!(ctx.log, error, ConfigRefused; "reason" => %failure),
+    }
+}
+
+fn add_member(ctx: &Context, member: Member) {
+    ctx.members.send_if_modified(|members| {
+        if members.by_name.get(&member.name) == Some(&member) {
+            return false;
+        }
+        let mut next = Members::clone(members);
+        next.by_name.insert(member.name.clone(), member);
+        *members = Arc::new(next);
+        true
+    });
+}
+
+fn drop_member(ctx: &Context, name: &str) {
+    ctx.members.send_if_modified(|members| {
+        let mut next = Members::clone(members);
+        let is_known = next.by_name.remove(name).is_some();
+        if is_known {
+            *members = Arc::new(next);
+        }
+        is_known
+    });
+}
--- /dev/null
+++ b/crates/daemon/src/process/observed.rs
@@ -0,0 +1,103 @@
+//! A key-value service that is watched over.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use base::Timer;
+use futures::{
+    FutureExt, StreamExt,
+    future::BoxFuture,
+    stream::{self, BoxStream},
+};
+use platform::{Entry, Event, Lease, Result, Revision, Store, Swap};
+use prometheus_client::metrics::counter::Counter;
+
+use crate::process::Counters;
+
+/// An `Observed` counts the requests to a store and remembers when it last
+/// answered.
+#[derive(Clone)]
+pub struct Observed {
+    store: Arc<dyn Store>,
+    timer: Timer,
+    counters: Counters,
+    answered_ms: Arc<AtomicU64>,
+}
+
+impl Observed {
+    /// Wraps a store.
+    pub fn new(store: Arc<dyn Store>, timer: Timer, counters: Counters) -> Self {
+        Self { store, timer, counters, answered_ms: Arc::default() }
+    }
+
+    /// Gets the time since the store last answered.
+    pub fn age(&self) -> Duration {
+        let answered = Duration::from_millis(self.answered_ms.load(Ordering::Relaxed));
+        self.timer.now().saturating_sub(answered)
+    }
+
+    async fn count<T>(
+        &self,
+        counter: &Counter,
+        request: impl Future<Output = Result<T>>,
+    ) -> Result<T> {
+        counter.inc();
+        let result = request.await;
+        match &result {
+            Ok(_) | Err(platform::Error::Lapsed) => self.answered(),
+            Err(_) => {
+                self.counters.store_failures.inc();
+            }
+        }
+        result
+    }
+
+    fn answered(&self) {
+        self.answered_ms.store(self.timer.now().as_millis() as u64, Ordering::Relaxed);
+    }
+}
+
+impl Store for Observed {
+    fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Entry>>> {
+        self.count(&self.counters.store_reads, self.store.get(key)).boxed()
+    }
+
+    fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Vec<Entry>>> {
+        self.count(&self.counters.store_reads, self.store.list(prefix)).boxed()
+    }
+
+    fn swap(&self, swap: Swap) -> BoxFuture<'_, Result<Option<Revision>>> {
+        self.count(&self.counters.store_writes, self.store.swap(swap)).boxed()
+    }
+
+    fn grant(&self, ttl: Duration) -> BoxFuture<'_, Result<Lease>> {
+        self.count(&self.counters.store_writes, self.store.grant(ttl)).boxed()
+    }
+
+    fn renew(&self, lease: Lease) -> BoxFuture<'_, Result<()>> {
+        self.count(&self.counters.store_writes, self.store.renew(lease)).boxed()
+    }
+
+    fn revoke(&self, lease: Lease) -> BoxFuture<'_, Result<()>> {
+        self.count(&self.counters.store_writes, self.store.revoke(lease)).boxed()
+    }
+
+    fn watch<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<BoxStream<'static, Event>>> {
+        async move {
+            let events = self.count(&self.counters.store_reads, self.store.watch(prefix)).await?;
+            let observer = self.clone();
+            let observed = stream::unfold((events, observer), |(mut events, observer)| async {
+                let event = events.next().await?;
+                observer.answered();
+                Some((event, (events, observer)))
+            });
+            Ok(observed.boxed())
+        }
+        .boxed()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/request/answer.rs
@@ -0,0 +1,117 @@
+//! Requests that an instance answers itself, also for its peers.
+
+use std::sync::Arc;
+
+use base::{Failure, Name, Result};
+use bytes::Bytes;
+use prost::Message;
+use tokio::sync::oneshot;
+use wire::{Ask, Tell, pb};
+
+use crate::{
+    process::Context,
+    request::{call, placer::region_of},
+    version::Command,
+};
+
+/// Answers a request of a peer.
+pub(crate) async fn answer(ctx: &Arc<Context>, ask: Ask) -> Result<Tell> {
+    match ask {
+        Ask::Call(ask) => call::serve_forwarded(ctx, ask).await.map(Tell::Call),
+        ask => answer_here(ctx, ask).await,
+    }
+}
+
+/// Answers a request to a placer of this instance, or for its state.
+pub(crate) async fn answer_here(ctx: &Context, ask: Ask) -> Result<Tell> {
+    let placers = &ctx.placers;
+    match ask {
+        Ask::Submit { team, region, request } => {
+            let request = pb::SubmitRequest::decode(request)
+                .map_err(|error| Failure::fix(error.to_string()))?;
+            let request = Box::new(request);
+            placers.ask(&region, |reply| Command::Submit { team, request, reply }).await
+        }
+        Ask::Job { team, job } => {
+            let region = region_of(&job)?;
+            placers.ask(&region, |reply| Command::Job { team, job, reply }).await
+        }
+        Ask::Jobs { team } => list_jobs(ctx, &team).await,
+        Ask::Cancel { team, job } => {
+            let region = region_of(&job)?;
+            placers.ask(&region, |reply| Command::Cancel { team, job, reply }).await
+        }
+        Ask::Status => Ok(Tell::Message(status(ctx).await.encode_to_vec().into())),
+        Ask::Admit { region, team, request } => {
+            placers.ask(&region, |reply| Command::Admit { team, request, reply }).await
+        }
+        Ask::Retract { region, team, request } => {
+            placers.tell(&region, Command::Retract { team, request })?;
+            Ok(Tell::Done)
+        }
+        Ask::Call(_) => Err(Failure::fix("calls are not for placers")),
+    }
+}
+
+/// Gets the jobs of a team in all regions that this instance places in.
+async fn list_jobs(ctx: &Context, team: &Name) -> Result<Tell> {
+    let mut all = pb::ListJobsReply::default();
+    for region in ctx.placers.regions() {
+        let team = team.clone();
+        let tell = ctx.placers.ask(&region, |reply| Command::Jobs { team, reply }).await?;
+        all.jobs.extend(read_message::<pb::ListJobsReply>(tell)?.jobs);
+    }
+    Ok(Tell::Message(all.encode_to_vec().into()))
+}
+
+/// Gets the state of this instance and of the targets that it owns.
+pub(crate) async fn status(ctx: &Context) -> pb::StatusReply {
+    let loads = ctx.router.loads();
+    let mut targets: Vec<pb::TargetStatus> = Vec::new();
+    for region in ctx.placers.regions() {
+        let (reply, statuses) = oneshot::channel();
+        if ctx.placers.tell(&region, Command::Status { reply }).is_ok() {
+            targets.extend(statuses.await.unwrap_or_default());
+        }
+    }
+    let instance = pb::InstanceStatus {
+        name: ctx.name.to_string(),
+        region: ctx.settings.region.clone(),
+        data_centre: ctx.settings.data_centre.clone(),
+        version: ctx.configs.version(),
+        places: ctx.placers.regions().iter().map(Name::to_string).collect(),
+        runners: loads.len() as u32,
+        calls: loads.iter().map(|(_, busy)| busy).sum(),
+        reachable: true,
+        store_age_ms: ctx.store.age().as_millis() as u64,
+    };
+    targets.extend(loads.into_iter().map(|(runner, busy)| pb::TargetStatus {
+        name: runner.name.to_string(),
+        region: String::new(),
+        data_centre: runner.data_centre.to_string(),
+        rack: String::new(),
+        owner: ctx.name.to_string(),
+        term: runner.handle.term,
+        health: if runner.open { "ready".to_owned() } else { "closed".to_owned() },
+        capacity: None,
+        promised: None,
+        slots: runner.slots,
+        busy,
+    }));
+    pb::StatusReply { instances: vec![instance], targets }
+}
+
+/// Reads the message of an answer.
+///
+/// # Errors
+/// Fails if the answer has none.
+pub(crate) fn read_message<M: Message + Default>(tell: Tell) -> Result<M> {
+    let Tell::Message(bytes) = tell else {
+        return Err(Failure::unknown("an instance answered with something else"));
+    };
+    decode(bytes)
+}
+
+fn decode<M: Message + Default>(bytes: Bytes) -> Result<M> {
+    M::decode(bytes).map_err(|error| Failure::unknown(format!("an answer is malformed: {error}")))
+}
--- /dev/null
+++ b/crates/daemon/src/request/call.rs
@@ -0,0 +1,396 @@
+//! Calls that operators have described in a schema.
+
+use std::{sync::Arc, time::Duration};
+
+use base::{Failure, Name, Result, emit};
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use quota::Rights;
+use route::{Pass, Wish};
+use schema::{Access, Method};
+use smallvec::SmallVec;
+use tokio::time::{self, Instant};
+use tonic::body::Body;
+use wire::{Ask, CallAnswer, CallAsk, REQUEST_ID_HEADER, Tell, status_of};
+
+use crate::{
+    process::{CallLabels, Context, Outcome, RunnerHandle},
+    request::{
+        attempt::{Answered, Attempt, CallBody, run},
+        auth,
+        placer::ask_once,
+    },
+    version::top,
+};
+
+/// Time for which a call waits for a slot here before the peers are looked at
+/// again.
+const LOCAL_PATIENCE: Duration = Duration::from_millis(50);
+
+/// Time after which a caller may come back when too much is in flight.
+const CROWDED_RETRY: Duration = Duration::from_millis(500);
+
+/// Time for the record of a call that may run at most once.
+const ADMIT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Longest id that a caller gives to a call, in bytes.
+const LONGEST_REQUEST_ID: usize = 128;
+
+/// Attempts at one call at most.
+const MOST_ATTEMPTS: usize = 6;
+
+/// A `Call` is one call of a caller.
+struct Call {
+    method: Arc<Method>,
+    team: Option<Name>,
+    /// The caller's id, if the call may run at most once.
+    once: Option<Name>,
+    body: Bytes,
+    /// When the call arrived, on the timer's clock.
+    arrived: Duration,
+    deadline: Instant,
+}
+
+impl Call {
+    fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+/// A `Place` is where an attempt is made.
+enum Place {
+    /// At a runner of this instance.
+    Here(route::Permit<RunnerHandle>),
+    /// At a runner of a peer.
+    There(Name),
+}
+
+/// Serves a call.
+pub(crate) async fn serve(ctx: Arc<Context>, request: Request<Incoming>) -> Response<Body> {
+    let answered = match admit(&ctx, request).await {
+        Ok((call, pass)) => {
+            // The call goes on when its caller leaves: what a runner has begun
+            // takes its slot until it ends.
+            let inner = Arc::clone(&ctx);
+            let task = tokio::spawn(async move {
+                let answered = execute(&inner, &call).await;
+                drop(pass);
+                answered
+            });
+            task.await.unwrap_or_else(|_| Err(Failure::unknown("the call broke off")))
+        }
+        Err(failure) => Err(failure),
+    };
+    let outcome = match &answered {
+        Ok(_) => Outcome::Answered,
+        Err(failure) if failure.is_not_run() => Outcome::NotRun,
+        Err(_) => Outcome::MayHaveRun,
+    };
+    ctx.counters.calls.get_or_create(&CallLabels { outcome }).inc();
+    match answered {
+        Ok(answered) => answered.into_response(),
+        Err(failure) => {
+            emit!(ctx.log, info, CallRefused; "verdict" => %failure.verdict,
+                "reason" => &failure.reason);
+            status_of(&failure).into_http()
+        }
+    }
+}
+
+/// Serves a call that a peer received, at a runner of this instance.
+///
+/// # Errors
+/// Fails without effect if no runner has a free slot.
+pub(crate) async fn serve_forwarded(ctx: &Arc<Context>, ask: CallAsk) -> Result<CallAnswer> {
+    let method = find_method(ctx, &ask.path)?;
+    let call = Call {
+        arrived: ctx.timer.now(),
+        deadline: Instant::now() + Duration::from_millis(ask.left_ms),
+        team: None,
+        once: ask.once,
+        body: ask.body,
+        method,
+    };
+    let permit = ctx.router.try_acquire(&wish(ctx, &call, &[])).ok_or_else(|| {
+        Failure::busy(CROWDED_RETRY, format!("no free slot of {}", call.method.service))
+    })?;
+    let attempt = Attempt {
+        permit,
+        attempt: ask.attempt,
+        once: call.once.clone(),
+        left: call.left(),
+        largest: call.method.largest_answer,
+        path: ask.path,
+        body: call.body.clone(),
+    };
+    run(ctx, attempt).await?.into_whole().await
+}
+
+/// Checks a call and lets it in.
+async fn admit(ctx: &Arc<Context>, request: Request<Incoming>) -> Result<(Call, CallPass)> {
+    let arrived = ctx.timer.now();
+    let method = find_method(ctx, request.uri().path())?;
+    let team = match method.access {
+        Access::Keyed => Some(auth::team(ctx, request.headers())?),
+        // A queue open to all takes a key, but doesn't need one.
+        Access::Open => match auth::rights(ctx, request.headers()) {
+            Ok(Rights::Team(team)) => Some(team),
+            Ok(Rights::Operator) | Err(_) => None,
+        },
+    };
+    let pass = enter(ctx, team.as_ref())?;
+    let timeout = read_timeout(request.headers()).map_or(method.timeout, |t| t.min(method.timeout));
+    let deadline = Instant::now() + timeout;
+    let request_id = read_request_id(request.headers())?;
+    let most = ctx.settings.limits.request_bytes as usize;
+    let read = Limited::new(request.into_body(), most).collect();
+    let body = time::timeout_at(deadline, read)
+        .await
+        .map_err(|_| Failure::busy(CROWDED_RETRY, "the request did not arrive in time"))?
+        .map_err(|error| Failure::fix(format!("the request can't be read: {error}")))?
+        .to_bytes();
+    let once = if method.idempotent { None } else { request_id };
+    Ok((Call { method, team, once, body, arrived, deadline }, pass))
+}
+
+fn find_method(ctx: &Context, path: &str) -> Result<Arc<Method>> {
+    let active = ctx.configs.current();
+    let method = active.methods.get(path).cloned();
+    method.ok_or_else(|| Failure::missing(format!("no schema has the method {path}")))
+}
+
+/// A `CallPass` counts a call as in flight.
+struct CallPass {
+    ctx: Arc<Context>,
+    _pass: Option<Pass>,
+}
+
+impl Drop for CallPass {
+    fn drop(&mut self) {
+        self.ctx.counters.calls_in_flight.dec();
+    }
+}
+
+fn enter(ctx: &Arc<Context>, team: Option<&Name>) -> Result<CallPass> {
+    if ctx.counters.calls_in_flight.get() >= i64::from(ctx.settings.limits.calls) {
+        return Err(Failure::busy(CROWDED_RETRY, "too many calls are in flight"));
+    }
+    let pass = match team {
+        Some(team) => Some(ctx.gate.enter(team, calls_part(ctx, team)).ok_or_else(|| {
+            Failure::busy(CROWDED_RETRY, "the team's upper limit on calls is reached")
+        })?),
+        None => None,
+    };
+    ctx.counters.calls_in_flight.inc();
+    Ok(CallPass { ctx: Arc::clone(ctx), _pass: pass })
+}
+
+/// Gets this instance's part of a team's upper limit on calls. The parts of
+/// all instances add up to the limit.
+fn calls_part(ctx: &Context, team: &Name) -> u32 {
+    let limit = ctx.configs.current().config.teams.get(team).map_or(0, |rights| rights.calls);
+    let members = Arc::clone(&ctx.members.borrow());
+    let count = members.by_name.len().max(1) as u32;
+    let position = members.by_name.keys().position(|name| *name == ctx.name).unwrap_or(0) as u32;
+    limit / count + u32::from(position < limit % count)
+}
+
+/// Gets the time that the caller gives, from the standard `grpc-timeout`.
+fn read_timeout(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("grpc-timeout")?.to_str().ok()?;
+    let (number, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
+    let number: u64 = number.parse().ok()?;
+    match unit {
+        "H" => Some(Duration::from_secs(number.checked_mul(3600)?)),
+        "M" => Some(Duration::from_secs(number.checked_mul(60)?)),
+        "S" => Some(Duration::from_secs(number)),
+        "m" => Some(Duration::from_millis(number)),
+        "u" => Some(Duration::from_micros(number)),
+        "n" => Some(Duration::from_nanos(number)),
+        _ => None,
+    }
+}
+
+fn read_request_id(headers: &HeaderMap) -> Result<Option<Name>> {
+    let Some(value) = headers.get(REQUEST_ID_HEADER) else {
+        return Ok(None);
+    };
+    let text = value.to_str().unwrap_or_default();
+    if text.is_empty() || text.len() > LONGEST_REQUEST_ID {
+        return Err(Failure::fix(format!(
+            "{REQUEST_ID_HEADER}: must be 1 to {LONGEST_REQUEST_ID} visible characters"
+        )));
+    }
+    Ok(Some(text.into()))
+}
+
+/// Runs a call to its final answer.
+async fn execute(ctx: &Arc<Context>, call: &Call) -> Result<Answered> {
+    let Some(once) = &call.once else {
+        return try_attempts(ctx, call).await;
+    };
+    let team = call.team.clone().unwrap_or_default();
+    let region = record_region(ctx, call, once)?;
+    record(ctx, &region, &team, once).await?;
+    let answered = try_attempts(ctx, call).await;
+    if answered.as_ref().is_err_and(Failure::is_not_run) {
+        // The caller may repeat the call with the same id.
+        let ask = Ask::Retract { region: region.clone(), team, request: once.clone() };
+        let _ = ask_once(ctx, &region, ask).await;
+    }
+    answered
+}
+
+/// Records that a call may run, once and for all.
+async fn record(ctx: &Context, region: &Name, team: &Name, once: &Name) -> Result<()> {
+    let ask = Ask::Admit { region: region.clone(), team: team.clone(), request: once.clone() };
+    match time::timeout(ADMIT_TIMEOUT, ask_once(ctx, region, ask)).await {
+        Ok(Ok(_)) => Ok(()),
+        // Only a record that was found says anything about an earlier attempt.
+        Ok(Err(failure)) => Err(failure),
+        Err(_) => Err(Failure::unknown("the call could not be recorded in time")),
+    }
+}
+
+/// Gets the region whose placer keeps the record of a call: the same one
+/// whichever instance the call comes to.
+fn record_region(ctx: &Context, call: &Call, once: &Name) -> Result<Name> {
+    let active = ctx.configs.current();
+    let home = call.team.as_ref().and_then(|team| active.config.teams.get(team));
+    if let Some(rights) = home {
+        return Ok(rights.home_region.clone());
+    }
+    let divisions = Arc::clone(&ctx.divisions.borrow());
+    let region = top(divisions.by_region.keys(), once).cloned();
+    region.ok_or_else(|| Failure::busy(CROWDED_RETRY, "no region is served yet"))
+}
+
+async fn try_attempts(ctx: &Arc<Context>, call: &Call) -> Result<Answered> {
+    ctx.budget.earn();
+    let mut avoid: SmallVec<[Name; 2]> = SmallVec::new();
+    for _ in 1..MOST_ATTEMPTS {
+        let (failure, runner) = match try_once(ctx, call, &avoid).await {
+            Ok(answered) => return Ok(answered),
+            Err(Stop::Final(failure)) => return Err(failure),
+            Err(Stop::Attempt(failure, runner)) => (failure, runner),
+        };
+        // Only what surely has not run, or may run twice, is sent again.
+        let may_repeat = failure.is_not_run() || call.method.idempotent;
+        if !may_repeat || call.left().is_zero() || !ctx.budget.spend() {
+            return Err(failure);
+        }
+        emit!(ctx.log, info, CallRetried; "path" => %call.method.path, "runner" => %runner,
+            "reason" => %failure);
+        ctx.counters.retries.inc();
+        avoid.push(runner);
+    }
+    match try_once(ctx, call, &avoid).await {
+        Ok(answered) => Ok(answered),
+        Err(Stop::Final(failure) | Stop::Attempt(failure, _)) => Err(failure),
+    }
+}
+
+/// A `Stop` is why there is no answer yet.
+enum Stop {
+    /// No place was found; this is the final answer.
+    Final(Failure),
+    /// An attempt at a runner or a peer failed.
+    Attempt(Failure, Name),
+}
+
+async fn try_once(ctx: &Arc<Context>, call: &Call, avoid: &[Name]) -> Result<Answered, Stop> {
+    let place = find_place(ctx, call, avoid).await.map_err(Stop::Final)?;
+    let waited = ctx.timer.now().saturating_sub(call.arrived);
+    ctx.counters.call_wait.observe(waited.as_secs_f64());
+    let attempt = ctx.next_attempt();
+    let team = call.team.as_deref().unwrap_or("");
+    match place {
+        Place::Here(permit) => {
+            emit!(ctx.log, info, CallRouted; "path" => %call.method.path, "team" => team,
+                "attempt" => %attempt, "runner" => %permit.runner,
+                "candidates" => permit.candidates, "waited_us" => waited.as_micros() as u64);
+            let runner = permit.runner.clone();
+            let attempt = Attempt {
+                permit,
+                attempt,
+                once: call.once.clone(),
+                left: call.left(),
+                largest: call.method.largest_answer,
+                path: call.method.path.clone(),
+                body: call.body.clone(),
+            };
+            run(ctx, attempt).await.map_err(|failure| Stop::Attempt(failure, runner))
+        }
+        Place::There(peer) => {
+            emit!(ctx.log, info, CallForwarded; "path" => %call.method.path, "team" => team,
+                "attempt" => %attempt, "peer" => %peer, "waited_us" => waited.as_micros() as u64);
+            ctx.counters.forwards.inc();
+            let answered = forward(ctx, call, attempt, &peer).await;
+            answered.map_err(|failure| Stop::Attempt(failure, peer))
+        }
+    }
+}
+
+/// Finds a slot: at a runner of this instance, else at one of a peer, else by
+/// waiting.
+async fn find_place(ctx: &Context, call: &Call, avoid: &[Name]) -> Result<Place> {
+    loop {
+        let wish = wish(ctx, call, avoid);
+        if let Some(permit) = ctx.router.try_acquire(&wish) {
+            return Ok(Place::Here(permit));
+        }
+        if let Some(peer) = ctx.peers.take_free(&call.method.service) {
+            return Ok(Place::There(peer));
+        }
+        let asked = Instant::now();
+        match ctx.router.acquire(&wish).await {
+            Ok(permit) => return Ok(Place::Here(permit)),
+            Err(failure) => {
+                // A refusal at once means that the queue is full; otherwise the
+                // wait here is over and the peers are looked at again.
+                let refused = asked.elapsed() < wish.patience;
+                if refused || call.left().is_zero() {
+                    return Err(failure);
+                }
+            }
+        }
+    }
+}
+
+fn wish<'a>(ctx: &'a Context, call: &'a Call, avoid: &'a [Name]) -> Wish<'a> {
+    let left = call.left();
+    Wish {
+        service: &call.method.service,
+        data_centre: &ctx.settings.data_centre,
+        urgency: call.method.urgency,
+        arrived: call.arrived,
+        left,
+        patience: left.min(LOCAL_PATIENCE),
+        avoid,
+    }
+}
+
+async fn forward(ctx: &Context, call: &Call, attempt: Name, peer: &Name) -> Result<Answered> {
+    let left = call.left();
+    let ask = CallAsk {
+        path: call.method.path.clone(),
+        attempt,
+        once: call.once.clone(),
+        left_ms: left.as_millis() as u64,
+        body: call.body.clone(),
+    };
+    match ctx.peers.ask(peer, Ask::Call(ask), left).await {
+        Ok(Tell::Call(answer)) => {
+            Ok(Answered { headers: HeaderMap::new(), body: CallBody::Whole(answer.into()) })
+        }
+        Ok(_) => Err(Failure::unknown("an instance answered with something else")),
+        Err(failure) => {
+            if failure.is_not_run() {
+                ctx.peers.mark_full(peer, &call.method.service);
+            }
+            Err(failure)
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/request/jobs.rs
@@ -0,0 +1,131 @@
+//! The service of submitters.
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use base::{Failure, Name, Result};
+use futures::future::join_all;
+use prost::Message;
+use tonic::{Request, Response, Status};
+use wire::{
+    Ask,
+    pb::{self, jobs_server::Jobs},
+    status_of,
+};
+
+use crate::{
+    process::Context,
+    request::{
+        answer::read_message,
+        auth,
+        placer::{ask_placer, region_of},
+    },
+};
+
+/// A `Submitter` serves submitters.
+#[derive(Clone)]
+pub(crate) struct Submitter {
+    ctx: Arc<Context>,
+}
+
+impl Submitter {
+    pub(crate) fn new(ctx: Arc<Context>) -> Self {
+        Self { ctx }
+    }
+
+    fn team<T>(&self, request: &Request<T>) -> Result<Name> {
+        auth::team(&self.ctx, &request.metadata().clone().into_headers())
+    }
+
+    async fn submit_job(&self, request: Request<pb::SubmitRequest>) -> Result<pb::SubmitReply> {
+        let team = self.team(&request)?;
+        let request = request.into_inner();
+        let job = request.job.as_ref().ok_or_else(|| Failure::fix("job: is missing"))?;
+        let region: Name = match job.region.as_str() {
+            "" => self.home_region(&team)?,
+            named => named.into(),
+        };
+        let request = request.encode_to_vec().into();
+        let ask = Ask::Submit { team, region: region.clone(), request };
+        read_message(ask_placer(&self.ctx, &region, ask).await?)
+    }
+
+    fn home_region(&self, team: &Name) -> Result<Name> {
+        let active = self.ctx.configs.current();
+        let rights = active.config.teams.get(team);
+        rights
+            .map(|rights| rights.home_region.clone())
+            .ok_or_else(|| Failure::denied("the team was removed"))
+    }
+
+    async fn job(&self, request: Request<pb::GetJobRequest>) -> Result<pb::JobStatus> {
+        let team = self.team(&request)?;
+        let job: Name = request.into_inner().job.into();
+        let region = region_of(&job)?;
+        read_message(ask_placer(&self.ctx, &region, Ask::Job { team, job }).await?)
+    }
+
+    async fn cancel(&self, request: Request<pb::CancelJobRequest>) -> Result<pb::JobStatus> {
+        let team = self.team(&request)?;
+        let job: Name = request.into_inner().job.into();
+        let region = region_of(&job)?;
+        read_message(ask_placer(&self.ctx, &region, Ask::Cancel { team, job }).await?)
+    }
+
+    /// Gets the jobs of a team from every placer.
+    async fn jobs(&self, request: Request<pb::ListJobsRequest>) -> Result<pb::ListJobsReply> {
+        let team = self.team(&request)?;
+        let divisions = Arc::clone(&self.ctx.divisions.borrow());
+        // An instance that places in several regions is asked once.
+        let mut placers = BTreeSet::new();
+        let regions = divisions
+            .by_region
+            .iter()
+            .filter(|(_, (division, _))| placers.insert(division.placer.clone()))
+            .map(|(region, _)| region);
+        let asks = regions.map(|region| {
+            let ask = Ask::Jobs { team: team.clone() };
+            async move { ask_placer(&self.ctx, region, ask).await }
+        });
+        let mut all = pb::ListJobsReply::default();
+        for tell in join_all(asks).await {
+            all.jobs.extend(read_message::<pb::ListJobsReply>(tell?)?.jobs);
+        }
+        all.jobs.sort_by(|a, b| a.job.cmp(&b.job));
+        Ok(all)
+    }
+}
+
+fn respond<T>(result: Result<T>) -> Result<Response<T>, Status> {
+    result.map(Response::new).map_err(|failure| status_of(&failure))
+}
+
+#[tonic::async_trait]
+impl Jobs for Submitter {
+    async fn submit(
+        &self,
+        request: Request<pb::SubmitRequest>,
+    ) -> Result<Response<pb::SubmitReply>, Status> {
+        respond(self.submit_job(request).await)
+    }
+
+    async fn get_job(
+        &self,
+        request: Request<pb::GetJobRequest>,
+    ) -> Result<Response<pb::JobStatus>, Status> {
+        respond(self.job(request).await)
+    }
+
+    async fn list_jobs(
+        &self,
+        request: Request<pb::ListJobsRequest>,
+    ) -> Result<Response<pb::ListJobsReply>, Status> {
+        respond(self.jobs(request).await)
+    }
+
+    async fn cancel_job(
+        &self,
+        request: Request<pb::CancelJobRequest>,
+    ) -> Result<Response<pb::JobStatus>, Status> {
+        respond(self.cancel(request).await)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/version/placer/decide.rs
@@ -0,0 +1,251 @@
+//! Rounds of placement decisions.
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, HashMap, VecDeque},
+};
+
+use base::{Name, Resources, emit};
+use place::{Choice, Policy, Racks, Refusals, Request, State};
+use quota::JobKind;
+use schema::Urgency;
+
+use crate::version::placer::{
+    job::{Assigned, Phase},
+    page::Then,
+    state::Placer,
+};
+
+/// Placements in one round; commands are handled between rounds.
+const PLACEMENTS_PER_ROUND: u32 = 4096;
+
+/// Waiting jobs of one team that are looked at in one round.
+const JOBS_PER_TEAM: usize = 256;
+
+/// Jobs for which room is made in one round.
+const ROOMS_PER_ROUND: u32 = 8;
+
+/// A `Blocked` is why a job's next tasks were not placed.
+enum Blocked {
+    /// No worker takes them.
+    NoWorker(Refusals),
+    /// The team's limit is reached.
+    Limit,
+    /// They are to wait.
+    Held,
+}
+
+/// A `Round` is what is known within one round of decisions.
+#[derive(Default)]
+struct Round {
+    /// Requests that no worker takes; equal tasks are refused together.
+    refused: HashMap<(Request, u32), Refusals>,
+    caps: HashMap<Name, Resources>,
+    placements: u32,
+    /// Jobs for which room was made.
+    rooms: u32,
+}
+
+impl Placer {
+    /// Places what can be placed, if anything has changed since the last
+    /// round. Urgent work goes first; within an urgency, the team furthest
+    /// below its share.
+    pub(crate) fn decide(&mut self) {
+        if !std::mem::take(&mut self.replan) {
+            return;
+        }
+        self.short.clear();
+        let mut round = Round::default();
+        for urgency in Urgency::ALL {
+            self.decide_urgency(urgency, &mut round);
+            if round.placements >= PLACEMENTS_PER_ROUND {
+                self.replan = true;
+                return;
+            }
+        }
+    }
+
+    fn decide_urgency(&mut self, urgency: Urgency, round: &mut Round) {
+        let whole = self.cell.totals().capacity;
+        let active = self.ctx.configs.current();
+        let share = |team: &Name| active.config.teams.get(team).map_or(1, |rights| rights.share);
+        let Some(teams) = self.queue.get(&urgency) else {
+            return;
+        };
+        let mut waiting: HashMap<Name, VecDeque<Name>> = teams
+            .iter()
+            .map(|(team, jobs)| {
+                let jobs = jobs.iter().take(JOBS_PER_TEAM).map(|(_, id)| id.clone());
+                (team.clone(), jobs.collect())
+            })
+            .collect();
+        let rank = |placer: &Self, team: &Name| placer.order.rank(team, share(team), &whole);
+        let mut turns: BinaryHeap<_> =
+            waiting.keys().map(|team| Reverse((rank(self, team), team.clone()))).collect();
+        while let Some(Reverse((_, team))) = turns.pop() {
+            if round.placements >= PLACEMENTS_PER_ROUND {
+                return;
+            }
+            let Some(jobs) = waiting.get_mut(&team) else {
+                continue;
+            };
+            let Some(job) = jobs.front().cloned() else {
+                continue;
+            };
+            match self.place_next(&job, round) {
+                Ok(()) => {
+                    if self.jobs.get(&job).is_none_or(|job| job.pending.is_empty()) {
+                        jobs.pop_front();
+                        self.dequeue(&job);
+                    }
+                }
+                Err(blocked) => {
+                    jobs.pop_front();
+                    self.note_waiting(&job, &blocked);
+                    if let Blocked::NoWorker(_) = blocked
+                        && round.rooms < ROOMS_PER_ROUND
+                        && self.make_room(&job)
+                    {
+                        round.rooms += 1;
+                    }
+                }
+            }
+            turns.push(Reverse((rank(self, &team), team)));
+        }
+    }
+
+    /// Places the next task of a job, or all tasks of one whose tasks start
+    /// together.
+    fn place_next(&mut self, id: &Name, round: &mut Round) -> Result<(), Blocked> {
+        let now = self.ctx.timer.now();
+        let Some(job) = self.jobs.get(id).filter(|job| job.is_placeable(now)) else {
+            return Err(Blocked::Held);
+        };
+        let count = if job.spec.kind == JobKind::Gang { job.pending.len() as u32 } else { 1 };
+        let request = job.spec.request.clone();
+        let team = job.team.clone();
+        let policy = self.ctx.configs.current().config.policy(job.spec.kind);
+        let mut racks = self.racks_of(id);
+        let waiting = request.size * job.pending.len() as u32;
+        self.check_cap(&team, request.size * count, waiting, round)?;
+
+        let key = (request, if racks.most.is_some() { u32::MAX } else { count });
+        if let Some(refusals) = round.refused.get(&key)
+            && racks.most.is_none()
+        {
+            return Err(Blocked::NoWorker(*refusals));
+        }
+        let (request, _) = &key;
+        match self.choose(request, policy, &mut racks, count) {
+            Ok(choices) => {
+                round.placements += choices.len() as u32;
+                self.take_choices(id, &choices);
+                Ok(())
+            }
+            Err(refusals) => {
+                round.refused.insert(key, refusals);
+                Err(Blocked::NoWorker(refusals))
+            }
+        }
+    }
+
+    fn choose(
+        &mut self,
+        request: &Request,
+        policy: Policy,
+        racks: &mut Racks,
+        count: u32,
+    ) -> Result<Vec<Choice>, Refusals> {
+        if count == 1 {
+            return self.cell.place(request, policy, racks).map(|choice| vec![choice]);
+        }
+        self.cell.place_all(request, policy, racks, count)
+    }
+
+    /// Gives the job's next tasks the chosen workers. The starts are sent once
+    /// they are recorded.
+    fn take_choices(&mut self, id: &Name, choices: &[Choice]) {
+        for choice in choices {
+            let Some(job) = self.jobs.get(id) else {
+                return;
+            };
+            let Some(&index) = job.pending.first() else {
+                return;
+            };
+            let worker = self.cell.worker(choice.worker).name.clone();
+            let boot = self.workers.get(&worker).map_or(0, |held| held.boot);
+            emit!(self.ctx.log, info, TaskPlaced; "job" => %id, "task" => index,
+                "attempt" => job.tasks[index as usize].attempt, "team" => %job.team,
+                "worker" => %worker, "size" => %job.spec.request.size,
+                "candidates" => choice.candidates, "free_ppm" => choice.free_ppm);
+            let (start, page) = (job.start(index), job.page);
+            let assigned =
+                Assigned { worker: worker.clone(), boot, phase: Phase::Recording, evicted: false };
+            self.count(id, index, assigned);
+            // A suspected worker gets one task as a probe.
+            if self.workers.get(&worker).is_some_and(|held| held.health.is_suspected()) {
+                self.cell.set_state(choice.worker, State::Suspect);
+            }
+            self.pages[page].after_write(Then::Start(worker, start));
+            self.ctx.counters.placements.inc();
+        }
+    }
+
+    /// Checks the team's part of its upper limit.
+    fn check_cap(
+        &mut self,
+        team: &Name,
+        size: Resources,
+        waiting: Resources,
+        round: &mut Round,
+    ) -> Result<(), Blocked> {
+        let cap = match round.caps.get(team) {
+            Some(cap) => *cap,
+            None => {
+                let cap = self.cap(team);
+                round.caps.insert(team.clone(), cap);
+                cap
+            }
+        };
+        if (self.order.used(team) + size).fits(&cap) {
+            return Ok(());
+        }
+        *self.short.entry(team.clone()).or_default() += waiting;
+        Err(Blocked::Limit)
+    }
+
+    /// Gets how many tasks of a job each rack holds, if that is bounded.
+    fn racks_of(&self, id: &Name) -> Racks {
+        let mut racks = Racks::default();
+        let Some(job) = self.jobs.get(id) else {
+            return racks;
+        };
+        racks.most = job.spec.most_per_rack;
+        if racks.most.is_some() {
+            for index in 0..job.spec.tasks {
+                let worker = job.assigned(index).and_then(|a| self.cell.find(&a.worker));
+                if let Some(worker) = worker {
+                    racks.add(&self.cell.worker(worker).rack.clone());
+                }
+            }
+        }
+        racks
+    }
+
+    /// Keeps why a job waits and logs it when it changes.
+    fn note_waiting(&mut self, id: &Name, blocked: &Blocked) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let why = match blocked {
+            Blocked::NoWorker(refusals) => format!("no worker: {refusals}"),
+            Blocked::Limit => "the team's upper limit is reached".to_owned(),
+            Blocked::Held => "held back after a failure".to_owned(),
+        };
+        if job.waiting != why {
+            emit!(self.ctx.log, info, TaskWaiting; "job" => %id, "team" => %job.team,
+                "tasks" => job.pending.len(), "why" => &why);
+            job.waiting = why;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/version/placer/job.rs
@@ -0,0 +1,229 @@
+//! Jobs and their tasks.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use base::Name;
+use quota::JobKind;
+use serde::{Deserialize, Serialize};
+use target::{AttemptId, Start};
+use wire::pb;
+
+use crate::version::placer::spec::Spec;
+
+/// Workers that a status names at most.
+const MOST_WORKERS_NAMED: usize = 64;
+
+/// An `End` is how a task ended for good.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum End {
+    /// It ran to its end.
+    #[serde(rename = "s")]
+    Succeeded,
+    /// It failed.
+    #[serde(rename = "f")]
+    Failed,
+    /// It was stopped, or cancelled before it ran.
+    #[serde(rename = "c")]
+    Stopped,
+    /// Its worker was lost and it may not be started again.
+    #[serde(rename = "m")]
+    MayHaveRun,
+}
+
+/// A `Phase` is what is known of an attempt on its worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// The ledger doesn't have it yet; the worker has not been told.
+    Recording,
+    /// The worker has been told. A report after `not_after` settles whether
+    /// the attempt runs. `confirmed` if the worker said that it started.
+    Sent {
+        /// On the worker's clock.
+        not_after: Duration,
+        /// Whether the worker said that it started.
+        confirmed: bool,
+    },
+    /// The start is being sent.
+    Sending,
+    /// A report has shown it.
+    Running,
+}
+
+/// An `Assigned` is an attempt that has a worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Assigned {
+    pub(crate) worker: Name,
+    /// Run of the worker; 0 if it is not known.
+    pub(crate) boot: u64,
+    pub(crate) phase: Phase,
+    /// Whether the attempt is being stopped to start elsewhere.
+    pub(crate) evicted: bool,
+}
+
+/// A `TaskState` is where a task stands.
+#[derive(Clone, Debug)]
+pub(crate) enum TaskState {
+    /// It waits for a worker.
+    Pending,
+    /// It has a worker.
+    Assigned(Assigned),
+    /// It is over.
+    Ended(End),
+}
+
+/// A `Task` is one task of a job.
+#[derive(Clone, Debug)]
+pub(crate) struct Task {
+    /// Number of the current or the next attempt.
+    pub(crate) attempt: u32,
+    /// Attempts that failed.
+    pub(crate) failures: u32,
+    pub(crate) state: TaskState,
+}
+
+/// A `Job` is a job with the state of its tasks.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    pub(crate) id: Name,
+    pub(crate) team: Name,
+    pub(crate) spec: Spec,
+    pub(crate) page: usize,
+    /// Wall clock, in milliseconds.
+    pub(crate) accepted_ms: u64,
+    pub(crate) cancelled: bool,
+    /// Wall clock, in milliseconds.
+    pub(crate) ended_ms: Option<u64>,
+    pub(crate) first_start_ms: Option<u64>,
+    pub(crate) tasks: Vec<Task>,
+    pub(crate) pending: BTreeSet<u32>,
+    pub(crate) assigned: u32,
+    /// Time before which no failed task starts again.
+    pub(crate) hold_until: Duration,
+    /// Why pending tasks wait.
+    pub(crate) waiting: String,
+}
+
+impl Job {
+    pub(crate) fn new(id: Name, team: Name, spec: Spec, page: usize, accepted_ms: u64) -> Self {
+        let task = Task { attempt: 1, failures: 0, state: TaskState::Pending };
+        Self {
+            tasks: vec![task; spec.tasks as usize],
+            pending: (0..spec.tasks).collect(),
+            assigned: 0,
+            id,
+            team,
+            spec,
+            page,
+            accepted_ms,
+            cancelled: false,
+            ended_ms: None,
+            first_start_ms: None,
+            hold_until: Duration::ZERO,
+            waiting: String::new(),
+        }
+    }
+
+    /// Gets the task's state if it has a worker.
+    pub(crate) fn assigned(&self, index: u32) -> Option<&Assigned> {
+        match &self.tasks.get(index as usize)?.state {
+            TaskState::Assigned(assigned) => Some(assigned),
+            TaskState::Pending | TaskState::Ended(_) => None,
+        }
+    }
+
+    /// Gets the task's state if it has a worker.
+    pub(crate) fn assigned_mut(&mut self, index: u32) -> Option<&mut Assigned> {
+        match &mut self.tasks.get_mut(index as usize)?.state {
+            TaskState::Assigned(assigned) => Some(assigned),
+            TaskState::Pending | TaskState::Ended(_) => None,
+        }
+    }
+
+    /// Gives a task a worker.
+    pub(crate) fn assign(&mut self, index: u32, assigned: Assigned) {
+        self.pending.remove(&index);
+        self.assigned += 1;
+        self.tasks[index as usize].state = TaskState::Assigned(assigned);
+    }
+
+    /// Takes the worker away from a task, which is to be tried again.
+    pub(crate) fn requeue(&mut self, index: u32) {
+        let task = &mut self.tasks[index as usize];
+        if matches!(task.state, TaskState::Assigned(_)) {
+            self.assigned -= 1;
+        }
+        task.attempt += 1;
+        task.state = TaskState::Pending;
+        self.pending.insert(index);
+    }
+
+    /// Ends a task for good.
+    pub(crate) fn end(&mut self, index: u32, end: End) {
+        let task = &mut self.tasks[index as usize];
+        if matches!(task.state, TaskState::Assigned(_)) {
+            self.assigned -= 1;
+        }
+        task.state = TaskState::Ended(end);
+        self.pending.remove(&index);
+    }
+
+    /// Tells whether no task waits or runs.
+    pub(crate) fn is_over(&self) -> bool {
+        self.pending.is_empty() && self.assigned == 0
+    }
+
+    /// Tells whether the next tasks may be placed. Tasks that start together
+    /// wait until none of them is left on a worker.
+    pub(crate) fn is_placeable(&self, now: Duration) -> bool {
+        !self.cancelled
+            && now >= self.hold_until
+            && !self.pending.is_empty()
+            && (self.spec.kind != JobKind::Gang || self.assigned == 0)
+    }
+
+    /// Gets the name of the task's current attempt.
+    pub(crate) fn attempt_id(&self, index: u32) -> AttemptId {
+        let attempt = self.tasks[index as usize].attempt;
+        AttemptId { job: self.id.clone(), index, attempt }
+    }
+
+    /// Gets what a worker is told to start the task's current attempt.
+    pub(crate) fn start(&self, index: u32) -> Start {
+        Start {
+            id: self.attempt_id(index),
+            size: self.spec.request.size,
+            declared_run: self.spec.declared_run,
+            payload: self.spec.payload.clone(),
+        }
+    }
+
+    /// Gets the status that submitters see.
+    pub(crate) fn status(&self, region: &str) -> pb::JobStatus {
+        let mut status = pb::JobStatus {
+            job: self.id.to_string(),
+            name: self.spec.name.to_string(),
+            team: self.team.to_string(),
+            region: region.to_owned(),
+            waiting: if self.pending.is_empty() { String::new() } else { self.waiting.clone() },
+            ended: self.ended_ms.is_some(),
+            first_start_ms: self.first_start_ms.unwrap_or(0) as u32,
+            ..Default::default()
+        };
+        for task in &self.tasks {
+            match &task.state {
+                TaskState::Pending => status.pending += 1,
+                TaskState::Assigned(assigned) => {
+                    status.running += 1;
+                    if status.workers.len() < MOST_WORKERS_NAMED {
+                        status.workers.push(assigned.worker.to_string());
+                    }
+                }
+                TaskState::Ended(End::Succeeded) => status.succeeded += 1,
+                TaskState::Ended(End::Failed) => status.failed += 1,
+                TaskState::Ended(End::Stopped) => status.stopped += 1,
+                TaskState::Ended(End::MayHaveRun) => status.may_have_run += 1,
+            }
+        }
+        status
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/version/placer/registry.rs
@@ -0,0 +1,131 @@
+//! The placers that run in this instance.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use base::{Failure, Name, Result, emit};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    task::JoinHandle,
+};
+use wire::Tell;
+
+use crate::{
+    process::Context,
+    version::placer::{
+        command::{Command, Reply},
+        run::run_placer,
+    },
+};
+
+/// Commands that may wait for a placer.
+const COMMAND_QUEUE: usize = 65_536;
+
+/// Time after which a submitter may come back while a region changes hands.
+const HANDOVER_RETRY: Duration = Duration::from_millis(500);
+
+/// A `Placers` is the placers that run in this instance, by region.
+#[derive(Debug, Default)]
+pub struct Placers {
+    running: Mutex<HashMap<Name, Handle>>,
+}
+
+#[derive(Debug)]
+struct Handle {
+    term: u64,
+    sender: mpsc::Sender<Command>,
+    stop: watch::Sender<bool>,
+    task: JoinHandle<()>,
+}
+
+impl Placers {
+    /// Sends a command to the placer of a region and waits for its answer.
+    ///
+    /// # Errors
+    /// Fails without effect if this instance doesn't place in the region.
+    pub async fn ask(&self, region: &str, command: impl FnOnce(Reply) -> Command) -> Result<Tell> {
+        let (reply, answer) = oneshot::channel();
+        self.tell(region, command(reply))?;
+        answer.await.unwrap_or_else(|_| Err(Failure::unknown("the placer of the region stopped")))
+    }
+
+    /// Sends a command to the placer of a region.
+    ///
+    /// # Errors
+    /// Fails without effect if this instance doesn't place in the region or if
+    /// too many commands wait.
+    pub fn tell(&self, region: &str, command: Command) -> Result<()> {
+        let running = self.running.lock().expect("no holder panics");
+        let handle = running.get(region).ok_or_else(|| {
+            Failure::busy(HANDOVER_RETRY, format!("region {region} is changing hands"))
+        })?;
+        handle.sender.try_send(command).map_err(|_| {
+            Failure::busy(HANDOVER_RETRY, format!("too many requests wait in region {region}"))
+        })
+    }
+
+    /// Gets the regions that this instance places in.
+    pub fn regions(&self) -> Vec<Name> {
+        self.running.lock().expect("no holder panics").keys().cloned().collect()
+    }
+
+    /// Takes out the placers whose region and term `keeps` doesn't accept.
+    fn take_others(&self, keeps: impl Fn(&Name, u64) -> bool) -> Vec<(Name, Handle)> {
+        let mut running = self.running.lock().expect("no holder panics");
+        running.extract_if(|region, handle| !keeps(region, handle.term)).collect()
+    }
+
+    fn start(&self, ctx: &Arc<Context>, region: &Name, term: u64) {
+        let mut running = self.running.lock().expect("no holder panics");
+        if running.get(region).is_some_and(|handle| !handle.task.is_finished()) {
+            return;
+        }
+        let (sender, receiver) = mpsc::channel(COMMAND_QUEUE);
+        let stop = watch::Sender::new(false);
+        let future = run_placer(
+            Arc::clone(ctx),
+            region.clone(),
+            term,
+            sender.clone(),
+            receiver,
+            stop.subscribe(),
+        );
+        let task = tokio::spawn(future);
+        running.insert(region.clone(), Handle { term, sender, stop, task });
+    }
+}
+
+/// Starts and stops placers as the divisions say.
+pub(crate) async fn keep_placers(ctx: Arc<Context>) {
+    let mut divisions = ctx.divisions.subscribe();
+    loop {
+        let current = Arc::clone(&divisions.borrow_and_update());
+        let is_mine = |region: &Name, term: u64| {
+            current.get(region).is_some_and(|d| d.placer == ctx.name && d.placer_term == term)
+        };
+        for (region, handle) in ctx.placers.take_others(is_mine) {
+            handle.stop.send_replace(true);
+            emit!(ctx.log, info, PlacerStopped; "region" => %region, "term" => handle.term);
+        }
+        for (region, (division, _)) in &current.by_region {
+            if division.placer == ctx.name {
+                ctx.placers.start(&ctx, region, division.placer_term);
+            }
+        }
+        tokio::select! {
+            changed = divisions.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+            () = ctx.timer.stopped() => break,
+        }
+    }
+    for (_, handle) in ctx.placers.take_others(|_, _| false) {
+        handle.stop.send_replace(true);
+        let _ = handle.task.await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/version/placer/spec.rs
@@ -0,0 +1,84 @@
+//! A job as its submitter described it.
+
+use std::time::Duration;
+
+use base::{Failure, Name, Resources, Result};
+use bytes::Bytes;
+use place::Request;
+use prost::Message;
+use quota::JobKind;
+use schema::Urgency;
+use wire::pb;
+
+/// Most tasks in a job.
+const MOST_TASKS: u32 = 10_000;
+
+/// Most tasks in a job whose tasks start together.
+const MOST_GANG_TASKS: u32 = 1024;
+
+/// Largest payload of a task, in bytes.
+const LARGEST_PAYLOAD_BYTES: usize = 16 << 10;
+
+/// Longest submission id, in bytes.
+const LONGEST_SUBMISSION: usize = 128;
+
+/// A `Spec` is a checked job.
+#[derive(Clone, Debug)]
+pub(crate) struct Spec {
+    pub(crate) name: Name,
+    pub(crate) kind: JobKind,
+    pub(crate) tasks: u32,
+    pub(crate) request: Request,
+    pub(crate) urgency: Urgency,
+    pub(crate) idempotent: bool,
+    pub(crate) declared_run: Duration,
+    pub(crate) most_per_rack: Option<u32>,
+    pub(crate) payload: Bytes,
+    /// The job as it came, for the ledger.
+    pub(crate) body: Bytes,
+}
+
+impl TryFrom<&pb::Job> for Spec {
+    type Error = Failure;
+
+    fn try_from(job: &pb::Job) -> Result<Self> {
+        let kind = JobKind::try_from(job.kind())?;
+        let most = if kind == JobKind::Gang { MOST_GANG_TASKS } else { MOST_TASKS };
+        if job.tasks == 0 || job.tasks > most {
+            return Err(Failure::fix(format!("job.tasks: must be 1 to {most}")));
+        }
+        let size: Resources = job.size.unwrap_or_default().into();
+        if size.cpu_milli == 0 || size.memory_mib == 0 {
+            return Err(Failure::fix("job.size: cpu_milli and memory_mib must be at least 1"));
+        }
+        if job.payload.len() > LARGEST_PAYLOAD_BYTES {
+            return Err(Failure::fix(format!(
+                "job.payload: must be at most {LARGEST_PAYLOAD_BYTES} bytes"
+            )));
+        }
+        Ok(Self {
+            name: job.name.as_str().into(),
+            kind,
+            tasks: job.tasks,
+            request: Request {
+                size,
+                labels: job.labels.iter().map(|label| label.as_str().into()).collect(),
+                kind: (!job.worker_kind.is_empty()).then(|| job.worker_kind.as_str().into()),
+            },
+            urgency: job.urgency().into(),
+            idempotent: job.idempotent,
+            declared_run: Duration::from_millis(u64::from(job.declared_run_ms)),
+            most_per_rack: (job.most_per_rack > 0).then_some(job.most_per_rack),
+            payload: job.payload.clone(),
+            body: job.encode_to_vec().into(),
+        })
+    }
+}
+
+/// Checks a submission id.
+pub(crate) fn check_submission(id: &str) -> Result<()> {
+    if id.is_empty() || id.len() > LONGEST_SUBMISSION {
+        return Err(Failure::fix(format!("submission: must be 1 to {LONGEST_SUBMISSION} bytes")));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/version/placer/submit.rs
@@ -0,0 +1,172 @@
+//! Requests of submitters.
+
+use std::time::Duration;
+
+use base::{Failure, Name, Result, emit};
+use prost::Message;
+use sha2::{Digest, Sha256};
+use wire::{Tell, pb};
+
+use crate::version::placer::{
+    command::Reply,
+    job::Job,
+    page::{LARGEST_PAGE_BYTES, Then},
+    spec::{Spec, check_submission},
+    state::Placer,
+};
+
+/// Time without word from the store after which nothing new is accepted.
+const STORE_SILENCE: Duration = Duration::from_secs(2);
+
+/// Time after which a submitter may come back.
+const RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// Size of a job in the ledger beside its specification, in bytes.
+const JOB_OVERHEAD_BYTES: usize = 512;
+
+impl Placer {
+    /// Accepts a job and answers once it is recorded.
+    pub(crate) fn submit(&mut self, team: Name, request: &pb::SubmitRequest, reply: Reply) {
+        match self.enter(team, request) {
+            Ok((page, accepted)) => {
+                let tell = Tell::Message(accepted.encode_to_vec().into());
+                self.pages[page].after_write(Then::Reply(reply, tell));
+            }
+            Err(failure) => {
+                let _ = reply.send(Err(failure));
+            }
+        }
+    }
+
+    fn enter(
+        &mut self,
+        team: Name,
+        request: &pb::SubmitRequest,
+    ) -> Result<(usize, pb::SubmitReply)> {
+        check_submission(&request.submission)?;
+        let message = request.job.as_ref().ok_or_else(|| Failure::fix("job: is missing"))?;
+        let spec = Spec::try_from(message)?;
+        let id = job_id(&self.region, &team, &request.submission);
+        let unplaceable = self.unplaceable(&spec);
+        let reply = pb::SubmitReply {
+            job: id.to_string(),
+            region: self.region.to_string(),
+            unplaceable: unplaceable.clone(),
+        };
+        if let Some(known) = self.jobs.get(&id) {
+            // A repeat gets the same job; the answer waits for its record.
+            return match known.spec.body == spec.body {
+                true => Ok((known.page, reply)),
+                false => Err(Failure::conflict("submission: the id was used for another job")),
+            };
+        }
+        let page = page_of(&id, self.pages.len());
+        self.check_room(page, &spec)?;
+        if !unplaceable.is_empty() {
+            emit!(self.ctx.log, warn, JobUnplaceable; "job" => %id, "team" => %team,
+                "why" => &unplaceable);
+        }
+        emit!(self.ctx.log, info, JobAccepted; "job" => %id, "team" => %team,
+            "tasks" => spec.tasks, "size" => %spec.request.size);
+        let mut job = Job::new(id.clone(), team, spec, page, self.ctx.unix_ms());
+        job.waiting = unplaceable;
+        self.jobs.insert(id.clone(), job);
+        self.enqueue(&id);
+        Ok((page, reply))
+    }
+
+    fn check_room(&self, page: usize, spec: &Spec) -> Result<()> {
+        if self.ctx.store.age() > STORE_SILENCE {
+            return Err(Failure::busy(RETRY_AFTER, "the key-value service doesn't answer"));
+        }
+        let live = self.jobs.values().filter(|job| job.ended_ms.is_none()).count();
+        if live >= self.ctx.settings.limits.jobs as usize {
+            return Err(Failure::busy(RETRY_AFTER, "the region has too many jobs"));
+        }
+        let size = self.pages[page].bytes + spec.body.len() + JOB_OVERHEAD_BYTES;
+        if size > LARGEST_PAGE_BYTES {
+            return Err(Failure::busy(RETRY_AFTER, "the region's ledger is full"));
+        }
+        Ok(())
+    }
+
+    /// Gets why no known worker could ever run a task of the job; empty if one
+    /// could.
+    fn unplaceable(&self, spec: &Spec) -> String {
+        let racks = place::Racks { most: spec.most_per_rack, ..Default::default() };
+        let refusals = self.cell.refusals(&spec.request, &racks);
+        // Before the first reports nothing is known.
+        let is_known = refusals != place::Refusals::default();
+        if is_known && refusals.is_permanent() {
+            format!("no worker of {} can run it: {refusals}", self.region)
+        } else {
+            String::new()
+        }
+    }
+
+    /// Cancels a job and answers once that is recorded.
+    pub(crate) fn cancel(&mut self, team: &Name, id: &Name, reply: Reply) {
+        let job = match self.find(team, id) {
+            Ok(job) => job,
+            Err(failure) => {
+                let _ = reply.send(Err(failure));
+                return;
+            }
+        };
+        let page = job.page;
+        if !job.cancelled && job.ended_ms.is_none() {
+            emit!(self.ctx.log, info, JobCancelled; "job" => %id, "team" => %team);
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.cancelled = true;
+            }
+            self.stop_all(id);
+        }
+        let status = self.jobs.get(id).map(|job| job.status(&self.region)).unwrap_or_default();
+        let tell = Tell::Message(status.encode_to_vec().into());
+        self.pages[page].after_write(Then::Reply(reply, tell));
+    }
+
+    pub(crate) fn job_status(&self, team: &Name, id: &Name) -> Result<Tell> {
+        let status = self.find(team, id)?.status(&self.region);
+        Ok(Tell::Message(status.encode_to_vec().into()))
+    }
+
+    pub(crate) fn job_list(&self, team: &Name) -> Tell {
+        let own = self.jobs.values().filter(|job| job.team == *team);
+        let mut jobs: Vec<_> = own.map(|job| job.status(&self.region)).collect();
+        jobs.sort_by(|a, b| a.job.cmp(&b.job));
+        Tell::Message(pb::ListJobsReply { jobs }.encode_to_vec().into())
+    }
+
+    /// Forgets jobs that ended long ago.
+    pub(crate) fn forget_ended_jobs(&mut self) {
+        let now = self.ctx.unix_ms();
+        let keep = self.ctx.settings.ledger.keep_ended_ms;
+        let pages = &mut self.pages;
+        self.jobs.retain(|_, job| {
+            let keeps = job.ended_ms.is_none_or(|ended| now < ended + keep);
+            if !keeps {
+                pages[job.page].dirty = true;
+            }
+            keeps
+        });
+    }
+
+    /// Gets a job of a team; another team's job doesn't exist for it.
+    fn find(&self, team: &Name, id: &Name) -> Result<&Job> {
+        let own = self.jobs.get(id).filter(|job| job.team == *team);
+        own.ok_or_else(|| Failure::missing(format!("no job `{id}`")))
+    }
+}
+
+/// Gets the id of a job. A repeat of a submission gets the same one, and the
+/// region can be read from it.
+fn job_id(region: &str, team: &str, submission: &str) -> Name {
+    let hash = Sha256::new().chain_update(team).chain_update([0]).chain_update(submission);
+    format!("{region}:{}", hex::encode(&hash.finalize()[..8])).into()
+}
+
+fn page_of(id: &str, pages: usize) -> usize {
+    let hash = Sha256::digest(id);
+    usize::from(u16::from_be_bytes([hash[0], hash[1]])) % pages
+}
--- /dev/null
+++ b/crates/gen/src/main.rs
@@ -0,0 +1,14 @@
+//! Writes the generated code into the `wire` crate.
+
+use std::{path::Path, process::ExitCode};
+
+fn main() -> ExitCode {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    match protogen::write(&root, &root.join("crates/wire/src/gen")) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/quota/src/config.rs
@@ -0,0 +1,160 @@
+//! One version of the configuration.
+
+use std::collections::BTreeMap;
+
+use base::{Failure, Name, Resources, Result};
+use place::Policy;
+use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
+use wire::pb;
+
+use crate::keyring::Digest;
+
+/// Largest encoded configuration, in bytes; the platform's values hold a
+/// megabyte.
+const LARGEST_BYTES: usize = 900 << 10;
+
+/// A `JobKind` is how the tasks of a job run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum JobKind {
+    /// Until cancelled.
+    Service,
+    /// Each task to its end.
+    Batch,
+    /// Each task to its end, all starting together.
+    Gang,
+}
+
+impl TryFrom<pb::JobKind> for JobKind {
+    type Error = Failure;
+
+    fn try_from(kind: pb::JobKind) -> Result<Self> {
+        match kind {
+            pb::JobKind::Service => Ok(Self::Service),
+            pb::JobKind::Batch => Ok(Self::Batch),
+            pb::JobKind::Gang => Ok(Self::Gang),
+            pb::JobKind::Unspecified => Err(Failure::fix("kind: must be service, batch or gang")),
+        }
+    }
+}
+
+impl From<JobKind> for pb::JobKind {
+    fn from(kind: JobKind) -> Self {
+        match kind {
+            JobKind::Service => Self::Service,
+            JobKind::Batch => Self::Batch,
+            JobKind::Gang => Self::Gang,
+        }
+    }
+}
+
+/// A `Team` is a group of submitters with rights of its own.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Team {
+    /// Weight of the team's share when the cell is full.
+    pub share: u32,
+    /// Upper limit on what the team runs across the fleet.
+    pub limit: Resources,
+    /// Most calls of the team in flight at one instance.
+    pub calls: u32,
+    /// Region of jobs that name none.
+    pub home_region: Name,
+}
+
+/// A `Key` is the record of a granted key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Key {
+    /// The team; an operator's key if `None`.
+    pub team: Option<Name>,
+    /// Keyed digest of the key.
+    pub digest: Digest,
+}
+
+/// A `Config` is one version of everything operators decide.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Config {
+    /// Rises by one with each change.
+    pub version: u64,
+    /// Random, so that no two operators write the same value.
+    pub nonce: u64,
+    /// Teams by name.
+    pub teams: BTreeMap<Name, Team>,
+    /// Keys by label.
+    pub keys: BTreeMap<Name, Key>,
+    /// Placement policies by job kind.
+    pub policies: BTreeMap<JobKind, Policy>,
+    /// Encoded descriptor sets by schema name.
+    pub schemas: BTreeMap<Name, ByteBuf>,
+}
+
+impl Config {
+    /// Gets the placement policy of a job kind.
+    pub fn policy(&self, kind: JobKind) -> Policy {
+        let default = match kind {
+            JobKind::Service => Policy::Spread,
+            JobKind::Batch | JobKind::Gang => Policy::Pack,
+        };
+        self.policies.get(&kind).copied().unwrap_or(default)
+    }
+
+    /// Encodes the configuration.
+    ///
+    /// # Errors
+    /// Fails if it is too large for one value of the platform.
+    pub fn encode(&self) -> Result<Vec<u8>> {
+        let mut out = Vec::new();
+        ciborium::into_writer(self, &mut out).expect("a configuration has only encodable parts");
+        if out.len() > LARGEST_BYTES {
+            return Err(Failure::fix(format!(
+                "the configuration would take {} bytes; the most is {LARGEST_BYTES}",
+                out.len()
+            )));
+        }
+        Ok(out)
+    }
+
+    /// Decodes a configuration.
+    ///
+    /// # Errors
+    /// Fails if the bytes are not one whole configuration.
+    pub fn decode(bytes: &[u8]) -> Result<Self> {
+        let mut rest = bytes;
+        let config = ciborium::from_reader(&mut rest)
+            .map_err(|error| Failure::fix(format!("configuration: {error}")))?;
+        if rest.is_empty() {
+            Ok(config)
+        } else {
+            Err(Failure::fix("configuration: bytes left over"))
+        }
+    }
+}
+
+impl From<&Config> for pb::Configuration {
+    fn from(config: &Config) -> Self {
+        let team = |(name, team): (&Name, &Team)| pb::PutTeam {
+            name: name.to_string(),
+            share: team.share,
+            limit: Some(team.limit.into()),
+            calls: team.calls,
+            home_region: team.home_region.to_string(),
+        };
+        let key = |(label, key): (&Name, &Key)| pb::KeyName {
+            label: label.to_string(),
+            team: key.team.as_deref().unwrap_or_default().to_owned(),
+        };
+        let policy = |(kind, policy): (&JobKind, &Policy)| pb::PutPolicy {
+            kind: pb::JobKind::from(*kind).into(),
+            placement: match policy {
+                Policy::Spread => pb::Placement::Spread.into(),
+                Policy::Pack | Policy::FirstFit => pb::Placement::Pack.into(),
+            },
+        };
+        Self {
+            version: config.version,
+            teams: config.teams.iter().map(team).collect(),
+            keys: config.keys.iter().map(key).collect(),
+            policies: config.policies.iter().map(policy).collect(),
+            schemas: config.schemas.keys().map(Name::to_string).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/quota/src/order.rs
@@ -0,0 +1,43 @@
+//! Which team is served next.
+
+use std::{cmp::Ordering, collections::HashMap};
+
+use base::{Name, Resources};
+
+/// An `Order` ranks teams by weighted dominant share: the team whose largest
+/// fraction of the cell, divided by its weight, is smallest comes first.
+#[derive(Clone, Debug, Default)]
+pub struct Order {
+    used: HashMap<Name, Resources>,
+}
+
+impl Order {
+    /// Counts what a team started.
+    pub fn add(&mut self, team: &Name, size: Resources) {
+        *self.used.entry(team.clone()).or_default() += size;
+    }
+
+    /// Takes back what a team no longer runs.
+    pub fn remove(&mut self, team: &Name, size: Resources) {
+        if let Some(used) = self.used.get_mut(team) {
+            *used -= size;
+        }
+    }
+
+    /// Gets what a team runs.
+    pub fn used(&self, team: &str) -> Resources {
+        self.used.get(team).copied().unwrap_or_default()
+    }
+
+    /// Gets the dominant share of a team in millionths of the cell, divided by
+    /// its weight.
+    pub fn rank(&self, team: &str, weight: u32, whole: &Resources) -> u64 {
+        self.used(team).dominant_ppm(whole) / u64::from(weight.max(1))
+    }
+
+    /// Compares two teams with their weights; the lesser is served first.
+    pub fn compare(&self, a: (&Name, u32), b: (&Name, u32), whole: &Resources) -> Ordering {
+        let rank = |(team, weight): (&Name, u32)| self.rank(team, weight, whole);
+        rank(a).cmp(&rank(b)).then_with(|| a.0.cmp(b.0))
+    }
+}
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,18 @@
+//! Routing of calls.
+//!
+//! A [`Router`] is the exact account of the slots of the runners that an
+//! instance owns. A call gets a [`Permit`] for one slot or waits for it in a
+//! bounded queue, in the order of urgency and age. A [`Budget`] bounds
+//! retries, and a [`Gate`] the calls of each team.
+
+mod budget;
+mod gate;
+mod queue;
+mod router;
+mod table;
+
+pub use budget::Budget;
+pub use gate::{Gate, Pass};
+pub use queue::Ticket;
+pub use router::{Permit, Router, Wish};
+pub use table::Runner;
--- /dev/null
+++ b/crates/route/src/router.rs
@@ -0,0 +1,263 @@
+//! Slots for calls, with a queue for those that find none.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use base::{Failure, Name, Result, Timer};
+use schema::Urgency;
+use smallvec::SmallVec;
+use tokio::{sync::oneshot, time};
+
+use crate::{
+    queue::{Queue, Ticket},
+    table::{Runner, Table},
+};
+
+/// Calls that may wait for each slot of a service before more are refused.
+const WAITING_PER_SLOT: usize = 16;
+
+/// Calls that may wait for a service in any case.
+const LEAST_WAITING: usize = 64;
+
+/// Weight of the past in the mean time of a call, in eighths.
+const MEAN_KEEP_EIGHTHS: u32 = 7;
+
+/// Time after which a caller may come back where nothing is known.
+const DEFAULT_RETRY: Duration = Duration::from_millis(200);
+
+/// A `Wish` is what a call asks of a slot.
+#[derive(Clone, Debug)]
+pub struct Wish<'a> {
+    /// Service that the runner must serve.
+    pub service: &'a Name,
+    /// Data centre that is preferred.
+    pub data_centre: &'a str,
+    /// How soon the call has to start.
+    pub urgency: Urgency,
+    /// When the call arrived, on the timer's clock; its rank in the queue.
+    pub arrived: Duration,
+    /// Time left until the call's deadline.
+    pub left: Duration,
+    /// Longest time to wait for a slot here.
+    pub patience: Duration,
+    /// Runners that have failed the call already.
+    pub avoid: &'a [Name],
+}
+
+/// A `Router` is the account of the runners that an instance owns.
+#[derive(Debug)]
+pub struct Router<H: Clone> {
+    timer: Timer,
+    state: Arc<Mutex<State<H>>>,
+}
+
+impl<H: Clone> Clone for Router<H> {
+    fn clone(&self) -> Self {
+        Self { timer: self.timer.clone(), state: Arc::clone(&self.state) }
+    }
+}
+
+#[derive(Debug)]
+struct State<H: Clone> {
+    table: Table<H>,
+    waiting: HashMap<Name, Queue<Waiter<H>>>,
+    means: HashMap<Name, Duration>,
+}
+
+/// A `Waiter` is a call that waits for a slot.
+#[derive(Debug)]
+struct Waiter<H: Clone> {
+    data_centre: Name,
+    avoid: SmallVec<[Name; 2]>,
+    sender: oneshot::Sender<Permit<H>>,
+}
+
+impl<H: Clone> Router<H> {
+    /// Makes a router without runners.
+    pub fn new(timer: Timer) -> Self {
+        let state =
+            State { table: Table::default(), waiting: HashMap::new(), means: HashMap::new() };
+        Self { timer, state: Arc::new(Mutex::new(state)) }
+    }
+
+    /// Adds a runner or replaces what is known of it.
+    pub fn upsert(&self, runner: Runner<H>) {
+        let services = runner.services.clone();
+        self.lock().table.upsert(runner);
+        self.hand_out(&services);
+    }
+
+    /// Ends new calls to a runner.
+    pub fn close(&self, name: &str) {
+        self.lock().table.close(name);
+    }
+
+    /// Forgets a runner.
+    pub fn remove(&self, name: &str) {
+        self.lock().table.remove(name);
+    }
+
+    /// Gets the free slots of each service.
+    pub fn free(&self) -> BTreeMap<Name, u32> {
+        let state = self.lock();
+        let free = |service: &Name| (service.clone(), state.table.capacity(service).1);
+        state.table.services().map(free).collect()
+    }
+
+    /// Gets each runner with the calls that take its slots.
+    pub fn loads(&self) -> Vec<(Runner<H>, u32)> {
+        self.lock().table.loads().map(|(runner, busy)| (runner.clone(), busy)).collect()
+    }
+
+    /// Tells whether any runner serves `service`.
+    pub fn serves(&self, service: &str) -> bool {
+        self.lock().table.serves(service)
+    }
+
+    /// Takes a slot if one is free now and no call waits for it.
+    pub fn try_acquire(&self, wish: &Wish<'_>) -> Option<Permit<H>> {
+        let mut state = self.lock();
+        if state.waiting.get(wish.service).is_some_and(|queue| queue.len() > 0) {
+            return None;
+        }
+        self.take(&mut state, wish.service, wish.data_centre, wish.avoid)
+    }
+
+    /// Waits for a slot.
+    ///
+    /// # Errors
+    /// Fails at once if too many calls wait or if the wait would outlast the
+    /// deadline, and otherwise when the deadline passes. The call has not run.
+    pub async fn acquire(&self, wish: &Wish<'_>) -> Result<Permit<H>> {
+        if let Some(permit) = self.try_acquire(wish) {
+            return Ok(permit);
+        }
+        let (ticket, turn) = self.enqueue(wish)?;
+        let _place = Place { router: self, service: wish.service, ticket };
+        match time::timeout(wish.patience, turn).await {
+            Ok(Ok(permit)) => Ok(permit),
+            Ok(Err(_)) | Err(_) => Err(Failure::busy(
+                self.retry_after(wish.service),
+                format!("no slot of {} became free before the deadline", wish.service),
+            )),
+        }
+    }
+
+    fn enqueue(&self, wish: &Wish<'_>) -> Result<(Ticket, oneshot::Receiver<Permit<H>>)> {
+        let mut state = self.lock();
+        let (slots, _) = state.table.capacity(wish.service);
+        let most = (slots as usize * WAITING_PER_SLOT).max(LEAST_WAITING);
+        let mean = state.means.get(wish.service).copied().unwrap_or_default();
+        let queue = state.waiting.entry(wish.service.clone()).or_default();
+        let ahead = queue.len();
+        let wait = mean.saturating_mul(ahead as u32) / slots.max(1);
+        if ahead >= most || wait > wish.left {
+            let after = wait.clamp(DEFAULT_RETRY, Duration::from_secs(30));
+            return Err(Failure::busy(
+                after,
+                format!("{ahead} calls wait for {slots} slots of {}", wish.service),
+            ));
+        }
+        let (sender, turn) = oneshot::channel();
+        let waiter =
+            Waiter { data_centre: wish.data_centre.into(), avoid: wish.avoid.into(), sender };
+        let ticket = queue.push(wish.urgency, wish.arrived, waiter);
+        Ok((ticket, turn))
+    }
+
+    /// Hands free slots of `services` to the calls that wait for them.
+    fn hand_out(&self, services: &[Name]) {
+        for service in services {
+            while let Some((sender, permit)) = self.next_turn(service) {
+                // A call that gave up meanwhile drops its permit, which frees
+                // the slot again for the next one.
+                drop(sender.send(permit));
+            }
+        }
+    }
+
+    fn next_turn(&self, service: &Name) -> Option<(oneshot::Sender<Permit<H>>, Permit<H>)> {
+        let mut state = self.lock();
+        if state.table.capacity(service).1 == 0 {
+            return None;
+        }
+        let waiter = state.waiting.get_mut(service)?.pop()?;
+        // A runner that failed the call before is better than none.
+        let permit = self
+            .take(&mut state, service, &waiter.data_centre, &waiter.avoid)
+            .or_else(|| self.take(&mut state, service, &waiter.data_centre, &[]))?;
+        Some((waiter.sender, permit))
+    }
+
+    fn take(
+        &self,
+        state: &mut State<H>,
+        service: &Name,
+        data_centre: &str,
+        avoid: &[Name],
+    ) -> Option<Permit<H>> {
+        let (runner, handle, candidates) = state.table.take(service, data_centre, avoid)?;
+        Some(Permit {
+            router: self.clone(),
+            service: service.clone(),
+            runner,
+            handle,
+            candidates,
+            since: self.timer.now(),
+        })
+    }
+
+    fn retry_after(&self, service: &str) -> Duration {
+        self.lock().means.get(service).copied().unwrap_or(DEFAULT_RETRY).max(DEFAULT_RETRY)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State<H>> {
+        self.state.lock().expect("no holder panics")
+    }
+}
+
+/// A `Place` is a call's place in the queue; dropping it leaves the queue.
+struct Place<'a, H: Clone> {
+    router: &'a Router<H>,
+    service: &'a Name,
+    ticket: Ticket,
+}
+
+impl<H: Clone> Drop for Place<'_, H> {
+    fn drop(&mut self) {
+        let mut state = self.router.lock();
+        if let Some(queue) = state.waiting.get_mut(self.service) {
+            queue.remove(self.ticket);
+        }
+    }
+}
+
+/// A `Permit` is one slot of a runner; dropping it frees the slot.
+#[derive(Debug)]
+pub struct Permit<H: Clone> {
+    router: Router<H>,
+    service: Name,
+    /// The runner.
+    pub runner: Name,
+    /// The way to send it the call.
+    pub handle: H,
+    /// Runners that had a free slot.
+    pub candidates: u32,
+    since: Duration,
+}
+
+impl<H: Clone> Drop for Permit<H> {
+    fn drop(&mut self) {
+        let took = self.router.timer.now().saturating_sub(self.since);
+        let services = {
+            let mut state = self.router.lock();
+            let mean = state.means.entry(self.service.clone()).or_insert(took);
+            *mean = (*mean * MEAN_KEEP_EIGHTHS + took) / (MEAN_KEEP_EIGHTHS + 1);
+            state.table.give_back(&self.runner)
+        };
+        self.router.hand_out(&services);
+    }
+}
--- /dev/null
+++ b/crates/wire/src/convert.rs
@@ -0,0 +1,25 @@
+//! Conversions between messages and shared values.
+
+use base::Resources;
+
+use crate::pb;
+
+impl From<pb::Resources> for Resources {
+    fn from(size: pb::Resources) -> Self {
+        Self {
+            cpu_milli: size.cpu_milli,
+            memory_mib: size.memory_mib,
+            accelerators: size.accelerators,
+        }
+    }
+}
+
+impl From<Resources> for pb::Resources {
+    fn from(size: Resources) -> Self {
+        Self {
+            cpu_milli: size.cpu_milli,
+            memory_mib: size.memory_mib,
+            accelerators: size.accelerators,
+        }
+    }
+}
