Contract tests under failure, reservations for moved and gang work

Change: room that others make is reserved for the job it was made for; a job avoids workers that failed to start it. A draining instance refused calls that its peers had slots for, since it estimated the wait from no slots of its own; a peer's refusal no longer counts as an attempt.

--- a/crates/daemon/src/process/run.rs
+++ b/crates/daemon/src/process/run.rs
@@ -22,9 +22,6 @@
     version::{keep_divisions, keep_placers},
 };
 
-/// Time for the other instances to take over before callers are turned away.
-const HANDOVER_TIME: Duration = Duration::from_millis(1500);
-
 /// Time between looks at what is still in flight.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -118,10 +115,12 @@
     wait_for_signal().await.context(StartSnafu)?;
     emit!(ctx.log, info, Draining);
     ctx.draining.send_replace(true);
+    let linger = Duration::from_millis(ctx.settings.limits.linger_ms);
     let shutdown = async {
-        // The others take over while this instance still answers: calls that
-        // come in go to peers, and requests to placers follow the division.
-        time::sleep(HANDOVER_TIME).await;
+        // The others take over, and the balancer takes note, while this
+        // instance still answers: calls go to peers, and requests to placers
+        // follow the division.
+        time::sleep(linger).await;
         closing.send_replace(true);
         let _ = front.await;
         while ctx.counters.calls_in_flight.get() > 0 {
--- a/crates/daemon/src/process/settings.rs
+++ b/crates/daemon/src/process/settings.rs
@@ -224,6 +224,9 @@
     pub request_bytes: u64,
     /// Jobs of a region that have not ended.
     pub jobs: u32,
+    /// Time for which an instance that was told to stop goes on accepting, in
+    /// milliseconds.
+    pub linger_ms: u64,
     /// Time that a shutdown may take, in milliseconds.
     pub shutdown_ms: u64,
 }
@@ -235,6 +238,7 @@
             calls: 2048,
             request_bytes: 1 << 20,
             jobs: 20_000,
+            linger_ms: 5000,
             shutdown_ms: 30_000,
         }
     }
@@ -342,6 +346,7 @@
             ("targets.isolated_ms", self.targets.isolated_ms),
             ("ledger.flush_ms", self.ledger.flush_ms),
             ("ledger.keep_ended_ms", self.ledger.keep_ended_ms),
+            ("limits.linger_ms", self.limits.linger_ms),
             ("limits.shutdown_ms", self.limits.shutdown_ms),
         ];
         for (key, value) in times {
--- a/crates/daemon/src/request/call.rs
+++ b/crates/daemon/src/request/call.rs
@@ -275,6 +275,7 @@
             Ok(answered) => return Ok(answered),
             Err(Stop::Final(failure)) => return Err(failure),
             Err(Stop::Attempt(failure, runner)) => (failure, runner),
+            Err(Stop::NoSlot) => continue,
         };
         // Only what surely has not run, or may run twice, is sent again.
         let may_repeat = failure.is_not_run() || call.method.idempotent;
@@ -289,6 +290,7 @@
     match try_once(ctx, call, &avoid).await {
         Ok(answered) => Ok(answered),
         Err(Stop::Final(failure) | Stop::Attempt(failure, _)) => Err(failure),
+        Err(Stop::NoSlot) => Err(Failure::busy(CROWDED_RETRY, "no free slot")),
     }
 }
 
@@ -298,9 +300,22 @@
     Final(Failure),
     /// An attempt at a runner or a peer failed.
     Attempt(Failure, Name),
+    /// A peer had no slot.
+    NoSlot,
 }
 
 async fn try_once(ctx: &Arc<Context>, call: &Call, avoid: &[Name]) -> Result<Answered, Stop> {
+    loop {
+        match try_place(ctx, call, avoid).await {
+            // The peer had no slot left after all, which is no attempt.
+            Err(Stop::NoSlot) => {}
+            Ok(answered) => return Ok(answered),
+            Err(stop) => return Err(stop),
+        }
+    }
+}
+
+async fn try_place(ctx: &Arc<Context>, call: &Call, avoid: &[Name]) -> Result<Answered, Stop> {
     let place = find_place(ctx, call, avoid).await.map_err(Stop::Final)?;
     let waited = ctx.timer.now().saturating_sub(call.arrived);
     ctx.counters.call_wait.observe(waited.as_secs_f64());
@@ -327,8 +342,14 @@
             emit!(ctx.log, info, CallForwarded; "path" => %call.method.path, "team" => team,
                 "attempt" => %attempt, "peer" => %peer, "waited_us" => waited.as_micros() as u64);
             ctx.counters.forwards.inc();
-            let answered = forward(ctx, call, attempt, &peer).await;
-            answered.map_err(|failure| Stop::Attempt(failure, peer))
+            match forward(ctx, call, attempt, &peer).await {
+                Ok(answered) => Ok(answered),
+                Err(failure) if failure.is_not_run() && !call.left().is_zero() => {
+                    ctx.peers.mark_full(&peer, &call.method.service);
+                    Err(Stop::NoSlot)
+                }
+                Err(failure) => Err(Stop::Attempt(failure, peer)),
+            }
         }
     }
 }
@@ -386,11 +407,6 @@
             Ok(Answered { headers: HeaderMap::new(), body: CallBody::Whole(answer.into()) })
         }
         Ok(_) => Err(Failure::unknown("an instance answered with something else")),
-        Err(failure) => {
-            if failure.is_not_run() {
-                ctx.peers.mark_full(peer, &call.method.service);
-            }
-            Err(failure)
-        }
+        Err(failure) => Err(failure),
     }
 }
--- a/crates/daemon/src/version/placer/decide.rs
+++ b/crates/daemon/src/version/placer/decide.rs
@@ -6,7 +6,7 @@
 };
 
 use base::{Name, Resources, emit};
-use place::{Choice, Policy, Racks, Refusals, Request, State};
+use place::{Bounds, Choice, Policy, Refusals, Request, State};
 use quota::JobKind;
 use schema::Urgency;
 
@@ -104,9 +104,12 @@
                     self.note_waiting(&job, &blocked);
                     if let Blocked::NoWorker(_) = blocked
                         && round.rooms < ROOMS_PER_ROUND
-                        && self.make_room(&job)
+                        && !self.reservations.contains_key(&job)
                     {
                         round.rooms += 1;
+                        if !self.make_room(&job) {
+                            self.reserve_for_gang(&job);
+                        }
                     }
                 }
             }
@@ -125,25 +128,38 @@
         let request = job.spec.request.clone();
         let team = job.team.clone();
         let policy = self.ctx.configs.current().config.policy(job.spec.kind);
-        let mut racks = self.racks_of(id);
+        let mut bounds = self.bounds_of(id);
         let waiting = request.size * job.pending.len() as u32;
         self.check_cap(&team, request.size * count, waiting, round)?;
 
-        let key = (request, if racks.most.is_some() { u32::MAX } else { count });
-        if let Some(refusals) = round.refused.get(&key)
-            && racks.most.is_none()
-        {
+        let key = (request, count);
+        // What a job's own bounds refuse says nothing about other jobs.
+        let is_common =
+            bounds.most.is_none() && bounds.avoid.is_empty() && !self.reservations.contains_key(id);
+        if is_common && let Some(refusals) = round.refused.get(&key) {
             return Err(Blocked::NoWorker(*refusals));
         }
         let (request, _) = &key;
-        match self.choose(request, policy, &mut racks, count) {
+        // The job's own reserved workers are open to it alone.
+        self.set_reserved(id, State::Ready);
+        let chosen = self.choose(request, policy, &mut bounds, count);
+        self.set_reserved(id, State::Reserved);
+        match chosen {
             Ok(choices) => {
+                self.release_room(id);
                 round.placements += choices.len() as u32;
                 self.take_choices(id, &choices);
                 Ok(())
             }
             Err(refusals) => {
-                round.refused.insert(key, refusals);
+                if is_common {
+                    round.refused.insert(key, refusals);
+                }
+                // A job that every worker fails is the job's own fault: its
+                // tasks may go anywhere again.
+                if let Some(job) = self.jobs.get_mut(id) {
+                    job.avoid.clear();
+                }
                 Err(Blocked::NoWorker(refusals))
             }
         }
@@ -153,13 +169,13 @@
         &mut self,
         request: &Request,
         policy: Policy,
-        racks: &mut Racks,
+        bounds: &mut Bounds,
         count: u32,
     ) -> Result<Vec<Choice>, Refusals> {
         if count == 1 {
-            return self.cell.place(request, policy, racks).map(|choice| vec![choice]);
+            return self.cell.place(request, policy, bounds).map(|choice| vec![choice]);
         }
-        self.cell.place_all(request, policy, racks, count)
+        self.cell.place_all(request, policy, bounds, count)
     }
 
     /// Gives the job's next tasks the chosen workers. The starts are sent once
@@ -214,22 +230,24 @@
         Err(Blocked::Limit)
     }
 
-    /// Gets how many tasks of a job each rack holds, if that is bounded.
-    fn racks_of(&self, id: &Name) -> Racks {
-        let mut racks = Racks::default();
+    /// Gets what bounds a job's next tasks: how many each rack holds, if that
+    /// matters, and the workers that failed to start others.
+    fn bounds_of(&self, id: &Name) -> Bounds {
+        let mut bounds = Bounds::default();
         let Some(job) = self.jobs.get(id) else {
-            return racks;
+            return bounds;
         };
-        racks.most = job.spec.most_per_rack;
-        if racks.most.is_some() {
+        bounds.avoid = job.avoid.iter().filter_map(|name| self.cell.find(name)).collect();
+        bounds.most = job.spec.most_per_rack;
+        if bounds.most.is_some() {
             for index in 0..job.spec.tasks {
                 let worker = job.assigned(index).and_then(|a| self.cell.find(&a.worker));
                 if let Some(worker) = worker {
-                    racks.add(&self.cell.worker(worker).rack.clone());
+                    bounds.add(&self.cell.worker(worker).rack.clone());
                 }
             }
         }
-        racks
+        bounds
     }
 
     /// Keeps why a job waits and logs it when it changes.
--- a/crates/daemon/src/version/placer/job.rs
+++ b/crates/daemon/src/version/placer/job.rs
@@ -5,6 +5,7 @@
 use base::Name;
 use quota::JobKind;
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 use target::{AttemptId, Start};
 use wire::pb;
 
@@ -97,6 +98,8 @@
     pub(crate) tasks: Vec<Task>,
     pub(crate) pending: BTreeSet<u32>,
     pub(crate) assigned: u32,
+    /// Workers that failed to start a task of the job.
+    pub(crate) avoid: SmallVec<[Name; 4]>,
     /// Time before which no failed task starts again.
     pub(crate) hold_until: Duration,
     /// Why pending tasks wait.
@@ -118,6 +121,7 @@
             cancelled: false,
             ended_ms: None,
             first_start_ms: None,
+            avoid: SmallVec::new(),
             hold_until: Duration::ZERO,
             waiting: String::new(),
         }
--- a/crates/daemon/src/version/placer/mod.rs
+++ b/crates/daemon/src/version/placer/mod.rs
@@ -15,6 +15,7 @@
 mod preempt;
 mod registry;
 mod reports;
+mod reserve;
 mod run;
 mod spec;
 mod state;
--- a/crates/daemon/src/version/placer/preempt.rs
+++ b/crates/daemon/src/version/placer/preempt.rs
@@ -58,6 +58,7 @@
         }
         self.preempted_at.retain(|_, at| now < *at + COOLDOWN);
         self.preempted_at.insert(id.clone(), now);
+        self.reserve(id, rooms.iter().map(|(worker, _)| *worker));
         for (worker, victims) in rooms {
             let name = self.cell.worker(worker).name.clone();
             for victim in victims {
--- a/crates/daemon/src/version/placer/reports.rs
+++ b/crates/daemon/src/version/placer/reports.rs
@@ -20,6 +20,9 @@
     },
 };
 
+/// Time before a job whose starts fail everywhere is tried again.
+const FAILED_START_PAUSE: Duration = Duration::from_secs(1);
+
 /// Time after which a start that was being sent has surely no effect any more.
 const SENDING_LIMIT: Duration = Duration::from_secs(10);
 
@@ -321,12 +324,27 @@
                 }
                 StartResult::Answered(StartOutcome::Failed) => {
                     self.record_health(worker, &id, place::Outcome::Failed);
+                    self.avoid(worker, &id.job);
                     self.settle_not_run(&id);
                 }
             }
         }
     }
 
+    /// Keeps a job's next tasks from a worker that failed to start one.
+    fn avoid(&mut self, worker: &Name, job: &Name) {
+        let now = self.ctx.timer.now();
+        let Some(job) = self.jobs.get_mut(job) else {
+            return;
+        };
+        if !job.avoid.contains(worker) {
+            job.avoid.push(worker.clone());
+            return;
+        }
+        // Every worker has failed it by now, so it isn't sent at once.
+        job.hold_until = now + FAILED_START_PAUSE;
+    }
+
     fn mark_sent(&mut self, id: &AttemptId, not_after: Duration, confirmed: bool) {
         let assigned = self.jobs.get_mut(&id.job).and_then(|job| job.assigned_mut(id.index));
         if let Some(assigned) = assigned
@@ -424,6 +442,8 @@
             State::Leaving
         } else if held.health.is_suspected() {
             State::Suspect
+        } else if self.is_reserved(id) {
+            State::Reserved
         } else {
             State::Ready
         };
--- a/crates/daemon/src/version/placer/run.rs
+++ b/crates/daemon/src/version/placer/run.rs
@@ -168,6 +168,8 @@
             short: HashMap::new(),
             replan: true,
             preempted_at: HashMap::new(),
+            reservations: HashMap::new(),
+            gang_room_until: Duration::ZERO,
             share_checked_at: Duration::ZERO,
             started_at: ctx.timer.now(),
             ctx,
@@ -341,6 +343,7 @@
         self.forget_ended_jobs();
         self.probe_suspects();
         self.settle_gone();
+        self.expire_reservations();
         self.admissions.expire(self.ctx.unix_ms());
         self.keep_limits(work);
         let now = self.ctx.timer.now();
--- a/crates/daemon/src/version/placer/state.rs
+++ b/crates/daemon/src/version/placer/state.rs
@@ -16,7 +16,7 @@
     process::Context,
     version::placer::{
         admissions::Admissions, command::Command, job::Job, limits::Limits, page::Page,
-        worker::Held,
+        reserve::Reservation, worker::Held,
     },
 };
 
@@ -51,6 +51,10 @@
     pub(crate) replan: bool,
     /// When room was last made for each job, so that it isn't made twice.
     pub(crate) preempted_at: HashMap<Name, Duration>,
+    /// Workers whose room is kept, by the job it is kept for.
+    pub(crate) reservations: HashMap<Name, Reservation>,
+    /// Until when workers are emptied for tasks that start together.
+    pub(crate) gang_room_until: Duration,
     /// When teams far from their shares were last looked for.
     pub(crate) share_checked_at: Duration,
     /// When the placer began.
--- a/crates/daemon/src/version/placer/submit.rs
+++ b/crates/daemon/src/version/placer/submit.rs
@@ -93,7 +93,7 @@
     /// Gets why no known worker could ever run a task of the job; empty if one
     /// could.
     fn unplaceable(&self, spec: &Spec) -> String {
-        let racks = place::Racks { most: spec.most_per_rack, ..Default::default() };
+        let racks = place::Bounds { most: spec.most_per_rack, ..Default::default() };
         let refusals = self.cell.refusals(&spec.request, &racks);
         // Before the first reports nothing is known.
         let is_known = refusals != place::Refusals::default();
--- /dev/null
+++ b/crates/daemon/tests/calls.rs
@@ -0,0 +1,231 @@
+//! Calls: slots, answers, retries, and at most once.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use base::Verdict;
+use common::*;
+use googletest::prelude::*;
+use rig::Rig;
+use standin::Fault;
+use tokio::task::JoinSet;
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn no_runner_is_over_its_slots_and_each_caller_gets_its_own_answer() {
+    let mut rig = start(vec![], vec![runners("r1", 3, 2)]).await;
+    rig.schema(&schema()).await;
+    let key = rig.team("clerks", "r1", u32::MAX).await;
+    let mut calls = JoinSet::new();
+    for number in 0..150u64 {
+        // Answers come out of order.
+        let client = rig.client((number % 3) as usize, &key);
+        let text = format!("call {number} sleep={}", (number * 7) % 20);
+        calls.spawn(async move {
+            let answer = client.call(FIND, &text, None).await;
+            (text, answer)
+        });
+    }
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    // One instance leaves in the middle; those at it may fail, but truly.
+    rig.instances[1].kill();
+    let mut answered = 0;
+    while let Some(Ok((text, answer))) = calls.join_next().await {
+        match answer {
+            Ok(answer) => {
+                expect_that!(answer, eq(&text));
+                answered += 1;
+            }
+            Err(failure) => {
+                expect_that!(failure.verdict, any!(eq(Verdict::NotRun), eq(Verdict::MayHaveRun)))
+            }
+        }
+    }
+    // Two instances of three are left.
+    expect_that!(answered, ge(100));
+    let seen = rig.world.observer().seen();
+    expect_that!(seen.overcommits, eq(0));
+    expect_that!(seen.most_calls, le(2));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_runs_once_however_often_and_wherever_it_is_repeated() {
+    let mut rig = start(vec![], vec![runners("r1", 3, 4)]).await;
+    rig.schema(&schema()).await;
+    let key = rig.team("clerks", "r1", u32::MAX).await;
+    let placer = rig.placer("r1").await;
+    let mut tries = JoinSet::new();
+    for number in 0..60 {
+        for instance in 0..3 {
+            let client = rig.client(instance, &key);
+            let id = format!("order-{number}");
+            tries.spawn(async move {
+                let answer = client.call(ORDER, &format!("{id} sleep=100"), Some(&id)).await;
+                (id, answer)
+            });
+        }
+    }
+    tokio::time::sleep(Duration::from_millis(60)).await;
+    // The one that keeps the record dies in the middle.
+    rig.instances[placer].kill();
+    let mut answered = std::collections::HashMap::<String, u32>::new();
+    while let Some(Ok((id, answer))) = tries.join_next().await {
+        if answer.is_ok() {
+            *answered.entry(id).or_default() += 1;
+        }
+    }
+    for (id, count) in answered {
+        expect_that!(count, eq(1), "{id}");
+    }
+    // Repeats at the instances that are left, some of them after a refusal.
+    let left: Vec<usize> = (0..3).filter(|number| *number != placer).collect();
+    for number in 0..60 {
+        let id = format!("order-{number}");
+        let client = rig.client(left[number % 2], &key);
+        let answer = client.call(ORDER, &format!("{id} sleep=1"), Some(&id)).await;
+        if let Err(failure) = answer {
+            expect_that!(failure.verdict, any!(eq(Verdict::MayHaveRun), eq(Verdict::NotRun)));
+        }
+    }
+    let seen = rig.world.observer().seen();
+    expect_that!(seen.second_runs, eq(0));
+    expect_that!(seen.overcommits, eq(0));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_order_refused_as_not_run_may_be_repeated_with_its_id() {
+    let rig = start(vec![], vec![runners("r1", 2, 2)]).await;
+    rig.schema(&schema()).await;
+    let key = rig.team("clerks", "r1", u32::MAX).await;
+    for number in 0..2 {
+        rig.world.faults().set(&format!("r1-runner-{number}"), Fault::Down);
+    }
+    let client = rig.client(0, &key);
+    let failure = client.call(ORDER, "order", Some("order-1")).await.unwrap_err();
+    expect_that!(failure.verdict, eq(Verdict::NotRun));
+    for number in 0..2 {
+        rig.world.faults().set(&format!("r1-runner-{number}"), Fault::None);
+    }
+    let client = rig.client(1, &key);
+    let answered =
+        Rig::until(SOON, async || client.call(ORDER, "order", Some("order-1")).await.is_ok());
+    expect_that!(answered.await, some(anything()));
+    expect_that!(rig.world.observer().seen().second_runs, eq(0));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_is_whole_or_a_clear_failure() {
+    let rig = start(vec![], vec![runners("r1", 2, 4)]).await;
+    rig.schema(&schema()).await;
+    let key = rig.team("clerks", "r1", u32::MAX).await;
+    let client = rig.client(0, &key);
+    for size in [1usize, 100_000, 300_000, 1_000_000] {
+        let answer = client.call(FIND, &format!("size={size}"), None).await;
+        expect_that!(answer.map(|text| text.len()).ok(), some(eq(size)));
+    }
+    let cases = [
+        ("size=2000000", Verdict::Ran),
+        ("cut size=1000", Verdict::MayHaveRun),
+        ("cut size=900000", Verdict::MayHaveRun),
+        ("sleep=60000", Verdict::MayHaveRun),
+    ];
+    for (text, verdict) in cases {
+        let start = Instant::now();
+        let failure = client.call(FIND, text, None).await.unwrap_err();
+        expect_that!(failure.verdict, eq(verdict), "{text}: {failure}");
+        // The method's timeout is two seconds.
+        expect_that!(start.elapsed(), lt(Duration::from_secs(4)), "{text}");
+    }
+    // What the service itself says is passed on as it is.
+    let failure = client.call(FIND, "status=5", None).await.unwrap_err();
+    expect_that!(failure.remedy, eq(base::Remedy::Find));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_go_on_when_runners_fail_or_fall_silent() {
+    let rig = start(vec![], vec![runners("r1", 4, 4)]).await;
+    rig.schema(&schema()).await;
+    let key = rig.team("clerks", "r1", u32::MAX).await;
+    rig.world.faults().set("r1-runner-0", Fault::Down);
+    rig.world.faults().set("r1-runner-1", Fault::Silent);
+    rig.world.silence_connections("r1-runner-2");
+    // Within the time for silence to be noticed some calls may fail, but
+    // afterwards none does.
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    for number in 0..60 {
+        let answer = rig.client(number % 3, &key).call(FIND, "x", None).await;
+        expect_that!(answer, ok(eq("x")));
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crowd_is_refused_early_and_truly_and_the_service_recovers() {
+    let rig = start(vec![], vec![runners("r1", 1, 2)]).await;
+    rig.schema(&schema()).await;
+    let key = rig.team("clerks", "r1", u32::MAX).await;
+    let mut calls = JoinSet::new();
+    for number in 0..600 {
+        let client = rig.client(number % 3, &key);
+        calls.spawn(async move { client.call(FIND, "sleep=50", None).await });
+    }
+    let (mut answered, mut refused) = (0, 0);
+    while let Some(Ok(answer)) = calls.join_next().await {
+        match answer {
+            Ok(_) => answered += 1,
+            Err(failure) => {
+                refused += 1;
+                expect_that!(failure.verdict, eq(Verdict::NotRun), "{failure}");
+            }
+        }
+    }
+    expect_that!(answered, ge(20));
+    expect_that!(refused, ge(1));
+    let seen = rig.world.observer().seen();
+    // What was refused has not run.
+    expect_that!(seen.calls, eq(answered));
+    expect_that!(seen.overcommits, eq(0));
+    let recovered = Rig::until(Duration::from_secs(3), async || {
+        rig.client(0, &key).call(FIND, "x", None).await.is_ok()
+    });
+    expect_that!(recovered.await, some(anything()));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_graceful_shutdown_cuts_off_no_request() {
+    let mut rig = start(vec![workers("r1", 2, 4000)], vec![runners("r1", 3, 8)]).await;
+    rig.schema(&schema()).await;
+    let key = rig.team("clerks", "r1", u32::MAX).await;
+    let placer = rig.placer("r1").await;
+    let job = rig.client(placer, &key).submit("job", batch(20, 400, 500)).await.unwrap().job;
+    let mut calls = JoinSet::new();
+    for number in 0..40u64 {
+        let client = rig.client(placer, &key);
+        let text = format!("call {number} sleep={}", 200 + number * 20);
+        calls.spawn(async move { client.call(FIND, &text, None).await });
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    rig.instances[placer].terminate();
+    // Callers go on until the balancer has taken note, well before the
+    // instance closes its port.
+    let client = rig.client(placer, &key);
+    let told = Instant::now();
+    while told.elapsed() < Duration::from_millis(1500) {
+        expect_that!(client.call(FIND, "still", None).await, ok(eq("still")));
+        tokio::time::sleep(Duration::from_millis(30)).await;
+    }
+    while let Some(Ok(answer)) = calls.join_next().await {
+        expect_that!(answer, ok(anything()));
+    }
+    expect_that!(rig.instances[placer].wait().await, eq(true));
+    let left = (placer + 1) % 3;
+    let status = wait_job(&rig.client(left, &key), &job, SOON, |s| s.ended).await;
+    expect_that!(status.succeeded, eq(20));
+    expect_that!(rig.world.observer().seen().two_places, eq(0));
+}
--- /dev/null
+++ b/crates/daemon/tests/whole_path.rs
@@ -0,0 +1,168 @@
+//! Calls and jobs from their submitters to their targets and back.
+
+mod common;
+
+use std::time::Duration;
+
+use base::{Remedy, Verdict};
+use common::*;
+use googletest::prelude::*;
+use rig::Rig;
+use standin::Group;
+use wire::pb::{self, change_request::Change};
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn each_kind_of_work_comes_back_through_any_instance() {
+    let accelerated = Group {
+        prefix: "accel".to_owned(),
+        count: 2,
+        accelerators: 4,
+        labels: vec!["fast-net".to_owned()],
+        ..workers("r1", 2, 16_000)
+    };
+    let rig = start(vec![workers("r1", 4, 8000), accelerated], vec![runners("r1", 3, 4)]).await;
+    rig.schema(&schema()).await;
+    let key = rig.team("clerks", "r1", u32::MAX).await;
+    for number in 0..3 {
+        let client = rig.client(number, &key);
+        let answer = client.call(FIND, &format!("spring {number}"), None).await;
+        expect_that!(answer, ok(eq(&format!("spring {number}"))));
+    }
+
+    let client = rig.client(1, &key);
+    let done = client.submit("batch", batch(12, 1000, 50)).await.unwrap();
+    let service = pb::Job {
+        kind: pb::JobKind::Service.into(),
+        most_per_rack: 1,
+        declared_run_ms: 0,
+        ..batch(2, 1000, 0)
+    };
+    let service = client.submit("service", service).await.unwrap();
+    let gang = pb::Job {
+        kind: pb::JobKind::Gang.into(),
+        labels: vec!["fast-net".to_owned()],
+        size: Some(pb::Resources { cpu_milli: 1000, memory_mib: 256, accelerators: 1 }),
+        ..batch(8, 1000, 300)
+    };
+    let gang = client.submit("gang", gang).await.unwrap();
+
+    // Any instance tells of a job, whichever one accepted it.
+    let other = rig.client(2, &key);
+    let status = wait_job(&other, &done.job, SOON, |s| s.ended).await;
+    expect_that!(status.succeeded, eq(12));
+    let status = wait_job(&other, &gang.job, SOON, |s| s.ended).await;
+    expect_that!(status.succeeded, eq(8));
+    let status = wait_job(&other, &service.job, SOON, |s| s.running == 2).await;
+    expect_that!(status.running, eq(2));
+
+    let seen = rig.world.observer().seen();
+    expect_that!(seen.two_places, eq(0));
+    expect_that!(seen.overcommits, eq(0));
+    let status = other.cancel(&service.job).await.unwrap();
+    expect_that!(status.pending, eq(0));
+    let status = wait_job(&other, &service.job, SOON, |s| s.ended).await;
+    expect_that!(status.stopped, eq(2));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_job_that_fits_nowhere_is_told_so_at_once_and_a_repeat_gets_the_same_job() {
+    let rig = start(vec![workers("r1", 2, 4000)], vec![]).await;
+    let key = rig.team("engineers", "r1", u32::MAX).await;
+    let client = rig.client(0, &key);
+    let reply = client.submit("big", batch(1, 64_000, 50)).await.unwrap();
+    expect_that!(reply.unplaceable, contains_substring("too_small=2"));
+    let again = rig.client(1, &key).submit("big", batch(1, 64_000, 50)).await.unwrap();
+    expect_that!(again.job, eq(&reply.job));
+    let other = client.submit("big", batch(2, 64_000, 50)).await.unwrap_err();
+    expect_that!(other.remedy, eq(Remedy::Reread));
+    expect_that!(other.verdict, eq(Verdict::NotRun));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_input_is_refused_with_the_field_and_disturbs_nothing() {
+    let rig = start(vec![workers("r1", 1, 4000)], vec![runners("r1", 1, 2)]).await;
+    rig.schema(&schema()).await;
+    let key = rig.team("clerks", "r1", u32::MAX).await;
+    let client = rig.client(0, &key);
+    let operator = rig.operator(0);
+
+    let jobs = [
+        (pb::Job { tasks: 0, ..batch(1, 1, 1) }, "job.tasks"),
+        (pb::Job { kind: 0, ..batch(1, 1, 1) }, "kind"),
+        (pb::Job { size: None, ..batch(1, 1, 1) }, "job.size"),
+        (pb::Job { payload: vec![0; 20_000].into(), ..batch(1, 1, 1) }, "job.payload"),
+        (pb::Job { region: "nowhere".to_owned(), ..batch(1, 1, 1) }, "nowhere"),
+    ];
+    for (job, field) in jobs {
+        let failure = client.submit("bad", job).await.unwrap_err();
+        expect_that!(failure.reason, contains_substring(field));
+        expect_that!(failure.verdict, eq(Verdict::NotRun));
+    }
+    let calls = [
+        (client.call("/counter.Parts/Steal", "x", None).await, "no schema has the method"),
+        (rig.client(0, "").call(FIND, "x", None).await, "a key is needed"),
+        (rig.client(0, "ssk_wrong").call(FIND, "x", None).await, "not granted"),
+        (client.call(FIND, &"x".repeat(2 << 20), None).await, "can't be read"),
+        (rig.operator(0).call(FIND, "x", None).await, "a team's key is needed"),
+    ];
+    for (answer, reason) in calls {
+        let failure = answer.unwrap_err();
+        expect_that!(failure.reason, contains_substring(reason));
+        expect_that!(failure.verdict, eq(Verdict::NotRun));
+    }
+    // A queue open to all needs no key.
+    expect_that!(rig.client(0, "").call(HOURS, "hours", None).await, ok(eq("hours")));
+
+    let schema = |bytes: Vec<u8>| {
+        Change::PutSchema(pb::PutSchema { name: "schema".to_owned(), descriptors: bytes.into() })
+    };
+    let failure = operator.change(schema(vec![1, 2, 3])).await.unwrap_err();
+    expect_that!(failure.reason, contains_substring("descriptors"));
+    let fewer = wire::DESCRIPTORS.to_vec();
+    let failure = operator.change(schema(fewer)).await.unwrap_err();
+    expect_that!(failure.reason, contains_substring("reserved"));
+    let failure = client.configuration().await.unwrap_err();
+    expect_that!(failure.reason, contains_substring("an operator's key is needed"));
+    expect_that!(client.call(FIND, "still here", None).await, ok(eq("still here")));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_urgent_task_starts_soon_in_a_full_cell() {
+    const URGENT_START: Duration = Duration::from_millis(7500);
+    let rig = start(vec![workers("r1", 2, 4000)], vec![]).await;
+    let key = rig.team("engineers", "r1", u32::MAX).await;
+    let client = rig.client(0, &key);
+    let background = pb::Job { urgency: pb::Urgency::Batch.into(), ..batch(40, 1000, 60_000) };
+    let background = client.submit("background", background).await.unwrap();
+    let full = wait_job(&client, &background.job, SOON, |s| s.running == 8).await;
+    assert_that!(full.running, eq(8));
+
+    let urgent = pb::Job { urgency: pb::Urgency::Urgent.into(), ..batch(1, 2000, 100) };
+    let urgent = client.submit("urgent", urgent).await.unwrap();
+    let status = wait_job(&client, &urgent.job, URGENT_START, |s| s.succeeded == 1).await;
+    expect_that!(status.succeeded, eq(1));
+    let seen = rig.world.observer().seen();
+    expect_that!(seen.overcommits, eq(0));
+    expect_that!(seen.two_places, eq(0));
+    // What was moved runs again.
+    let full = wait_job(&client, &background.job, SOON, |s| s.running == 8).await;
+    expect_that!(full.running, eq(8));
+    expect_that!(full.stopped, eq(0));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_of_other_teams_do_not_exist_for_a_team() {
+    let rig: Rig = start(vec![workers("r1", 1, 4000)], vec![]).await;
+    let ours = rig.team("ours", "r1", u32::MAX).await;
+    let theirs = rig.team("theirs", "r1", u32::MAX).await;
+    let job = rig.client(0, &ours).submit("a", batch(1, 100, 50)).await.unwrap().job;
+    let failure = rig.client(0, &theirs).job(&job).await.unwrap_err();
+    expect_that!(failure.remedy, eq(Remedy::Find));
+    let failure = rig.client(0, &theirs).cancel(&job).await.unwrap_err();
+    expect_that!(failure.remedy, eq(Remedy::Find));
+}
--- a/crates/place/src/cell.rs
+++ b/crates/place/src/cell.rs
@@ -8,7 +8,7 @@
 use crate::{
     choice::{Choice, Refusals},
     group::Group,
-    request::{Policy, Racks, Request},
+    request::{Bounds, Policy, Request},
 };
 
 /// Workers of a group that are looked at before the group is passed over.
@@ -42,6 +42,8 @@
     Suspect,
     /// It doesn't answer.
     Silent,
+    /// Its room is kept for a certain job.
+    Reserved,
     /// The platform is about to take it away.
     Leaving,
 }
@@ -171,11 +173,11 @@
         &mut self,
         request: &Request,
         policy: Policy,
-        racks: &mut Racks,
+        bounds: &mut Bounds,
     ) -> Result<Choice, Refusals> {
-        let choice = self.choose(request, policy, racks)?;
+        let choice = self.choose(request, policy, bounds)?;
         self.promise(choice.worker, request.size);
-        racks.add(&self.slots[choice.worker.0 as usize].worker.rack);
+        bounds.add(&self.slots[choice.worker.0 as usize].worker.rack);
         Ok(choice)
     }
 
@@ -185,19 +187,19 @@
         &mut self,
         request: &Request,
         policy: Policy,
-        racks: &mut Racks,
+        bounds: &mut Bounds,
         count: u32,
     ) -> Result<Vec<Choice>, Refusals> {
-        let before = racks.clone();
+        let before = bounds.clone();
         let mut choices = Vec::with_capacity(count as usize);
         for _ in 0..count {
-            match self.place(request, policy, racks) {
+            match self.place(request, policy, bounds) {
                 Ok(choice) => choices.push(choice),
                 Err(refusals) => {
                     for choice in choices {
                         self.release(choice.worker, request.size);
                     }
-                    *racks = before;
+                    *bounds = before;
                     return Err(refusals);
                 }
             }
@@ -206,7 +208,7 @@
     }
 
     /// Counts why no worker takes the task, now or ever.
-    pub fn refusals(&self, request: &Request, racks: &Racks) -> Refusals {
+    pub fn refusals(&self, request: &Request, bounds: &Bounds) -> Refusals {
         let mut refusals = Refusals::default();
         for group in &self.groups {
             if !group.is_like(request) {
@@ -215,8 +217,8 @@
                 refusals.too_small += group.count;
             } else {
                 let ready = group.ready.len() as u32;
-                let full = |(_, id): &&(u64, Id)| !racks.admits(&self.slot(*id).worker.rack);
-                let rack_full = match racks.most {
+                let full = |(_, id): &&(u64, Id)| !bounds.admits(&self.slot(*id).worker.rack);
+                let rack_full = match bounds.most {
                     Some(_) => group.ready.iter().filter(full).count() as u32,
                     None => 0,
                 };
@@ -228,7 +230,12 @@
         refusals
     }
 
-    fn choose(&self, request: &Request, policy: Policy, racks: &Racks) -> Result<Choice, Refusals> {
+    fn choose(
+        &self,
+        request: &Request,
+        policy: Policy,
+        bounds: &Bounds,
+    ) -> Result<Choice, Refusals> {
         let mut order: SmallVec<[&Group; 16]> = self
             .groups
             .iter()
@@ -238,19 +245,19 @@
         let mut candidates = 0;
         for group in order {
             let found = match policy {
-                Policy::Pack => self.tightest(group, request, racks, &mut candidates),
+                Policy::Pack => self.tightest(group, request, bounds, &mut candidates),
                 Policy::Spread => {
                     let ids = group.ready.iter().rev();
-                    self.first_fit(ids, request, racks, &mut candidates)
+                    self.first_fit(ids, request, bounds, &mut candidates)
                 }
-                Policy::FirstFit => self.first_by_id(group, request, racks, &mut candidates),
+                Policy::FirstFit => self.first_by_id(group, request, bounds, &mut candidates),
             };
             if let Some(worker) = found {
                 let free_ppm = self.slot(worker).key();
                 return Ok(Choice { worker, free_ppm, candidates });
             }
         }
-        Err(self.refusals(request, racks))
+        Err(self.refusals(request, bounds))
     }
 
     /// Gets the fullest worker of a group that takes the task.
@@ -258,7 +265,7 @@
         &self,
         group: &Group,
         request: &Request,
-        racks: &Racks,
+        bounds: &Bounds,
         candidates: &mut u32,
     ) -> Option<Id> {
         // Every worker whose least free fraction covers the task's dominant
@@ -268,23 +275,26 @@
         // Below that, a worker may still fit where the task asks for little of
         // what is scarce there.
         let maybe = group.ready.range(..(need, Id(0))).rev();
-        self.first_fit(sure, request, racks, candidates)
-            .or_else(|| self.first_fit(maybe, request, racks, candidates))
+        self.first_fit(sure, request, bounds, candidates)
+            .or_else(|| self.first_fit(maybe, request, bounds, candidates))
     }
 
     fn first_fit<'a>(
         &self,
         ids: impl Iterator<Item = &'a (u64, Id)>,
         request: &Request,
-        racks: &Racks,
+        bounds: &Bounds,
         candidates: &mut u32,
     ) -> Option<Id> {
         // Full racks would hide the others, so the bound holds without them.
-        let looks = if racks.most.is_some() { usize::MAX } else { MOST_LOOKS as usize };
+        let looks = if bounds.most.is_some() || !bounds.avoid.is_empty() {
+            usize::MAX
+        } else {
+            MOST_LOOKS as usize
+        };
         ids.take(looks).map(|(_, id)| *id).find(|id| {
             *candidates += 1;
-            let slot = self.slot(*id);
-            request.size.fits(&slot.free()) && racks.admits(&slot.worker.rack)
+            self.takes(*id, request, bounds)
         })
     }
 
@@ -292,17 +302,21 @@
         &self,
         group: &Group,
         request: &Request,
-        racks: &Racks,
+        bounds: &Bounds,
         candidates: &mut u32,
     ) -> Option<Id> {
-        let fits = |id: &Id| {
-            let slot = self.slot(*id);
-            request.size.fits(&slot.free()) && racks.admits(&slot.worker.rack)
-        };
+        let fits = |id: &Id| self.takes(*id, request, bounds);
         *candidates += group.ready.len() as u32;
         group.ready.iter().map(|(_, id)| *id).filter(fits).min()
     }
 
+    fn takes(&self, id: Id, request: &Request, bounds: &Bounds) -> bool {
+        let slot = self.slot(id);
+        request.size.fits(&slot.free())
+            && bounds.admits(&slot.worker.rack)
+            && !bounds.avoid.contains(&id)
+    }
+
     fn slot(&self, id: Id) -> &Slot {
         &self.slots[id.0 as usize]
     }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -16,4 +16,4 @@
 pub use cell::{Cell, Id, State, Totals, Worker};
 pub use choice::{Choice, Refusals};
 pub use health::{Health, Outcome, Shift};
-pub use request::{Policy, Racks, Request};
+pub use request::{Bounds, Policy, Request};
--- a/crates/place/src/request.rs
+++ b/crates/place/src/request.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-use crate::cell::Worker;
+use crate::cell::{Id, Worker};
 
 /// A `Policy` says which of the fitting workers is preferred.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -40,16 +40,18 @@
     }
 }
 
-/// A `Racks` bounds how many tasks of a job one rack holds.
+/// A `Bounds` is what a job's tasks on other workers mean for its next ones.
 #[derive(Clone, Debug, Default)]
-pub struct Racks {
+pub struct Bounds {
     /// Most tasks in a rack; `None` for any number.
     pub most: Option<u32>,
     /// Tasks in each rack.
     pub used: HashMap<Name, u32>,
+    /// Workers that have failed to start tasks of the job.
+    pub avoid: SmallVec<[Id; 4]>,
 }
 
-impl Racks {
+impl Bounds {
     /// Tells whether `rack` takes one more task.
     pub fn admits(&self, rack: &Name) -> bool {
         self.most.is_none_or(|most| self.used.get(rack).copied().unwrap_or(0) < most)
--- /dev/null
+++ b/crates/rig/src/rig.rs
@@ -0,0 +1,344 @@
+//! Daemons and stand-ins together.
+
+use std::{
+    fs::{self, File},
+    io,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use quota::Digester;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use standin::{Layout, World};
+use tempfile::TempDir;
+use tokio::sync::{Semaphore, SemaphorePermit};
+use wire::pb::change_request::Change;
+
+use crate::{client::Client, pipe::Pipe, ports::free_port, settings::merge};
+
+/// Rigs that run at once in one process.
+const RIGS_AT_ONCE: usize = 2;
+
+/// Secret of the rig's keys.
+const SECRET: &[u8] = b"a secret of the rig's instances.";
+
+/// Time for the rig to come up.
+const START_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Time between looks at what is waited for.
+const POLL: Duration = Duration::from_millis(20);
+
+static ROOM: Semaphore = Semaphore::const_new(RIGS_AT_ONCE);
+
+/// An `Options` says what a rig consists of.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The targets.
+    pub layout: Layout,
+    /// Region of each entry instance.
+    pub regions: Vec<String>,
+    /// Settings that differ from those of the rig.
+    pub settings: Value,
+    /// Path of the daemon.
+    pub daemon: PathBuf,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            layout: Layout::default(),
+            regions: vec!["r1".to_owned(); 3],
+            settings: json!({}),
+            daemon: binary("skylarkspand"),
+        }
+    }
+}
+
+/// An `Instance` is an entry instance as a process.
+#[derive(Debug)]
+pub struct Instance {
+    /// Its name.
+    pub name: String,
+    /// Address towards callers.
+    pub address: String,
+    /// Address of its metrics.
+    pub metrics: String,
+    /// The way other instances reach it.
+    pub peers: Pipe,
+    /// The way it reaches the platform.
+    pub platform: Pipe,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl Instance {
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        self.signal(Signal::KILL);
+        self.reap();
+    }
+
+    /// Freezes the process.
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets a frozen process go on.
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Asks the process to stop.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Waits until the process has ended; gets whether it ended well.
+    pub async fn wait(&mut self) -> bool {
+        loop {
+            match self.child.as_mut().map(Child::try_wait) {
+                None | Some(Err(_)) => return false,
+                Some(Ok(Some(status))) => {
+                    self.child = None;
+                    return status.success();
+                }
+                Some(Ok(None)) => tokio::time::sleep(POLL).await,
+            }
+        }
+    }
+
+    /// Gets the number of the process.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    /// Gets the lines that the process has logged.
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = self.pid().and_then(|pid| Pid::from_raw(pid as i32));
+        if let Some(pid) = pid {
+            // The process may have ended by itself.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    fn reap(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.wait();
+        }
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A `Rig` is daemons and stand-ins together; dropping it ends them.
+#[derive(Debug)]
+pub struct Rig {
+    /// The stand-ins.
+    pub world: World,
+    /// The entry instances.
+    pub instances: Vec<Instance>,
+    /// The first operator's key.
+    pub operator: String,
+    daemon: PathBuf,
+    dir: TempDir,
+    _room: SemaphorePermit<'static>,
+}
+
+impl Rig {
+    /// Starts stand-ins and daemons and waits until every worker and runner
+    /// has an owner.
+    ///
+    /// # Errors
+    /// Fails if a process can't be started.
+    ///
+    /// # Panics
+    /// Panics if the rig doesn't come up.
+    pub async fn start(options: Options) -> io::Result<Self> {
+        let room = ROOM.acquire().await.expect("the room is never closed");
+        let targets = options.layout.workers.iter().chain(&options.layout.runners);
+        let expected = targets.map(|group| group.count as usize).sum();
+        let world = World::start(options.layout).await?;
+        let operator = Digester::new_key();
+        let mut rig = Self {
+            world,
+            instances: Vec::new(),
+            operator,
+            daemon: options.daemon,
+            dir: TempDir::new()?,
+            _room: room,
+        };
+        for (number, region) in options.regions.iter().enumerate() {
+            rig.add(number, region, &options.settings).await?;
+        }
+        rig.wait_ready(expected).await;
+        Ok(rig)
+    }
+
+    /// Gets a client of an instance with a key.
+    pub fn client(&self, number: usize, key: &str) -> Client {
+        Client::new(&self.instances[number].address, key)
+    }
+
+    /// Gets an operator at an instance.
+    pub fn operator(&self, number: usize) -> Client {
+        self.client(number, &self.operator)
+    }
+
+    /// Creates a team and gets its key.
+    ///
+    /// # Panics
+    /// Panics if the instances refuse it.
+    pub async fn team(&self, name: &str, home: &str, cpu_milli: u32) -> String {
+        let operator = self.operator(0);
+        operator.put_team(name, home, cpu_milli).await.expect("the team is accepted");
+        operator.grant(name, &format!("{name}-key")).await.expect("the key is granted")
+    }
+
+    /// Applies the schema in a file.
+    ///
+    /// # Panics
+    /// Panics if the instances refuse it.
+    pub async fn schema(&self, file: &Path) {
+        let descriptors = cli::compile(file).expect("the schema is right").into();
+        let put = wire::pb::PutSchema { name: "schema".to_owned(), descriptors };
+        self.operator(0).change(Change::PutSchema(put)).await.expect("the schema is accepted");
+    }
+
+    /// Starts the process of an instance again.
+    ///
+    /// # Errors
+    /// Fails if it can't be started.
+    pub fn restart(&mut self, number: usize) -> io::Result<()> {
+        let daemon = self.daemon.clone();
+        spawn(&daemon, &mut self.instances[number])
+    }
+
+    /// Gets the number of the instance that places in a region, as seen by the
+    /// others; waits until there is one that is reachable.
+    ///
+    /// # Panics
+    /// Panics if there is none for long.
+    pub async fn placer(&self, region: &str) -> usize {
+        let deadline = Instant::now() + START_TIMEOUT;
+        loop {
+            for number in 0..self.instances.len() {
+                let Ok(status) = self.operator(number).status().await else {
+                    continue;
+                };
+                let places = |i: &&wire::pb::InstanceStatus| i.places.iter().any(|r| r == region);
+                if let Some(placer) = status.instances.iter().find(places) {
+                    let is_it = |instance: &Instance| instance.name == placer.name;
+                    if let Some(number) = self.instances.iter().position(is_it) {
+                        return number;
+                    }
+                }
+            }
+            assert!(Instant::now() < deadline, "no instance places in {region}");
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
+    /// Waits until `done` holds; gets how long that took, or `None` after
+    /// `limit`.
+    pub async fn until(limit: Duration, mut done: impl AsyncFnMut() -> bool) -> Option<Duration> {
+        let start = Instant::now();
+        while !done().await {
+            if start.elapsed() > limit {
+                return None;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        Some(start.elapsed())
+    }
+
+    async fn add(&mut self, number: usize, region: &str, over: &Value) -> io::Result<()> {
+        let name = format!("entry-{number}");
+        let [callers, peers, metrics] = [(); 3].map(|()| format!("127.0.0.1:{}", free_port()));
+        let peer_pipe = Pipe::open(peers.clone()).await?;
+        let platform_pipe = Pipe::open(self.world.platform().to_string()).await?;
+        let digest = Digester::new(SECRET).digest(&self.operator).to_string();
+        let secret: String = SECRET.iter().map(|byte| format!("{byte:02x}")).collect();
+        let mut settings = json!({
+            "name": name,
+            "region": region,
+            "data_centre": format!("{region}-a"),
+            "callers": { "listen": callers, "tls": "off" },
+            "peers": {
+                "listen": peers,
+                "advertise": peer_pipe.address().to_string(),
+                "tls": "off",
+            },
+            "metrics": { "listen": metrics },
+            "platform": { "address": platform_pipe.address().to_string() },
+            "keys": { "digest_secret": secret, "first_operator": digest },
+        });
+        merge(&mut settings, over);
+        let path = self.dir.path().join(format!("{name}.json"));
+        fs::write(&path, settings.to_string())?;
+        let mut instance = Instance {
+            log: self.dir.path().join(format!("{name}.log")),
+            name,
+            address: callers,
+            metrics,
+            peers: peer_pipe,
+            platform: platform_pipe,
+            settings: path,
+            child: None,
+        };
+        spawn(&self.daemon, &mut instance)?;
+        self.instances.push(instance);
+        Ok(())
+    }
+
+    async fn wait_ready(&self, expected: usize) {
+        let operator = self.operator(0);
+        let ready = async || {
+            let Ok(status) = operator.status().await else {
+                return false;
+            };
+            let is_ready = |target: &&wire::pb::TargetStatus| target.health == "ready";
+            status.targets.iter().filter(is_ready).count() >= expected
+                && status.instances.iter().filter(|i| i.reachable).count() == self.instances.len()
+        };
+        let up = Self::until(START_TIMEOUT, ready).await;
+        if up.is_none() {
+            let logs: Vec<_> = self.instances.iter().map(Instance::log).collect();
+            panic!("the rig did not come up: {}", logs.join("\n"));
+        }
+    }
+}
+
+fn spawn(daemon: &Path, instance: &mut Instance) -> io::Result<()> {
+    let log = File::options().create(true).append(true).open(&instance.log)?;
+    let child = Command::new(daemon)
+        .arg("--config")
+        .arg(&instance.settings)
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(log)
+        .spawn()?;
+    instance.child = Some(child);
+    Ok(())
+}
+
+/// Gets the path of a program of the workspace, beside the one that runs.
+pub fn binary(name: &str) -> PathBuf {
+    let mut dir = std::env::current_exe().expect("the program has a path");
+    dir.pop();
+    // Test programs lie one folder deeper.
+    if dir.ends_with("deps") || dir.ends_with("examples") {
+        dir.pop();
+    }
+    dir.join(name)
+}
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -153,7 +153,12 @@
         let mean = state.means.get(wish.service).copied().unwrap_or_default();
         let queue = state.waiting.entry(wish.service.clone()).or_default();
         let ahead = queue.len();
-        let wait = mean.saturating_mul(ahead as u32) / slots.max(1);
+        // Without slots here nothing is known of the wait: a slot may come
+        // from a runner that is about to change hands.
+        let wait = match slots {
+            0 => Duration::ZERO,
+            slots => mean.saturating_mul(ahead as u32) / slots,
+        };
         if ahead >= most || wait > wish.left {
             let after = wait.clamp(DEFAULT_RETRY, Duration::from_secs(30));
             return Err(Failure::busy(
