--- a/crates/daemon/src/connection/worker.rs
+++ b/crates/daemon/src/connection/worker.rs
@@ -209,6 +209,9 @@
         let ids: Vec<_> = starts.iter().map(|start| start.id.clone()).collect();
         let stamp = self.stamp();
         let not_after = stamp.not_after;
+        // The lapse of the lease says nothing of a start that may still arrive.
+        let margin = Duration::from_millis(self.ctx.settings.targets.margin_ms);
+        self.lease_end = self.lease_end.max(Instant::now() + VALIDITY + margin);
         let results = match self.link.start(stamp, starts).await {
             Ok(outcomes) => outcomes.into_iter().map(StartResult::Answered).collect(),
             Err(failure) if failure.is_not_run() => vec![StartResult::NotRun; ids.len()],
--- /dev/null
+++ b/crates/model/src/allowance.rs
@@ -0,0 +1,133 @@
+//! Parts of a team's upper limit: two regions, one value, starts and ends.
+//!
+//! The model runs the very code that regions use, [`quota::Allowances`]. What
+//! both regions run together must never pass the limit.
+
+use base::{Name, Resources};
+use quota::{Allowances, Demand};
+
+use crate::Model;
+
+/// Most that a region wants to run.
+const MOST_WANTED: u32 = 3;
+
+/// A `Guards` says which guards of the protocol are in place.
+#[derive(Clone, Copy, Debug)]
+pub struct Guards {
+    /// The value is written by compare-and-swap.
+    pub compared: bool,
+    /// A region starts only within the grant that was written.
+    pub granted_first: bool,
+}
+
+/// An `Allowance` is the model.
+#[derive(Clone, Copy, Debug)]
+pub struct Allowance {
+    /// The guards in place.
+    pub guards: Guards,
+    /// The team's upper limit.
+    pub limit: u32,
+}
+
+/// A `Region` is what one region knows and runs.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Region {
+    used: u32,
+    waiting: u32,
+    /// The grant as last read or written.
+    grant: u32,
+    /// A look under way: the revision that was read and the value to write.
+    look: Option<(u32, [(u32, u32); 2])>,
+}
+
+/// A `State` is the stored value with its revision, and both regions.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct State {
+    revision: u32,
+    /// Amount and wish of each region.
+    stored: [(u32, u32); 2],
+    regions: [Region; 2],
+}
+
+/// Looks that are searched.
+const MOST_REVISIONS: u32 = 4;
+
+impl Model for Allowance {
+    type State = State;
+
+    fn start(&self) -> State {
+        let region = Region { used: 0, waiting: 0, grant: 0, look: None };
+        State { revision: 0, stored: [(0, 0); 2], regions: [region.clone(), region] }
+    }
+
+    fn steps(&self, state: &State) -> Vec<State> {
+        let mut next = Vec::new();
+        for number in 0..2 {
+            let region = &state.regions[number];
+            if region.used + region.waiting < MOST_WANTED {
+                let mut asked = state.clone();
+                asked.regions[number].waiting += 1;
+                next.push(asked);
+            }
+            let cap = if self.guards.granted_first { region.grant } else { self.limit };
+            if region.waiting > 0 && region.used < cap {
+                let mut started = state.clone();
+                started.regions[number].waiting -= 1;
+                started.regions[number].used += 1;
+                next.push(started);
+            }
+            if region.used > 0 {
+                let mut ended = state.clone();
+                ended.regions[number].used -= 1;
+                next.push(ended);
+            }
+            match region.look {
+                None if state.revision < MOST_REVISIONS => {
+                    let value = adjust(state.stored, number, self.limit, region);
+                    let mut looked = state.clone();
+                    // A lowered grant holds from the moment it is decided.
+                    let (amount, _) = value[number];
+                    looked.regions[number].grant = region.grant.min(amount);
+                    looked.regions[number].look = Some((state.revision, value));
+                    next.push(looked);
+                }
+                None => {}
+                Some((revision, value)) => {
+                    let mut written = state.clone();
+                    written.regions[number].look = None;
+                    if revision == state.revision || !self.guards.compared {
+                        written.revision += 1;
+                        written.stored = value;
+                        written.regions[number].grant = value[number].0;
+                    } else {
+                        // The loser reads what is stored now.
+                        written.regions[number].grant = state.stored[number].0;
+                    }
+                    next.push(written);
+                }
+            }
+        }
+        next
+    }
+
+    fn fault(&self, state: &State) -> Option<&'static str> {
+        let used: u32 = state.regions.iter().map(|region| region.used).sum();
+        (used > self.limit).then_some("the regions run more than the limit")
+    }
+}
+
+/// Sets a region's grant as the code of the regions does.
+fn adjust(stored: [(u32, u32); 2], number: usize, limit: u32, region: &Region) -> [(u32, u32); 2] {
+    let size = |amount| Resources { cpu_milli: amount, memory_mib: 0, accelerators: 0 };
+    let (team, names) = (Name::from("team"), [Name::from("a"), Name::from("b")]);
+    let mut allowances = Allowances::default();
+    for (name, (amount, wanted)) in names.iter().zip(stored) {
+        allowances.restore(&team, name, size(amount), size(wanted));
+    }
+    let demand = Demand { used: size(region.used), waiting: size(region.waiting) };
+    allowances.adjust(&team, &names[number], &size(limit), demand);
+    names.map(|name| {
+        let grant = allowances.grant(&team, &name);
+        (grant.amount.cpu_milli, grant.wanted.cpu_milli)
+    })
+}
--- a/crates/quota/src/allowance.rs
+++ b/crates/quota/src/allowance.rs
@@ -101,6 +101,12 @@
         true
     }
 
+    /// Sets a region's grant to what it is known to be.
+    pub fn restore(&mut self, team: &Name, region: &Name, amount: Resources, wanted: Resources) {
+        let grant = Grant { amount, wanted };
+        self.teams.entry(team.clone()).or_default().insert(region.clone(), grant);
+    }
+
     /// Marks the value as written by `region`.
     pub fn stamp(&mut self, region: &Name) {
         self.writer = region.clone();
