--- a/crates/daemon/src/process/context.rs
+++ b/crates/daemon/src/process/context.rs
@@ -12,14 +12,14 @@
 use base::{Name, Timer};
 use platform::{Fleet, Instance};
 use quota::{Digest, Digester};
-use route::{Budget, Gate, Router};
+use route::{Budget, Discipline, Gate, Router};
 use slog::Logger;
 use target::{Connector, Link};
 use tokio::sync::watch;
 
 use crate::{
     connection::Peers,
-    process::{Counters, Member, Observed, Settings},
+    process::{Counters, Decisions, Member, Observed, Settings},
     version::{Configs, Divisions, Placers},
 };
 
@@ -107,6 +107,10 @@
     ) -> Self {
         let secret = hex::decode(&settings.keys.digest_secret).unwrap_or_default();
         let first = Digest::from_hex(&settings.keys.first_operator).ok();
+        let discipline = match settings.decisions {
+            Decisions::Shares => Discipline::Urgency,
+            Decisions::Baseline => Discipline::Fifo,
+        };
         Self {
             name: settings.name.as_str().into(),
             incarnation: getrandom::u64().expect("the system has random bytes"),
@@ -115,7 +119,7 @@
             divisions: watch::Sender::default(),
             instances: watch::Sender::default(),
             peers: Peers::default(),
-            router: Router::new(timer.clone()),
+            router: Router::new(timer.clone(), discipline),
             placers: Placers::default(),
             gate: Gate::default(),
             budget: Budget::default(),
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -16,7 +16,7 @@
 pub use metrics::{CallLabels, Counters, Metrics, Outcome};
 pub use observed::Observed;
 pub use run::run;
-pub use settings::{Form, Level, Settings, TlsMode};
+pub use settings::{Decisions, Form, Level, Settings, TlsMode};
 pub use tls::{Acceptor, Dialer, Io};
 
 pub(crate) use membership::{MEMBER_PREFIX, keep_membership};
--- a/crates/daemon/src/process/settings.rs
+++ b/crates/daemon/src/process/settings.rs
@@ -35,6 +35,8 @@
     pub targets: Targets,
     /// The record of jobs and calls.
     pub ledger: Ledger,
+    /// How decisions are made.
+    pub decisions: Decisions,
     /// Bounds on what is held at once.
     pub limits: Limits,
 }
@@ -212,6 +214,17 @@
     }
 }
 
+/// A `Decisions` is how decisions are made.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Decisions {
+    /// By urgency, share and policy.
+    #[default]
+    Shares,
+    /// In the order of arrival, at the first fit. For measurements only.
+    Baseline,
+}
+
 /// Bounds on what is held at once.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(default)]
--- a/crates/daemon/src/version/placer/decide.rs
+++ b/crates/daemon/src/version/placer/decide.rs
@@ -10,10 +10,13 @@
 use quota::JobKind;
 use schema::Urgency;
 
-use crate::version::placer::{
-    job::{Assigned, Phase},
-    page::Then,
-    state::Placer,
+use crate::{
+    process::Decisions,
+    version::placer::{
+        job::{Assigned, Phase},
+        page::Then,
+        state::Placer,
+    },
 };
 
 /// Placements in one round; commands are handled between rounds.
@@ -56,6 +59,10 @@
         }
         self.short.clear();
         let mut round = Round::default();
+        if self.ctx.settings.decisions == Decisions::Baseline {
+            self.decide_in_order(&mut round);
+            return;
+        }
         for urgency in Urgency::ALL {
             self.decide_urgency(urgency, &mut round);
             if round.placements >= PLACEMENTS_PER_ROUND {
@@ -65,6 +72,21 @@
         }
     }
 
+    /// Places jobs in the order of their arrival, whoever sent them; the
+    /// baseline of the measurements.
+    fn decide_in_order(&mut self, round: &mut Round) {
+        let mut jobs: Vec<(u64, Name)> =
+            self.queue.values().flat_map(HashMap::values).flatten().cloned().collect();
+        jobs.sort();
+        for (_, job) in jobs {
+            while self.place_next(&job, round).is_ok() {
+                if self.jobs.get(&job).is_none_or(|job| job.pending.is_empty()) {
+                    self.dequeue(&job);
+                }
+            }
+        }
+    }
+
     fn decide_urgency(&mut self, urgency: Urgency, round: &mut Round) {
         let whole = self.cell.totals().capacity;
         let active = self.ctx.configs.current();
@@ -127,7 +149,10 @@
         let count = if job.spec.kind == JobKind::Gang { job.pending.len() as u32 } else { 1 };
         let request = job.spec.request.clone();
         let team = job.team.clone();
-        let policy = self.ctx.configs.current().config.policy(job.spec.kind);
+        let policy = match self.ctx.settings.decisions {
+            Decisions::Shares => self.ctx.configs.current().config.policy(job.spec.kind),
+            Decisions::Baseline => Policy::FirstFit,
+        };
         let mut bounds = self.bounds_of(id);
         let waiting = request.size * job.pending.len() as u32;
         self.check_cap(&team, request.size * count, waiting, round)?;
--- /dev/null
+++ b/crates/gauge/src/experiment.rs
@@ -0,0 +1,340 @@
+//! Experiments with the policies: open-loop arrivals at real daemons, and the
+//! same arrivals at daemons with the baseline decisions.
+
+use std::{
+    collections::BTreeMap,
+    path::Path,
+    time::{Duration, Instant},
+};
+
+use hdrhistogram::Histogram;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use rig::{Client, Rig};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use standin::Group;
+use tokio::{task::JoinSet, time};
+use wire::pb::{self, change_request::Change};
+
+use crate::{
+    figures::Figures,
+    path::{FIND, quiet, start},
+};
+
+/// Time between samples of the cell.
+const SAMPLE_PERIOD: Duration = Duration::from_millis(500);
+
+/// Path of the calls that can wait.
+const HOURS: &str = "/counter.Parts/Hours";
+
+/// A `Settings` describes an experiment.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Settings {
+    name: String,
+    seed: u64,
+    seconds: u64,
+    #[serde(default)]
+    workers: Vec<Group>,
+    #[serde(default)]
+    runners: Vec<Group>,
+    teams: Vec<TeamSettings>,
+    #[serde(default)]
+    jobs: Vec<JobStream>,
+    #[serde(default)]
+    calls: Vec<CallStream>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TeamSettings {
+    name: String,
+    share: u32,
+}
+
+/// A `JobStream` is jobs that arrive at random.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct JobStream {
+    team: String,
+    kind: String,
+    urgency: String,
+    per_s: f64,
+    tasks: u32,
+    cpu_milli: u32,
+    memory_mib: u32,
+    run_ms: u32,
+    /// How many times longer tasks really run than declared, at most; at least
+    /// as many times shorter.
+    #[serde(default = "one")]
+    off_by: f64,
+}
+
+/// A `CallStream` is calls that arrive at random.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct CallStream {
+    team: String,
+    urgent: bool,
+    per_s: f64,
+    call_ms: u64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// What one run of an experiment showed.
+#[derive(Debug)]
+struct Outcome {
+    /// Waits of tasks' jobs by urgency, in milliseconds.
+    waits: BTreeMap<String, Histogram<u64>>,
+    /// Waits of urgent calls, in milliseconds.
+    lookups: Histogram<u64>,
+    refused: u64,
+    used: f64,
+    distance: f64,
+    overcommits: u32,
+    two_places: u32,
+}
+
+/// Runs an experiment and its baseline.
+pub(crate) async fn measure(figures: &mut Figures, file: &Path) -> Result<(), String> {
+    let settings = read(file)?;
+    for (decisions, suffix) in [("shares", ""), ("baseline", "_baseline")] {
+        let outcome = run(&settings, decisions).await?;
+        let name = &settings.name;
+        let mut add = |figure: &str, value: f64| {
+            figures.add(format!("{name}_{figure}{suffix}"), value);
+        };
+        for (urgency, waits) in &outcome.waits {
+            for (label, quantile) in [("p50", 0.5), ("p99", 0.99), ("max", 1.0)] {
+                let wait = waits.value_at_quantile(quantile) as f64 / 1000.0;
+                add(&format!("{urgency}_wait_{label}_s"), wait);
+            }
+        }
+        if !outcome.lookups.is_empty() {
+            add("lookup_wait_p50_ms", outcome.lookups.value_at_quantile(0.5) as f64);
+            add("lookup_wait_p99_ms", outcome.lookups.value_at_quantile(0.99) as f64);
+            add("calls_refused", outcome.refused as f64);
+        }
+        if !settings.jobs.is_empty() {
+            add("packing_used_fraction", outcome.used);
+            add("share_distance", outcome.distance);
+            add("overcommits", f64::from(outcome.overcommits));
+            add("two_places", f64::from(outcome.two_places));
+        }
+        // The figures that the users weigh most, by their plain names.
+        let (urgent, lookups) = (outcome.waits.get("urgent"), &outcome.lookups);
+        if let Some(urgent) = urgent.filter(|_| name == "firm") {
+            let wait = urgent.value_at_quantile(0.99) as f64 / 1000.0;
+            figures.add(format!("urgent_wait_p99_s{suffix}"), wait);
+            figures.add(format!("packing_used_fraction{suffix}"), outcome.used);
+            figures.add(format!("share_distance{suffix}"), outcome.distance);
+        }
+        if !lookups.is_empty() && name == "association" {
+            let wait = lookups.value_at_quantile(0.99) as f64;
+            figures.add(format!("lookup_wait_p99_ms{suffix}"), wait);
+        }
+    }
+    Ok(())
+}
+
+fn read(file: &Path) -> Result<Settings, String> {
+    let wrong = |what: String| format!("{}: {what}", file.display());
+    let text = std::fs::read_to_string(file).map_err(|error| wrong(error.to_string()))?;
+    let value = jsonc_parser::parse_to_serde_value(&text, &Default::default())
+        .map_err(|error| wrong(error.to_string()))?
+        .unwrap_or_default();
+    serde_json::from_value(value).map_err(|error| wrong(error.to_string()))
+}
+
+async fn run(settings: &Settings, decisions: &str) -> Result<Outcome, String> {
+    let mut over: Value = json!({ "decisions": decisions });
+    rig::merge(&mut over, &quiet());
+    let rig = start(settings.workers.clone(), settings.runners.clone(), over).await?;
+    let mut keys = BTreeMap::new();
+    for team in &settings.teams {
+        let key = rig.team(&team.name, "r1", u32::MAX).await;
+        let put = pb::PutTeam {
+            name: team.name.clone(),
+            share: team.share,
+            limit: None,
+            calls: 100_000,
+            home_region: "r1".to_owned(),
+        };
+        rig.operator(0).change(Change::PutTeam(put)).await.map_err(|f| f.to_string())?;
+        keys.insert(team.name.clone(), key);
+    }
+    let limit = Duration::from_secs(settings.seconds);
+    let mut jobs = JoinSet::new();
+    for (number, stream) in settings.jobs.iter().enumerate() {
+        let client = rig.client(number % 3, &keys[&stream.team]);
+        let rng = StdRng::seed_from_u64(settings.seed + number as u64);
+        jobs.spawn(send_jobs(client, stream.clone(), number, rng, limit));
+    }
+    let mut calls = JoinSet::new();
+    for (number, stream) in settings.calls.iter().enumerate() {
+        let clients: Vec<_> = (0..3).map(|i| rig.client(i, &keys[&stream.team])).collect();
+        let rng = StdRng::seed_from_u64(settings.seed + 1000 + number as u64);
+        calls.spawn(send_calls(clients, stream.clone(), rng, limit));
+    }
+    let (used, distance) = sample(&rig, settings, limit).await;
+
+    let mut waits: BTreeMap<String, Histogram<u64>> = BTreeMap::new();
+    while let Some(sent) = jobs.join_next().await {
+        for (client, urgency, job, at) in sent.map_err(|error| error.to_string())? {
+            let status = client.job(&job).await.map_err(|failure| failure.to_string())?;
+            // A job that has not started has waited until now.
+            let wait = match status.first_start_ms {
+                0 if status.running + status.succeeded == 0 => at.elapsed().as_millis() as u64,
+                wait => u64::from(wait),
+            };
+            waits.entry(urgency).or_insert_with(histogram).saturating_record(wait);
+        }
+    }
+    let mut lookups = histogram();
+    let mut refused = 0;
+    while let Some(made) = calls.join_next().await {
+        let (times, failed) = made.map_err(|error| error.to_string())?;
+        lookups.add(times).map_err(|error| error.to_string())?;
+        refused += failed;
+    }
+    let seen = rig.world.observer().seen();
+    Ok(Outcome {
+        waits,
+        lookups,
+        refused,
+        used,
+        distance,
+        overcommits: seen.overcommits,
+        two_places: seen.two_places,
+    })
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new(3).expect("three digits are allowed")
+}
+
+/// Gets the time to the next arrival.
+fn next_gap(rng: &mut StdRng, per_s: f64) -> Duration {
+    let uniform: f64 = rng.random_range(f64::EPSILON..1.0);
+    Duration::from_secs_f64(-uniform.ln() / per_s)
+}
+
+type Sent = (Client, String, String, Instant);
+
+async fn send_jobs(
+    client: Client,
+    stream: JobStream,
+    number: usize,
+    mut rng: StdRng,
+    limit: Duration,
+) -> Vec<Sent> {
+    let start = Instant::now();
+    let mut sent = Vec::new();
+    let mut due = Duration::ZERO;
+    let mut serial = 0;
+    loop {
+        due += next_gap(&mut rng, stream.per_s);
+        if due > limit {
+            return sent;
+        }
+        time::sleep(due.saturating_sub(start.elapsed())).await;
+        serial += 1;
+        let off = stream.off_by.powf(rng.random_range(-1.0..1.0));
+        let run_ms = (f64::from(stream.run_ms) * off) as u64;
+        let payload = json!({ "run_ms": run_ms, "team": stream.team }).to_string();
+        let kind = if stream.kind == "gang" { pb::JobKind::Gang } else { pb::JobKind::Batch };
+        let urgency = match stream.urgency.as_str() {
+            "urgent" => pb::Urgency::Urgent,
+            "batch" => pb::Urgency::Batch,
+            _ => pb::Urgency::Normal,
+        };
+        let job = pb::Job {
+            name: format!("{}-{serial}", stream.team),
+            kind: kind.into(),
+            urgency: urgency.into(),
+            tasks: stream.tasks,
+            size: Some(pb::Resources {
+                cpu_milli: stream.cpu_milli,
+                memory_mib: stream.memory_mib,
+                accelerators: 0,
+            }),
+            idempotent: true,
+            declared_run_ms: stream.run_ms,
+            payload: payload.into(),
+            ..Default::default()
+        };
+        let at = Instant::now();
+        if let Ok(reply) = client.submit(&format!("{number}-{serial}"), job).await {
+            sent.push((client.clone(), stream.urgency.clone(), reply.job, at));
+        }
+    }
+}
+
+/// Makes calls; gets the waits of urgent ones beyond their own time, in
+/// milliseconds, and the calls that failed.
+async fn send_calls(
+    clients: Vec<Client>,
+    stream: CallStream,
+    mut rng: StdRng,
+    limit: Duration,
+) -> (Histogram<u64>, u64) {
+    let start = Instant::now();
+    let mut due = Duration::ZERO;
+    let mut calls = JoinSet::new();
+    loop {
+        due += next_gap(&mut rng, stream.per_s);
+        if due > limit {
+            break;
+        }
+        time::sleep(due.saturating_sub(start.elapsed())).await;
+        let client = clients[rng.random_range(0..clients.len())].clone();
+        let (path, call_ms) = (if stream.urgent { FIND } else { HOURS }, stream.call_ms);
+        calls.spawn(async move {
+            let at = Instant::now();
+            let answer = client.call(path, &format!("sleep={call_ms}"), None).await;
+            (answer.is_ok(), at.elapsed().saturating_sub(Duration::from_millis(call_ms)))
+        });
+    }
+    let mut waits = histogram();
+    let mut failed = 0;
+    while let Some(Ok((answered, wait))) = calls.join_next().await {
+        // A call that failed has waited in vain for as long as it took.
+        if stream.urgent {
+            waits.saturating_record(wait.as_millis() as u64);
+        }
+        failed += u64::from(!answered);
+    }
+    (waits, failed)
+}
+
+/// Watches the second half of a run; gets the mean part of the cell that is in
+/// use, and the mean distance of the teams from their shares.
+async fn sample(rig: &Rig, settings: &Settings, limit: Duration) -> (f64, f64) {
+    let start = Instant::now();
+    let capacity: u64 =
+        settings.workers.iter().map(|g| u64::from(g.count) * u64::from(g.cpu_milli)).sum();
+    let weights: u32 = settings.teams.iter().map(|team| team.share).sum();
+    let (mut used, mut distance, mut samples) = (0.0, 0.0, 0.0);
+    while start.elapsed() < limit {
+        time::sleep(SAMPLE_PERIOD).await;
+        if start.elapsed() < limit / 2 || capacity == 0 {
+            continue;
+        }
+        let seen = rig.world.observer().seen();
+        let cpu = |team: &str| seen.cpu_milli.get(team).copied().unwrap_or(0) as f64;
+        let all: f64 = settings.teams.iter().map(|team| cpu(&team.name)).sum();
+        used += all / capacity as f64;
+        // Half of the sum of the differences is the part of the cell that is
+        // with the wrong teams.
+        let off = settings.teams.iter().map(|team| {
+            let entitled = f64::from(team.share) / f64::from(weights);
+            (cpu(&team.name) / all.max(1.0) - entitled).abs()
+        });
+        distance += off.sum::<f64>() / 2.0;
+        samples += 1.0;
+    }
+    if samples == 0.0 { (0.0, 0.0) } else { (used / samples, distance / samples) }
+}
--- /dev/null
+++ b/crates/gauge/src/main.rs
@@ -0,0 +1,92 @@
+//! `gauge`: loads, experiments and measurements.
+//!
+//! Decisions are measured on their own, the whole path and the policies on
+//! real daemons with stand-ins. Every figure has its unit in its name, and one
+//! that was not measured is absent.
+
+mod decisions;
+mod experiment;
+mod figures;
+mod path;
+mod plot;
+mod process;
+mod scale;
+mod times;
+
+use std::{path::PathBuf, process::ExitCode};
+
+use bpaf::Bpaf;
+
+use crate::figures::Figures;
+
+/// Loads, experiments and measurements of skylarkspan.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+enum Command {
+    /// Measure everything and write target/measure.json
+    #[bpaf(command)]
+    Measure {
+        /// Measure also what takes long
+        full: bool,
+    },
+    /// Measure placement and routing decisions on their own
+    #[bpaf(command)]
+    Decisions,
+    /// Measure calls and tasks through real daemons
+    #[bpaf(command)]
+    Path,
+    /// Measure times from a change or a fault to its effect
+    #[bpaf(command)]
+    Times,
+    /// Measure what daemons take at several sizes
+    #[bpaf(command)]
+    Scale {
+        /// Measure also 3300 workers
+        full: bool,
+    },
+    /// Run an experiment beside its baseline
+    #[bpaf(command)]
+    Experiment {
+        /// Settings of the experiment, in JSON with comments
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let mut figures = Figures::default();
+    let done = run(command().run(), &mut figures).await;
+    figures.print();
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("gauge: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(command: Command, figures: &mut Figures) -> Result<(), String> {
+    match command {
+        Command::Decisions => {
+            decisions::measure(figures);
+            Ok(())
+        }
+        Command::Path => path::measure(figures).await,
+        Command::Times => times::measure(figures).await,
+        Command::Scale { full } => scale::measure(figures, full).await,
+        Command::Experiment { file } => experiment::measure(figures, &file).await,
+        Command::Measure { full } => {
+            decisions::measure(figures);
+            path::measure(figures).await?;
+            times::measure(figures).await?;
+            scale::measure(figures, full).await?;
+            for name in ["firm", "association"] {
+                let file = PathBuf::from(format!("examples/experiments/{name}.jsonc"));
+                experiment::measure(figures, &file).await?;
+            }
+            figures.write(&PathBuf::from("target/measure.json"))
+        }
+    }
+}
--- /dev/null
+++ b/crates/gauge/src/path.rs
@@ -0,0 +1,175 @@
+//! Calls and tasks through real daemons.
+
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use rig::{Client, Options, Rig};
+use serde_json::json;
+use standin::{Group, Layout};
+use tokio::task::JoinSet;
+use wire::pb;
+
+use crate::figures::Figures;
+
+/// Calls for the added time of a hop, one after another.
+const HOP_CALLS: usize = 3000;
+
+/// Callers at once for the calls a second.
+const CALLERS: usize = 48;
+
+/// Time for which calls a second are counted.
+const CALLS_TIME: Duration = Duration::from_secs(5);
+
+/// Tasks for the placements a second.
+const TASKS: u32 = 8000;
+
+/// Path of the call.
+pub(crate) const FIND: &str = "/counter.Parts/Find";
+
+/// Gets settings that log only what fails, as a load would otherwise measure
+/// the log.
+pub(crate) fn quiet() -> serde_json::Value {
+    json!({ "log": { "level": "warning" } })
+}
+
+/// Gets a group of runners.
+pub(crate) fn runners(count: u32, call_ms: u64) -> Group {
+    Group {
+        prefix: "runner".to_owned(),
+        count,
+        slots: 8,
+        services: vec!["counter.Parts".to_owned()],
+        call_ms,
+        ..Default::default()
+    }
+}
+
+/// Gets a group of workers.
+pub(crate) fn workers(count: u32) -> Group {
+    Group {
+        prefix: "worker".to_owned(),
+        count,
+        cpu_milli: 64_000,
+        memory_mib: 262_144,
+        ..Default::default()
+    }
+}
+
+/// Starts a rig of three instances in one region.
+pub(crate) async fn start(
+    workers: Vec<Group>,
+    runners: Vec<Group>,
+    settings: serde_json::Value,
+) -> Result<Rig, String> {
+    let layout = Layout { workers, runners, ..Default::default() };
+    let rig = Rig::start(Options { layout, settings, ..Default::default() })
+        .await
+        .map_err(|error| error.to_string())?;
+    rig.schema("examples/counter.proto".as_ref()).await;
+    Ok(rig)
+}
+
+/// Measures calls and tasks.
+pub(crate) async fn measure(figures: &mut Figures) -> Result<(), String> {
+    measure_calls(figures).await?;
+    measure_tasks(figures).await
+}
+
+async fn measure_calls(figures: &mut Figures) -> Result<(), String> {
+    let rig = start(vec![], vec![runners(12, 0)], quiet()).await?;
+    let key = rig.team("clerks", "r1", u32::MAX).await;
+    let runner = rig.world.instances().first().ok_or("the rig has no runner")?;
+    let direct = Client::new(&runner.address, "");
+    let routed = rig.client(0, &key);
+    for client in [&direct, &routed] {
+        time_calls(client, HOP_CALLS / 10).await?;
+    }
+    let direct = time_calls(&direct, HOP_CALLS).await?;
+    let routed = time_calls(&routed, HOP_CALLS).await?;
+    for (name, quantile) in [("p50", 0.5), ("p99", 0.99)] {
+        let added =
+            routed.value_at_quantile(quantile) as f64 - direct.value_at_quantile(quantile) as f64;
+        figures.add(format!("hop_added_{name}_us"), added);
+        let straight = direct.value_at_quantile(quantile) as f64;
+        figures.add(format!("direct_call_{name}_us"), straight);
+    }
+
+    let start = Instant::now();
+    let mut callers = JoinSet::new();
+    for number in 0..CALLERS {
+        let client = rig.client(number % 3, &key);
+        callers.spawn(async move {
+            let (mut answered, mut failed) = (0u32, 0u32);
+            while start.elapsed() < CALLS_TIME {
+                match client.call(FIND, "spring", None).await {
+                    Ok(_) => answered += 1,
+                    Err(_) => failed += 1,
+                }
+            }
+            (answered, failed)
+        });
+    }
+    let (mut answered, mut failed) = (0, 0);
+    while let Some(Ok((a, f))) = callers.join_next().await {
+        answered += a;
+        failed += f;
+    }
+    let took = start.elapsed().as_secs_f64();
+    figures.add("calls_per_s", f64::from(answered) / took);
+    figures.add("calls_failed", f64::from(failed));
+    Ok(())
+}
+
+/// Makes calls one after another; gets their times in microseconds.
+async fn time_calls(client: &Client, count: usize) -> Result<Histogram<u64>, String> {
+    let mut times = Histogram::<u64>::new(3).expect("three digits are allowed");
+    for _ in 0..count {
+        let start = Instant::now();
+        client.call(FIND, "spring", None).await.map_err(|failure| failure.to_string())?;
+        times.saturating_record(start.elapsed().as_micros() as u64);
+    }
+    Ok(times)
+}
+
+/// Gets a batch job of short tasks.
+pub(crate) fn batch(tasks: u32, cpu_milli: u32, run_ms: u32) -> pb::Job {
+    pb::Job {
+        name: "batch".to_owned(),
+        kind: pb::JobKind::Batch.into(),
+        tasks,
+        size: Some(pb::Resources { cpu_milli, memory_mib: 64, accelerators: 0 }),
+        urgency: pb::Urgency::Normal.into(),
+        idempotent: true,
+        declared_run_ms: run_ms,
+        ..Default::default()
+    }
+}
+
+async fn measure_tasks(figures: &mut Figures) -> Result<(), String> {
+    let rig = start(vec![workers(50)], vec![], quiet()).await?;
+    let key = rig.team("engineers", "r1", u32::MAX).await;
+    let client = rig.client(0, &key);
+    let first = client.submit("first", batch(1, 100, 1)).await.map_err(|f| f.to_string())?;
+    let _ = Rig::until(Duration::from_secs(10), async || {
+        client.job(&first.job).await.is_ok_and(|status| status.ended)
+    })
+    .await;
+    let before = rig.world.observer().seen().starts;
+    let start = Instant::now();
+    let mut submits = JoinSet::new();
+    for number in 0..16 {
+        let client = rig.client(number % 3, &key);
+        submits.spawn(async move {
+            client.submit(&format!("load-{number}"), batch(TASKS / 16, 100, 1)).await
+        });
+    }
+    while submits.join_next().await.is_some() {}
+    let done = Rig::until(Duration::from_secs(60), async || {
+        rig.world.observer().seen().starts - before >= TASKS
+    })
+    .await;
+    if done.is_some() {
+        figures.add("path_placements_per_s", f64::from(TASKS) / start.elapsed().as_secs_f64());
+    }
+    Ok(())
+}
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -11,6 +11,27 @@
 /// long urgent calls can hold a batch call back.
 const BATCH_HANDICAP: Duration = Duration::from_secs(30);
 
+/// A `Discipline` is the order in which waiting calls are served.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Discipline {
+    /// By urgency and age.
+    #[default]
+    Urgency,
+    /// By age alone; the baseline of the measurements.
+    Fifo,
+}
+
+impl Discipline {
+    /// Gets by how much a call of an urgency ranks behind an urgent one.
+    fn handicap(self, urgency: Urgency) -> Duration {
+        match (self, urgency) {
+            (Self::Fifo, _) | (Self::Urgency, Urgency::Urgent) => Duration::ZERO,
+            (Self::Urgency, Urgency::Normal) => NORMAL_HANDICAP,
+            (Self::Urgency, Urgency::Batch) => BATCH_HANDICAP,
+        }
+    }
+}
+
 /// A `Ticket` is the place of a call in a queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Ticket {
@@ -32,14 +53,17 @@
 }
 
 impl<T> Queue<T> {
-    pub(crate) fn push(&mut self, urgency: Urgency, now: Duration, item: T) -> Ticket {
+    /// Enters an item that arrived at `arrived`, with a handicap.
+    pub(crate) fn push(
+        &mut self,
+        discipline: Discipline,
+        urgency: Urgency,
+        arrived: Duration,
+        item: T,
+    ) -> Ticket {
         self.numbers += 1;
-        let handicap = match urgency {
-            Urgency::Urgent => Duration::ZERO,
-            Urgency::Normal => NORMAL_HANDICAP,
-            Urgency::Batch => BATCH_HANDICAP,
-        };
-        let ticket = Ticket { rank: now + handicap, number: self.numbers };
+        let rank = arrived + discipline.handicap(urgency);
+        let ticket = Ticket { rank, number: self.numbers };
         self.waiting.insert(ticket, item);
         ticket
     }
--- a/crates/route/src/router.rs
+++ b/crates/route/src/router.rs
@@ -12,7 +12,7 @@
 use tokio::{sync::oneshot, time};
 
 use crate::{
-    queue::{Queue, Ticket},
+    queue::{Discipline, Queue, Ticket},
     table::{Runner, Table},
 };
 
@@ -51,12 +51,17 @@
 #[derive(Debug)]
 pub struct Router<H: Clone> {
     timer: Timer,
+    discipline: Discipline,
     state: Arc<Mutex<State<H>>>,
 }
 
 impl<H: Clone> Clone for Router<H> {
     fn clone(&self) -> Self {
-        Self { timer: self.timer.clone(), state: Arc::clone(&self.state) }
+        Self {
+            timer: self.timer.clone(),
+            discipline: self.discipline,
+            state: Arc::clone(&self.state),
+        }
     }
 }
 
@@ -85,10 +90,10 @@
 
 impl<H: Clone> Router<H> {
     /// Makes a router without runners.
-    pub fn new(timer: Timer) -> Self {
+    pub fn new(timer: Timer, discipline: Discipline) -> Self {
         let state =
             State { table: Table::default(), waiting: HashMap::new(), means: HashMap::new() };
-        Self { timer, state: Arc::new(Mutex::new(state)) }
+        Self { timer, discipline, state: Arc::new(Mutex::new(state)) }
     }
 
     /// Adds a runner or replaces what is known of it.
@@ -182,7 +187,7 @@
         let (sender, turn) = oneshot::channel();
         let waiter =
             Waiter { data_centre: wish.data_centre.into(), avoid: wish.avoid.into(), sender };
-        let ticket = queue.push(wish.urgency, wish.arrived, waiter);
+        let ticket = queue.push(self.discipline, wish.urgency, wish.arrived, waiter);
         Ok((ticket, turn))
     }
 
--- a/crates/standin/src/observer.rs
+++ b/crates/standin/src/observer.rs
@@ -28,6 +28,8 @@
     pub fenced: u32,
     /// Most calls at once at any runner, beyond its slots or not.
     pub most_calls: u32,
+    /// Thousandths of a core that each team runs now.
+    pub cpu_milli: BTreeMap<String, u64>,
     /// Most thousandths of a core that each team ran at once.
     pub most_cpu_milli: BTreeMap<String, u64>,
 }
@@ -54,7 +56,9 @@
 impl Observer {
     /// Gets what was counted.
     pub fn seen(&self) -> Seen {
-        self.lock().seen.clone()
+        let state = self.lock();
+        let cpu_milli = state.cpu_milli.iter().map(|(team, cpu)| (team.clone(), *cpu)).collect();
+        Seen { cpu_milli, ..state.seen.clone() }
     }
 
     /// Gets the targets on which a task was started, in order.
--- a/crates/standin/src/stall.rs
+++ b/crates/standin/src/stall.rs
@@ -17,17 +17,25 @@
 
 /// A `Stall` silences all connections that are open when it is used.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Stall(Arc<AtomicU64>);
+pub(crate) struct Stall {
+    silenced: Arc<AtomicU64>,
+    bytes: Arc<AtomicU64>,
+}
 
 impl Stall {
     /// Silences the open connections for good.
     pub(crate) fn silence(&self) {
-        self.0.fetch_add(1, Ordering::SeqCst);
+        self.silenced.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// Gets the bytes that have passed in either direction.
+    pub(crate) fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
     }
 
     /// Wraps a new connection.
     pub(crate) fn wrap(&self, stream: TcpStream) -> Stallable {
-        Stallable { stream, opened: self.0.load(Ordering::SeqCst), stall: self.clone() }
+        Stallable { stream, opened: self.silenced.load(Ordering::SeqCst), stall: self.clone() }
     }
 }
 
@@ -42,7 +50,7 @@
 
 impl Stallable {
     fn is_silent(&self) -> bool {
-        self.stall.0.load(Ordering::SeqCst) != self.opened
+        self.stall.silenced.load(Ordering::SeqCst) != self.opened
     }
 }
 
@@ -59,6 +67,8 @@
             buffer.set_filled(before);
             return Poll::Pending;
         }
+        let read = (buffer.filled().len() - before) as u64;
+        self.stall.bytes.fetch_add(read, Ordering::Relaxed);
         polled
     }
 }
@@ -72,7 +82,11 @@
         if self.is_silent() {
             return Poll::Ready(Ok(bytes.len()));
         }
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let polled = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        if let Poll::Ready(Ok(written)) = &polled {
+            self.stall.bytes.fetch_add(*written as u64, Ordering::Relaxed);
+        }
+        polled
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -21,7 +21,7 @@
     observer::Observer,
     runner::Runner,
     stall::Stall,
-    store_service::Service,
+    store_service::{STORE, Service},
     worker::Worker,
 };
 
@@ -74,7 +74,7 @@
         let lag = Duration::from_millis(layout.list_lag_ms);
         let list = List::new(instances.clone(), faults.clone(), lag);
         let stall = Stall::default();
-        stalls.push(("store".to_owned(), stall.clone()));
+        stalls.push((STORE.to_owned(), stall.clone()));
         let control = Switchboard {
             faults: faults.clone(),
             observer: observer.clone(),
@@ -116,6 +116,18 @@
         &self.instances
     }
 
+    /// Gets the bytes that all targets have received and sent.
+    pub fn target_bytes(&self) -> u64 {
+        let targets = self.stalls.iter().filter(|(name, _)| name != STORE);
+        targets.map(|(_, stall)| stall.bytes()).sum()
+    }
+
+    /// Gets the bytes that the platform's services have received and sent.
+    pub fn platform_bytes(&self) -> u64 {
+        let platform = self.stalls.iter().filter(|(name, _)| name == STORE);
+        platform.map(|(_, stall)| stall.bytes()).sum()
+    }
+
     /// Makes the open connections of a stand-in go silent for good. New ones
     /// work.
     pub fn silence_connections(&self, name: &str) {
