--- a/crates/gauge/src/decisions.rs
+++ b/crates/gauge/src/decisions.rs
@@ -3,13 +3,12 @@
 use std::time::{Duration, Instant};
 
 use base::{Name, Resources, Timer};
-use hdrhistogram::Histogram;
 use place::{Bounds, Cell, Id, Policy, Request, State, Worker};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use route::{Discipline, Router, Runner, Wish};
 use schema::Urgency;
 
-use crate::figures::Figures;
+use crate::figures::{Figures, histogram, record};
 
 /// Seed of all choices.
 const SEED: u64 = 20_261_204;
@@ -92,7 +91,7 @@
 fn time_placements(workers: usize) -> (f64, f64) {
     let mut rng = StdRng::seed_from_u64(SEED);
     let (mut cell, mut tasks) = filled_cell(workers, &mut rng);
-    let mut times = Histogram::<u64>::new(3).expect("three digits are allowed");
+    let mut times = histogram();
     let mut total = Duration::ZERO;
     for _ in 0..DECISIONS {
         let at = rng.random_range(0..tasks.len());
@@ -103,7 +102,7 @@
         let placed = cell.place(&request, Policy::Pack, &mut Bounds::default());
         let took = start.elapsed();
         total += took;
-        times.saturating_record(took.as_nanos() as u64);
+        record(&mut times, took.as_nanos() as u64);
         if let Ok(choice) = placed {
             tasks.push((choice.worker, request.size));
         }
@@ -152,11 +151,11 @@
     };
     // Half of the slots are taken.
     let held: Vec<_> = (0..RUNNERS * 4).filter_map(|_| router.try_acquire(&wish)).collect();
-    let mut times = Histogram::<u64>::new(3).expect("three digits are allowed");
+    let mut times = histogram();
     for _ in 0..DECISIONS {
         let start = Instant::now();
         drop(router.try_acquire(&wish));
-        times.saturating_record(start.elapsed().as_nanos() as u64);
+        record(&mut times, start.elapsed().as_nanos() as u64);
     }
     drop(held);
     (times.value_at_quantile(0.99) as f64 / 1000.0, times.mean() / 1000.0)
--- a/crates/gauge/src/experiment.rs
+++ b/crates/gauge/src/experiment.rs
@@ -17,7 +17,7 @@
 use wire::pb::{self, change_request::Change};
 
 use crate::{
-    figures::Figures,
+    figures::{Figures, histogram, record},
     path::{FIND, quiet, start},
 };
 
@@ -190,7 +190,7 @@
                 0 if status.running + status.succeeded == 0 => at.elapsed().as_millis() as u64,
                 wait => u64::from(wait),
             };
-            waits.entry(urgency).or_insert_with(histogram).saturating_record(wait);
+            record(waits.entry(urgency).or_insert_with(histogram), wait);
         }
     }
     let mut lookups = histogram();
@@ -212,10 +212,6 @@
     })
 }
 
-fn histogram() -> Histogram<u64> {
-    Histogram::new(3).expect("three digits are allowed")
-}
-
 /// Gets the time to the next arrival.
 fn next_gap(rng: &mut StdRng, per_s: f64) -> Duration {
     let uniform: f64 = rng.random_range(f64::EPSILON..1.0);
@@ -303,7 +299,7 @@
     while let Some(Ok((answered, wait))) = calls.join_next().await {
         // A call that failed has waited in vain for as long as it took.
         if stream.urgent {
-            waits.saturating_record(wait.as_millis() as u64);
+            record(&mut waits, wait.as_millis() as u64);
         }
         failed += u64::from(!answered);
     }
--- a/crates/gauge/src/figures.rs
+++ b/crates/gauge/src/figures.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, path::Path};
 
 use comfy_table::{Table, presets};
+use hdrhistogram::Histogram;
 
 /// A `Figures` is what was measured; names carry units.
 #[derive(Clone, Debug, Default)]
@@ -32,3 +33,14 @@
         std::fs::write(path, text).map_err(|error| format!("{}: {error}", path.display()))
     }
 }
+
+/// Makes a histogram that grows with its values.
+pub(crate) fn histogram() -> Histogram<u64> {
+    Histogram::new(3).expect("three digits are allowed")
+}
+
+/// Records a value. Unlike the histogram's own saturating method, this lets
+/// the histogram grow.
+pub(crate) fn record(histogram: &mut Histogram<u64>, value: u64) {
+    histogram.record(value).expect("the histogram grows with its values");
+}
--- a/crates/gauge/src/path.rs
+++ b/crates/gauge/src/path.rs
@@ -9,7 +9,7 @@
 use tokio::task::JoinSet;
 use wire::pb;
 
-use crate::figures::Figures;
+use crate::figures::{Figures, histogram, record};
 
 /// Calls for the added time of a hop, one after another.
 const HOP_CALLS: usize = 3000;
@@ -122,11 +122,11 @@
 
 /// Makes calls one after another; gets their times in microseconds.
 async fn time_calls(client: &Client, count: usize) -> Result<Histogram<u64>, String> {
-    let mut times = Histogram::<u64>::new(3).expect("three digits are allowed");
+    let mut times = histogram();
     for _ in 0..count {
         let start = Instant::now();
         client.call(FIND, "spring", None).await.map_err(|failure| failure.to_string())?;
-        times.saturating_record(start.elapsed().as_micros() as u64);
+        record(&mut times, start.elapsed().as_micros() as u64);
     }
     Ok(times)
 }
--- a/crates/standin/src/runner.rs
+++ b/crates/standin/src/runner.rs
@@ -93,7 +93,10 @@
         let body = body.to_bytes();
         let text = String::from_utf8_lossy(&body).into_owned();
         let sleep = number(&text, "sleep=").unwrap_or(self.group.call_ms);
-        time::sleep(Duration::from_millis(sleep)).await;
+        // Even a sleep of no time would take a tick of the clock.
+        if sleep > 0 {
+            time::sleep(Duration::from_millis(sleep)).await;
+        }
         let answer = match number(&text, "size=") {
             Some(size) => long_message(size as usize),
             None => body,
