--- a/crates/daemon/src/request/call.rs
+++ b/crates/daemon/src/request/call.rs
@@ -103,7 +103,10 @@
     };
     ctx.counters.calls.get_or_create(&CallLabels { outcome }).inc();
     match answered {
-        Ok(answered) => answered.into_response(),
+        Ok(answered) => {
+            emit!(ctx.log, debug, CallEnded; "outcome" => ?outcome);
+            answered.into_response()
+        }
         Err(failure) => {
             emit!(ctx.log, info, CallRefused; "verdict" => %failure.verdict,
                 "reason" => &failure.reason);
--- /dev/null
+++ b/crates/place/tests/placement.rs
@@ -0,0 +1,170 @@
+//! Placement decisions.
+
+use std::time::Duration;
+
+use base::{Name, Resources};
+use googletest::prelude::*;
+use place::{Bounds, Cell, Health, Id, Outcome, Policy, Request, Shift, State, Worker};
+use proptest::prelude::*;
+
+fn size(cpu_milli: u32, memory_mib: u32, accelerators: u32) -> Resources {
+    Resources { cpu_milli, memory_mib, accelerators }
+}
+
+fn worker(name: &str, rack: &str, capacity: Resources) -> Worker {
+    Worker { name: name.into(), rack: rack.into(), capacity, ..Default::default() }
+}
+
+fn request(size: Resources) -> Request {
+    Request { size, ..Default::default() }
+}
+
+#[gtest]
+fn packing_fills_one_worker_and_spreading_all() {
+    for (policy, expected) in [(Policy::Pack, 1), (Policy::Spread, 4)] {
+        let mut cell = Cell::default();
+        for name in ["a", "b", "c", "d"] {
+            cell.upsert(worker(name, "r", size(4000, 4000, 0)), State::Ready);
+        }
+        let placed: std::collections::BTreeSet<Id> = (0..4)
+            .map(|_| cell.place(&request(size(1000, 1000, 0)), policy, &mut Bounds::default()))
+            .map(|choice| choice.expect("there is room").worker)
+            .collect();
+        expect_that!(placed.len(), eq(expected));
+    }
+}
+
+#[gtest]
+fn plain_work_leaves_scarce_workers_free() {
+    let mut cell = Cell::default();
+    cell.upsert(worker("accelerated", "r", size(4000, 4000, 4)), State::Ready);
+    let plain = cell.upsert(worker("plain", "r", size(4000, 4000, 0)), State::Ready);
+    let choice = cell.place(&request(size(500, 500, 0)), Policy::Spread, &mut Bounds::default());
+    expect_that!(choice.map(|choice| choice.worker), ok(eq(plain)));
+}
+
+#[gtest]
+fn a_worker_short_of_one_thing_still_takes_what_needs_little_of_it() {
+    let mut cell = Cell::default();
+    let id = cell.upsert(worker("a", "r", size(10_000, 10_000, 0)), State::Ready);
+    cell.promise(id, size(9500, 0, 0));
+    let wide = request(size(500, 9000, 0));
+    let choice = cell.place(&wide, Policy::Pack, &mut Bounds::default());
+    expect_that!(choice.map(|choice| choice.worker), ok(eq(id)));
+}
+
+#[gtest]
+fn refusals_say_why() {
+    let mut cell = Cell::default();
+    cell.upsert(worker("small", "r", size(100, 100, 0)), State::Ready);
+    let full = cell.upsert(worker("full", "r", size(4000, 4000, 0)), State::Ready);
+    cell.promise(full, size(4000, 4000, 0));
+    cell.upsert(worker("silent", "r", size(4000, 4000, 0)), State::Silent);
+    let ask = request(size(1000, 1000, 0));
+    let refusals = cell.place(&ask, Policy::Pack, &mut Bounds::default()).unwrap_err();
+    expect_that!(refusals.too_small, eq(1));
+    expect_that!(refusals.no_room, eq(1));
+    expect_that!(refusals.not_ready, eq(1));
+    expect_that!(refusals.is_permanent(), eq(false));
+    let never = request(size(9000, 1000, 0));
+    let refusals = cell.place(&never, Policy::Pack, &mut Bounds::default()).unwrap_err();
+    expect_that!(refusals.is_permanent(), eq(true));
+}
+
+#[gtest]
+fn tasks_that_start_together_are_placed_wholly_or_not_at_all() {
+    let mut cell = Cell::default();
+    for (name, rack) in [("a", "r1"), ("b", "r1"), ("c", "r2")] {
+        cell.upsert(worker(name, rack, size(4000, 4000, 0)), State::Ready);
+    }
+    let ask = request(size(2000, 2000, 0));
+    let mut bounds = Bounds::default();
+    expect_that!(cell.place_all(&ask, Policy::Pack, &mut bounds, 7).is_err(), eq(true));
+    expect_that!(cell.totals().promised, eq(Resources::ZERO));
+    let mut bounds = Bounds { most: Some(2), ..Default::default() };
+    expect_that!(cell.place_all(&ask, Policy::Pack, &mut bounds, 5).is_err(), eq(true));
+    expect_that!(bounds.used.is_empty(), eq(true));
+    expect_that!(cell.place_all(&ask, Policy::Pack, &mut bounds, 4).is_ok(), eq(true));
+}
+
+#[gtest]
+fn only_faults_of_several_jobs_make_a_worker_suspect() {
+    let (a, b): (Name, Name) = ("a".into(), "b".into());
+    let at = Duration::from_secs;
+    let mut health = Health::default();
+    for _ in 0..50 {
+        // Neither a job that fails everywhere nor a want of room counts.
+        expect_that!(health.record(Outcome::Failed, &a, at(0)), none());
+        expect_that!(health.record(Outcome::NoRoom, &b, at(0)), none());
+    }
+    expect_that!(health.record(Outcome::Failed, &b, at(1)), some(eq(Shift::Suspected)));
+    expect_that!(health.is_probe_due(at(2)), eq(false));
+    expect_that!(health.is_probe_due(at(11)), eq(true));
+    expect_that!(health.record(Outcome::Failed, &b, at(11)), none());
+    expect_that!(health.is_probe_due(at(30)), eq(false));
+    expect_that!(health.record(Outcome::Succeeded, &b, at(31)), some(eq(Shift::Cleared)));
+    expect_that!(health.is_suspected(), eq(false));
+}
+
+/// An act on a cell: place a size by a policy, end a task, change a state.
+#[derive(Clone, Debug)]
+enum Act {
+    Place(u32, u32, u32, u8),
+    End(prop::sample::Index),
+    SetState(prop::sample::Index, u8),
+}
+
+fn act() -> impl Strategy<Value = Act> {
+    prop_oneof![
+        (1..3000u32, 1..3000u32, 0..3u32, 0..3u8).prop_map(|(c, m, a, p)| Act::Place(c, m, a, p)),
+        any::<prop::sample::Index>().prop_map(Act::End),
+        (any::<prop::sample::Index>(), 0..4u8).prop_map(|(at, state)| Act::SetState(at, state)),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn the_account_is_exact_and_no_worker_is_overcommitted(
+        acts in proptest::collection::vec(act(), 1..120),
+    ) {
+        let shapes = [size(4000, 4000, 0), size(8000, 2000, 0), size(4000, 8000, 2)];
+        let mut cell = Cell::default();
+        for number in 0..6 {
+            let name = format!("w{number}");
+            cell.upsert(worker(&name, &format!("r{}", number % 2), shapes[number % 3]), State::Ready);
+        }
+        let ids: Vec<Id> = cell.ids().collect();
+        let mut tasks: Vec<(Id, Resources)> = Vec::new();
+        for act in acts {
+            match act {
+                Act::Place(cpu, memory, accelerators, policy) => {
+                    let ask = request(size(cpu, memory, accelerators));
+                    let policy = [Policy::Pack, Policy::Spread, Policy::FirstFit][policy as usize];
+                    let any_fits = ids.iter().any(|id| {
+                        let room = cell.worker(*id).capacity - cell.promised(*id);
+                        cell.state(*id) == State::Ready && ask.size.fits(&room)
+                    });
+                    match cell.place(&ask, policy, &mut Bounds::default()) {
+                        Ok(choice) => tasks.push((choice.worker, ask.size)),
+                        Err(_) => prop_assert!(!any_fits, "room was overlooked"),
+                    }
+                }
+                Act::End(at) if !tasks.is_empty() => {
+                    let (id, size) = tasks.swap_remove(at.index(tasks.len()));
+                    cell.release(id, size);
+                }
+                Act::End(_) => {}
+                Act::SetState(at, state) => {
+                    let states = [State::Ready, State::Silent, State::Leaving, State::Suspect];
+                    cell.set_state(ids[at.index(ids.len())], states[state as usize]);
+                }
+            }
+            for id in &ids {
+                let own = tasks.iter().filter(|(at, _)| at == id);
+                let sum = own.fold(Resources::ZERO, |sum, (_, size)| sum + *size);
+                prop_assert_eq!(cell.promised(*id), sum);
+                prop_assert!(sum.fits(&cell.worker(*id).capacity));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/tests/routing.rs
@@ -0,0 +1,147 @@
+//! Slots, queues, retries and gates.
+
+use std::time::Duration;
+
+use base::{Name, Timer};
+use googletest::prelude::*;
+use route::{Budget, Discipline, Gate, Router, Runner, Wish};
+use schema::Urgency;
+
+fn router(runners: u32, slots: u32) -> Router<u32> {
+    let router = Router::new(Timer::default(), Discipline::Urgency);
+    for number in 0..runners {
+        router.upsert(runner(number, slots));
+    }
+    router
+}
+
+fn runner(number: u32, slots: u32) -> Runner<u32> {
+    Runner {
+        name: format!("runner-{number}").into(),
+        data_centre: format!("dc-{}", number % 2).into(),
+        services: [Name::from("s")].into_iter().collect(),
+        slots,
+        foreign: 0,
+        open: true,
+        handle: number,
+    }
+}
+
+fn wish(service: &Name, urgency: Urgency, arrived_ms: u64) -> Wish<'_> {
+    Wish {
+        service,
+        data_centre: "dc-1",
+        urgency,
+        arrived: Duration::from_millis(arrived_ms),
+        left: Duration::from_secs(5),
+        patience: Duration::from_secs(5),
+        avoid: &[],
+    }
+}
+
+#[gtest]
+fn slots_are_exact_and_near_ones_go_first() {
+    let router = router(2, 2);
+    let service = "s".into();
+    let wish = wish(&service, Urgency::Urgent, 0);
+    let permits: Vec<_> = (0..5).map(|_| router.try_acquire(&wish)).collect();
+    let handles: Vec<_> = permits.iter().flatten().map(|permit| permit.handle).collect();
+    expect_that!(handles, elements_are![eq(&1), eq(&1), eq(&0), eq(&0)]);
+    expect_that!(router.load("s").free, eq(0));
+    drop(permits);
+    expect_that!(router.load("s").free, eq(4));
+}
+
+#[gtest]
+fn what_an_earlier_owner_sent_takes_slots_and_closed_runners_have_none() {
+    let router = router(1, 3);
+    router.upsert(Runner { foreign: 2, ..runner(0, 3) });
+    expect_that!(router.load("s").free, eq(1));
+    let service = "s".into();
+    let permit = router.try_acquire(&wish(&service, Urgency::Urgent, 0));
+    expect_that!(permit.is_some(), eq(true));
+    router.close("runner-0");
+    expect_that!(router.load("s").slots, eq(0));
+    // Removed and added again, the runner still has our call.
+    router.remove("runner-0");
+    router.upsert(Runner { foreign: 2, ..runner(0, 3) });
+    expect_that!(router.load("s").free, eq(0));
+    drop(permit);
+    expect_that!(router.load("s").free, eq(1));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn urgent_calls_go_first_but_batch_ones_do_not_starve() {
+    let router = router(1, 1);
+    let service: Name = "s".into();
+    let held = router.try_acquire(&wish(&service, Urgency::Urgent, 0));
+    let (sender, mut order) = tokio::sync::mpsc::unbounded_channel();
+    let calls = [
+        (Urgency::Batch, 0, "old batch"),
+        (Urgency::Batch, 39_000, "batch"),
+        (Urgency::Normal, 39_500, "normal"),
+        (Urgency::Urgent, 40_000, "urgent"),
+    ];
+    for (urgency, arrived, name) in calls {
+        let (router, service, sender) = (router.clone(), service.clone(), sender.clone());
+        tokio::spawn(async move {
+            let permit = router.acquire(&wish(&service, urgency, arrived)).await;
+            let _ = sender.send(name);
+            drop(permit);
+        });
+        tokio::task::yield_now().await;
+    }
+    drop((held, sender));
+    let mut served = Vec::new();
+    while let Some(name) = order.recv().await {
+        served.push(name);
+    }
+    expect_that!(served, eq(&["old batch", "urgent", "normal", "batch"]));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_call_that_gives_up_leaves_its_place_and_loses_no_slot() {
+    let router = router(1, 1);
+    let service: Name = "s".into();
+    let held = router.try_acquire(&wish(&service, Urgency::Urgent, 0));
+    let short = Wish { patience: Duration::from_millis(50), ..wish(&service, Urgency::Urgent, 0) };
+    let failure = router.acquire(&short).await.expect_err("no slot became free");
+    expect_that!(failure.is_not_run(), eq(true));
+    expect_that!(router.load("s").waiting, eq(0));
+    let dropped = router.clone();
+    let waiting = tokio::spawn({
+        let service = service.clone();
+        async move { dropped.acquire(&wish(&service, Urgency::Urgent, 0)).await.is_ok() }
+    });
+    tokio::task::yield_now().await;
+    waiting.abort();
+    let _ = waiting.await;
+    drop(held);
+    expect_that!(router.load("s").free, eq(1));
+}
+
+#[gtest]
+fn retries_are_a_tenth_of_first_attempts() {
+    let budget = Budget::default();
+    let burst = (0..1000).take_while(|_| budget.spend()).count();
+    for _ in 0..100 {
+        budget.earn();
+    }
+    let earned = (0..1000).take_while(|_| budget.spend()).count();
+    expect_that!(burst, eq(20));
+    expect_that!(earned, eq(10));
+}
+
+#[gtest]
+fn a_gate_counts_each_team() {
+    let gate = Gate::default();
+    let (a, b): (Name, Name) = ("a".into(), "b".into());
+    let pass = gate.enter(&a, 1);
+    expect_that!(pass.is_some(), eq(true));
+    expect_that!(gate.enter(&a, 1).is_none(), eq(true));
+    expect_that!(gate.enter(&b, 1).is_some(), eq(true));
+    drop(pass);
+    expect_that!(gate.count("a"), eq(0));
+}
--- /dev/null
+++ b/crates/schema/tests/schemas.rs
@@ -0,0 +1,122 @@
+//! Schemas of calls: terms, faults, and changes that break callers.
+
+use std::{fs, path::Path, time::Duration};
+
+use googletest::prelude::*;
+use proptest::prelude::*;
+use schema::{Access, Break, Urgency, breaks, parse};
+
+fn compile(text: &str) -> Vec<u8> {
+    let dir = tempfile::tempdir().expect("a folder for the schema");
+    fs::write(dir.path().join("t.proto"), text).expect("the schema is written");
+    let include = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../proto");
+    protox::Compiler::new([dir.path(), &include])
+        .expect("the folders exist")
+        .include_imports(true)
+        .open_file("t.proto")
+        .expect("the schema compiles")
+        .encode_file_descriptor_set()
+}
+
+fn schema(body: &str) -> Vec<u8> {
+    compile(&format!(
+        "syntax = \"proto3\"; package t; import \"skylarkspan/v1/options.proto\"; {body}"
+    ))
+}
+
+const MESSAGES: &str = "message Q { string text = 1; int32 n = 2; } message A { bytes out = 1; }";
+
+#[gtest]
+fn terms_come_from_the_options() {
+    let bytes = schema(&format!(
+        "service S {{
+            rpc Plain(Q) returns (A);
+            rpc Quick(Q) returns (A) {{
+                option idempotency_level = IDEMPOTENT;
+                option (skylarkspan.v1.terms) = {{
+                    urgency: URGENCY_URGENT timeout_ms: 250 largest_answer_bytes: 99
+                    access: ACCESS_OPEN
+                }};
+            }}
+        }} {MESSAGES}"
+    ));
+    let methods = parse(&bytes).expect("the schema is right");
+    let plain = &methods[0];
+    expect_that!(&*plain.path, eq("/t.S/Plain"));
+    expect_that!(plain.idempotent, eq(false));
+    expect_that!(plain.access, eq(Access::Keyed));
+    expect_that!(plain.urgency, eq(Urgency::Normal));
+    let quick = &methods[1];
+    expect_that!(quick.idempotent, eq(true));
+    expect_that!(quick.access, eq(Access::Open));
+    expect_that!(quick.urgency, eq(Urgency::Urgent));
+    expect_that!(quick.timeout, eq(Duration::from_millis(250)));
+    expect_that!(quick.largest_answer, eq(99));
+}
+
+#[gtest]
+fn faults_name_the_method() {
+    let cases = [
+        (schema("message Q {}"), "no methods"),
+        (schema("service S { rpc F(Q) returns (stream Q); } message Q {}"), "t.S.F: streaming"),
+        (
+            schema(
+                "service S { rpc F(Q) returns (Q) { option (skylarkspan.v1.terms) =
+                { timeout_ms: 4000000000 }; } } message Q {}",
+            ),
+            "t.S.F: terms.timeout_ms",
+        ),
+        (b"nonsense".to_vec(), "descriptors"),
+    ];
+    for (bytes, reason) in cases {
+        let failure = parse(&bytes).expect_err("the schema is wrong");
+        expect_that!(failure.reason, contains_substring(reason));
+    }
+}
+
+#[gtest]
+fn only_changes_that_break_callers_are_breaks() {
+    let service = "service S { rpc F(Q) returns (A); }";
+    let old = schema(&format!("{service} {MESSAGES}"));
+    let cases = [
+        (format!("{service} {MESSAGES} message New {{}}"), vec![]),
+        (
+            format!(
+                "{service} message Q {{ string text = 1; int32 n = 2; bool b = 3; }} message A {{ bytes out = 1; }}"
+            ),
+            vec![],
+        ),
+        (
+            format!("service S {{ rpc G(Q) returns (A); }} {MESSAGES}"),
+            vec![Break::Removed("t.S.F".to_owned())],
+        ),
+        (
+            format!("service S {{ rpc F(A) returns (A); }} {MESSAGES}"),
+            vec![Break::Retyped("t.S.F".to_owned())],
+        ),
+        (
+            format!(
+                "{service} message Q {{ bytes text = 1; int32 n = 2; }} message A {{ bytes out = 1; }}"
+            ),
+            vec![Break::Field("t.Q.text".to_owned())],
+        ),
+    ];
+    for (new, expected) in cases {
+        expect_that!(breaks(&old, &schema(&new)), ok(eq(&expected)), "{new}");
+    }
+}
+
+proptest! {
+    #[test]
+    fn no_bytes_make_the_parser_panic(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let _ = parse(&bytes);
+    }
+
+    #[test]
+    fn no_changed_byte_makes_the_parser_panic(at in any::<prop::sample::Index>(), with: u8) {
+        let mut bytes = schema("service S { rpc F(Q) returns (Q); } message Q {}");
+        let at = at.index(bytes.len());
+        bytes[at] = with;
+        let _ = parse(&bytes);
+    }
+}
--- /dev/null
+++ b/crates/wire/tests/frames.rs
@@ -0,0 +1,95 @@
+//! Frames and statuses survive the wire, and nothing else does harm.
+
+use std::time::Duration;
+
+use base::{Failure, Remedy, Verdict};
+use googletest::prelude::*;
+use proptest::prelude::*;
+use wire::{Ask, CallAnswer, CallAsk, Frame, Tell, failure_of, status_of};
+
+fn frames() -> Vec<Frame> {
+    let call = CallAsk {
+        path: "/a.B/C".into(),
+        attempt: "entry-1-0".into(),
+        once: Some("order".into()),
+        left_ms: 100,
+        patience_ms: 50,
+        body: vec![0, 1, 255].into(),
+    };
+    let answer = CallAnswer {
+        body: vec![1, 2].into(),
+        code: 5,
+        message: "no".to_owned(),
+        load: Default::default(),
+    };
+    vec![
+        Frame::Hello { instance: "entry-1".into() },
+        Frame::Beat(Default::default()),
+        Frame::Config { version: 7, body: vec![9; 10].into() },
+        Frame::Ask { id: 1, ask: Ask::Call(call) },
+        Frame::Ask { id: 2, ask: Ask::Status },
+        Frame::Answer { id: 1, answer: Ok(Tell::Call(answer)) },
+        Frame::Answer { id: 2, answer: Err(Failure::unknown("broke")) },
+    ]
+}
+
+#[gtest]
+fn frames_come_back_as_they_were() {
+    for frame in frames() {
+        let decoded = Frame::decode(&frame.encode());
+        expect_that!(decoded.ok(), some(eq(&frame)));
+    }
+}
+
+#[gtest]
+fn a_cut_or_longer_frame_is_refused() {
+    for frame in frames() {
+        let bytes = frame.encode();
+        for end in 0..bytes.len() {
+            expect_that!(Frame::decode(&bytes[..end]).is_err(), eq(true));
+        }
+        expect_that!(Frame::decode(&[&bytes[..], &[0]].concat()).is_err(), eq(true));
+    }
+}
+
+#[gtest]
+fn a_failure_survives_as_a_status() {
+    let failures = [
+        Failure::fix("wrong"),
+        Failure::denied("no key"),
+        Failure::missing("nothing"),
+        Failure::conflict("raced"),
+        Failure::busy(Duration::from_millis(1500), "full"),
+        Failure::unknown("cut"),
+        Failure::ran("too large"),
+    ];
+    for failure in failures {
+        expect_that!(failure_of(&status_of(&failure)), eq(&failure));
+    }
+}
+
+#[gtest]
+fn a_status_without_a_verdict_may_have_run() {
+    let failure = failure_of(&tonic::Status::unavailable("connection reset"));
+    expect_that!(failure.verdict, eq(Verdict::MayHaveRun));
+    expect_that!(failure.remedy, eq(Remedy::Reconcile));
+}
+
+proptest! {
+    #[test]
+    fn no_bytes_make_the_decoder_panic(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let _ = Frame::decode(&bytes);
+    }
+
+    #[test]
+    fn no_changed_byte_makes_the_decoder_panic(
+        which in 0..7usize,
+        at in any::<prop::sample::Index>(),
+        with in any::<u8>(),
+    ) {
+        let mut bytes = frames()[which].encode().to_vec();
+        let at = at.index(bytes.len());
+        bytes[at] = with;
+        let _ = Frame::decode(&bytes);
+    }
+}
