Shares decide across urgencies, not only within one

Change: urgent work goes first; all other work is ordered by the teams' shares, and by urgency within a team.

--- a/crates/daemon/src/version/placer/decide.rs
+++ b/crates/daemon/src/version/placer/decide.rs
@@ -22,7 +22,10 @@
 /// Placements in one round; commands are handled between rounds.
 const PLACEMENTS_PER_ROUND: u32 = 4096;
 
-/// Waiting jobs of one team that are looked at in one round.
+/// Urgencies that are decided together, the first ones first.
+const PHASES: [&[Urgency]; 2] = [&[Urgency::Urgent], &[Urgency::Normal, Urgency::Batch]];
+
+/// Waiting jobs of one team and urgency that are looked at in one round.
 const JOBS_PER_TEAM: usize = 256;
 
 /// Jobs for which room is made in one round.
@@ -51,8 +54,9 @@
 
 impl Placer {
     /// Places what can be placed, if anything has changed since the last
-    /// round. Urgent work goes first; within an urgency, the team furthest
-    /// below its share.
+    /// round. Urgent work goes first. All other work is ordered by the teams'
+    /// shares, and by urgency only within a team: a team whose work can wait
+    /// has a right to its share all the same.
     pub(crate) fn decide(&mut self) {
         if !std::mem::take(&mut self.replan) {
             return;
@@ -63,8 +67,8 @@
             self.decide_in_order(&mut round);
             return;
         }
-        for urgency in Urgency::ALL {
-            self.decide_urgency(urgency, &mut round);
+        for urgencies in PHASES {
+            self.decide_phase(urgencies, &mut round);
             if round.placements >= PLACEMENTS_PER_ROUND {
                 self.replan = true;
                 return;
@@ -87,20 +91,17 @@
         }
     }
 
-    fn decide_urgency(&mut self, urgency: Urgency, round: &mut Round) {
+    fn decide_phase(&mut self, urgencies: &[Urgency], round: &mut Round) {
         let whole = self.cell.totals().capacity;
         let active = self.ctx.configs.current();
         let share = |team: &Name| active.config.teams.get(team).map_or(1, |rights| rights.share);
-        let Some(teams) = self.queue.get(&urgency) else {
-            return;
-        };
-        let mut waiting: HashMap<Name, VecDeque<Name>> = teams
-            .iter()
-            .map(|(team, jobs)| {
+        let mut waiting: HashMap<Name, VecDeque<Name>> = HashMap::new();
+        for teams in urgencies.iter().filter_map(|urgency| self.queue.get(urgency)) {
+            for (team, jobs) in teams {
                 let jobs = jobs.iter().take(JOBS_PER_TEAM).map(|(_, id)| id.clone());
-                (team.clone(), jobs.collect())
-            })
-            .collect();
+                waiting.entry(team.clone()).or_default().extend(jobs);
+            }
+        }
         let rank = |placer: &Self, team: &Name| placer.order.rank(team, share(team), &whole);
         let mut turns: BinaryHeap<_> =
             waiting.keys().map(|team| Reverse((rank(self, team), team.clone()))).collect();
--- a/crates/daemon/src/version/placer/preempt.rs
+++ b/crates/daemon/src/version/placer/preempt.rs
@@ -143,7 +143,7 @@
         }
         let goes_first = job.spec.urgency == Urgency::Urgent
             && theirs.spec.urgency > job.spec.urgency
-            || theirs.spec.urgency >= job.spec.urgency && self.is_fairer(id, other);
+            || theirs.spec.urgency != Urgency::Urgent && self.is_fairer(id, other);
         goes_first.then(|| Victim {
             job: other.clone(),
             index,
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -25,7 +25,7 @@
 
 #[gtest]
 fn good_settings_have_no_fault() {
-    expect_that!(faults(GOOD), empty());
+    expect_that!(faults(GOOD), is_empty());
     let example = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/entry.jsonc");
     expect_that!(Settings::read(&example).map(|settings| settings.name), ok(eq("entry-1")));
 }
