--- a/crates/cli/src/jobs.rs
+++ b/crates/cli/src/jobs.rs
@@ -23,7 +23,10 @@
 /// Time to wait for a job that was submitted with `--wait`.
 const SUBMIT_WAIT: Duration = Duration::from_secs(3600);
 
-const HEAD: [&str; 9] = [
+/// Workers that a row names at most.
+const MOST_WORKERS_NAMED: usize = 4;
+
+const HEAD: [&str; 11] = [
     "job",
     "name",
     "pending",
@@ -32,6 +35,8 @@
     "failed",
     "stopped",
     "may_have_run",
+    "first_start_ms",
+    "workers",
     "waiting",
 ];
 
@@ -206,12 +211,24 @@
             job.failed.to_string(),
             job.stopped.to_string(),
             job.may_have_run.to_string(),
+            job.first_start_ms.to_string(),
+            name_workers(job.workers),
             job.waiting,
         ]
     };
     show.rows(&HEAD, jobs.into_iter().map(row).collect());
 }
 
+fn name_workers(mut workers: Vec<String>) -> String {
+    workers.dedup();
+    let more = workers.len().saturating_sub(MOST_WORKERS_NAMED);
+    workers.truncate(MOST_WORKERS_NAMED);
+    if more > 0 {
+        workers.push(format!("{more} more"));
+    }
+    workers.join(" ")
+}
+
 fn read_job(path: &Path) -> Result<pb::Job> {
     let wrong = |what: String| Error::usage(format!("{}: {what}", path.display()));
     let text = std::fs::read_to_string(path).map_err(|error| wrong(error.to_string()))?;
--- a/crates/daemon/tests/faults.rs
+++ b/crates/daemon/tests/faults.rs
@@ -46,6 +46,7 @@
     SilentConnections,
     WorkerSilentPastLease,
     WorkerLosesAnswers,
+    WorkersReportLate,
     KillPlacerWhileStoreDown,
     KillPlacerAndWorkerSilent,
 }
@@ -116,6 +117,16 @@
             pause(3000).await;
             faults.set("r1-worker-0", Fault::None);
         }
+        Case::WorkersReportLate => {
+            for number in 0..4 {
+                let name = format!("r1-worker-{number}");
+                faults.set(&name, Fault::Lagging(Duration::from_millis(1500)));
+            }
+            pause(6000).await;
+            for number in 0..4 {
+                faults.set(&format!("r1-worker-{number}"), Fault::None);
+            }
+        }
         Case::KillPlacerWhileStoreDown => {
             faults.set("store", Fault::Down);
             pause(500).await;
@@ -194,6 +205,7 @@
     tasks_survive_connections_that_go_silent = SilentConnections;
     tasks_survive_a_worker_silent_past_its_lease = WorkerSilentPastLease;
     tasks_survive_a_worker_that_loses_answers = WorkerLosesAnswers;
+    tasks_survive_workers_that_report_late = WorkersReportLate;
     tasks_survive_a_death_while_the_store_is_down = KillPlacerWhileStoreDown;
     tasks_survive_a_death_beside_a_silent_worker = KillPlacerAndWorkerSilent;
 }
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -24,6 +24,8 @@
     Silent,
     /// A worker fails what it starts.
     FailStarts,
+    /// A worker reports how things stood some time ago.
+    Lagging(Duration),
     /// The platform lists it as leaving.
     Leaving,
     /// The platform no longer lists it, and it is silent.
@@ -40,6 +42,7 @@
             "lost-answer" => Some(Self::LostAnswer),
             "silent" => Some(Self::Silent),
             "fail-starts" => Some(Self::FailStarts),
+            "lagging" => Some(Self::Lagging(delay)),
             "leaving" => Some(Self::Leaving),
             "gone" => Some(Self::Gone),
             _ => None,
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -228,7 +228,11 @@
         let _ = time::timeout(wait, changed).await;
         // A worker that fell silent meanwhile doesn't answer either.
         self.faults.hold(&self.name).await;
-        Ok(Response::new(self.report()))
+        let report = self.report();
+        if let Fault::Lagging(delay) = self.faults.get(&self.name) {
+            time::sleep(delay).await;
+        }
+        Ok(Response::new(report))
     }
 
     async fn start(
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -31,6 +31,9 @@
 /// Path prefix of the targets' own service; all else at a runner is a call.
 const TARGET_PREFIX: &str = "/skylarkspan.v1.Target/";
 
+/// Name of the fault by which open connections go silent.
+const SILENT_CONNECTIONS: &str = "silent-connections";
+
 /// A `World` is the platform with all targets; dropping it ends them.
 #[derive(Debug)]
 pub struct World {
@@ -79,6 +82,7 @@
             faults: faults.clone(),
             observer: observer.clone(),
             store: store.clone(),
+            stalls: stalls.clone(),
         };
         let routes = Routes::new(
             StoreServer::new(store.clone()).max_decoding_message_size(LARGEST_MESSAGE_BYTES),
@@ -131,9 +135,13 @@
     /// Makes the open connections of a stand-in go silent for good. New ones
     /// work.
     pub fn silence_connections(&self, name: &str) {
-        for (_, stall) in self.stalls.iter().filter(|(known, _)| known == name) {
-            stall.silence();
-        }
+        silence(&self.stalls, name);
+    }
+}
+
+fn silence(stalls: &[(String, Stall)], name: &str) {
+    for (_, stall) in stalls.iter().filter(|(known, _)| known == name) {
+        stall.silence();
     }
 }
 
@@ -204,6 +212,7 @@
     faults: Faults,
     observer: Observer,
     store: Service,
+    stalls: Vec<(String, Stall)>,
 }
 
 #[tonic::async_trait]
@@ -213,6 +222,11 @@
         request: Request<pb::SetFaultRequest>,
     ) -> Result<Response<pb::SetFaultReply>, Status> {
         let request = request.into_inner();
+        // It strikes once and lasts for the connections that are open now.
+        if request.fault == SILENT_CONNECTIONS {
+            silence(&self.stalls, &request.at);
+            return Ok(Response::new(pb::SetFaultReply {}));
+        }
         let delay = Duration::from_millis(u64::from(request.delay_ms));
         let fault = Fault::from_name(&request.fault, delay)
             .ok_or_else(|| Status::invalid_argument("fault: is unknown"))?;
--- a/crates/wire/src/gen/skylarkspan.v1.rs
+++ b/crates/wire/src/gen/skylarkspan.v1.rs
@@ -3273,7 +3273,8 @@
     /// "store", "fleet", or a target's name.
     #[prost(string, tag = "1")]
     pub at: ::prost::alloc::string::String,
-    /// none, down, slow, lost-answer, silent, fail-starts, leaving, gone.
+    /// none, down, slow, lost-answer, silent, silent-connections, fail-starts,
+    /// lagging, leaving, gone.
     #[prost(string, tag = "2")]
     pub fault: ::prost::alloc::string::String,
     #[prost(uint32, tag = "3")]
