The wait of a job is kept through a change of placer

Cause: the demonstration showed a first start of 3149 ms for a job that had started before its placer was killed, and 0 for another: the later placer did not know. It is recorded with the job now.

--- a/crates/daemon/src/version/placer/page.rs
+++ b/crates/daemon/src/version/placer/page.rs
@@ -90,6 +90,8 @@
     accepted_ms: u64,
     cancelled: bool,
     ended_ms: Option<u64>,
+    #[serde(default)]
+    first_start_ms: Option<u64>,
     /// Ended tasks as runs of equal ends: the end, the first, the last.
     ended: Vec<(End, u32, u32)>,
     /// Tasks with a worker: index, attempt, position of the worker.
@@ -152,6 +154,7 @@
             accepted_ms: job.accepted_ms,
             cancelled: job.cancelled,
             ended_ms: job.ended_ms,
+            first_start_ms: job.first_start_ms,
             ended: Vec::new(),
             assigned: Vec::new(),
             again: Vec::new(),
@@ -181,6 +184,7 @@
         let mut job = Job::new(self.id.clone(), self.team, spec, page, self.accepted_ms);
         job.cancelled = self.cancelled;
         job.ended_ms = self.ended_ms;
+        job.first_start_ms = self.first_start_ms;
         for (end, first, last) in self.ended {
             for index in first..=last.min(job.spec.tasks - 1) {
                 job.end(index, end);
--- a/crates/daemon/src/version/placer/run.rs
+++ b/crates/daemon/src/version/placer/run.rs
@@ -272,7 +272,12 @@
         }
         assigned.phase = Phase::Sending;
         let waited_ms = now_ms.saturating_sub(accepted_ms);
-        job.first_start_ms.get_or_insert(waited_ms);
+        if job.first_start_ms.is_none() {
+            job.first_start_ms = Some(waited_ms);
+            // A later placer is to know the wait too.
+            let page = job.page;
+            self.pages[page].dirty = true;
+        }
         self.ctx.counters.task_wait.observe(waited_ms as f64 / 1000.0);
         true
     }
