--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -81,4 +81,26 @@
     KeyRefused = 310, "key refused";
     ChangeAccepted = 400, "configuration change accepted";
     ChangeConflict = 401, "configuration change lost a race";
+    LeadTaken = 500, "lead of the cell taken";
+    LeadLost = 501, "lead of the cell lost";
+    LeadSuspended = 502, "lead not confirmed; no orders are sent";
+    LeadResumed = 503, "lead confirmed again";
+    LeadGiven = 504, "lead of the cell given up";
+    LeaderChanged = 505, "leader of the cell changed";
+    JobsRead = 510, "jobs read from the store";
+    RequestRefused = 520, "request refused";
+    RequestUnknown = 521, "outcome of a request is unknown";
+    StartSent = 530, "start sent";
+    StartFailed = 531, "start not confirmed";
+    StopSent = 532, "stop sent";
+    RunEnded = 533, "run ended";
+    AdviceAsked = 540, "advice asked";
+    AdviceFailed = 541, "advice not given";
+    RecordFailed = 550, "progress not recorded";
+    WatchFailed = 551, "watch of the store failed";
+    TargetListed = 560, "target listed";
+    TargetLost = 561, "target does not answer";
+    LinkUp = 570, "link to the leader opened";
+    LinkDown = 571, "link to the leader lost";
+    SettingsReloaded = 580, "settings read again";
 }
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -4,6 +4,7 @@
 //! This crate knows nothing of the others. Everything in it is a small value
 //! or a thin service over the runtime.
 
+pub mod clock;
 mod event;
 mod load;
 mod name;
--- /dev/null
+++ b/crates/node/src/configs.rs
@@ -0,0 +1,130 @@
+//! The configuration in force.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use base::{clock, emit};
+use platform::{Changes, Entry, Error, Event, Revision};
+use tokio::{sync::watch, time};
+use work::Config;
+
+use crate::context::Context;
+
+/// How long one wait for changes takes; bounds how late a silent connection is
+/// noticed.
+const WATCH_WAIT: Duration = Duration::from_millis(1000);
+
+/// Time between reads of the whole configuration, in case that a watch misses
+/// a change.
+const REREAD_PERIOD: Duration = Duration::from_millis(2000);
+
+/// Pause after a failed request.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// A `Configs` holds the configuration in force.
+#[derive(Debug)]
+pub(crate) struct Configs {
+    current: watch::Sender<Arc<Config>>,
+    /// When it was last confirmed, in milliseconds since the machine started.
+    confirmed_ms: AtomicU64,
+}
+
+impl Default for Configs {
+    fn default() -> Self {
+        Self {
+            current: watch::Sender::new(Arc::new(Config::default())),
+            confirmed_ms: AtomicU64::new(0),
+        }
+    }
+}
+
+impl Configs {
+    /// Gets the configuration in force; version 0 before there is one.
+    pub(crate) fn current(&self) -> Arc<Config> {
+        Arc::clone(&self.current.borrow())
+    }
+
+    /// Subscribes to new configurations.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<Arc<Config>> {
+        self.current.subscribe()
+    }
+
+    /// Gets the time since the configuration was last confirmed.
+    pub(crate) fn age(&self, now: Duration) -> Duration {
+        now.saturating_sub(Duration::from_millis(self.confirmed_ms.load(Ordering::Relaxed)))
+    }
+
+    fn confirm(&self, at: Duration) {
+        self.confirmed_ms.fetch_max(at.as_millis() as u64, Ordering::Relaxed);
+    }
+}
+
+/// Keeps the configuration in force the newest one until the process ends.
+pub(crate) async fn keep_configs(ctx: Arc<Context>) {
+    loop {
+        let result = follow(&ctx).await;
+        if let Err(error) = result {
+            emit!(ctx.log, warn, WatchFailed; "of" => "configuration", "error" => %error,
+                "age_ms" => ctx.configs.age(clock::now()).as_millis() as u64);
+        }
+        time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Reads the configuration, then follows its changes until a request fails.
+async fn follow(ctx: &Context) -> Result<(), Error> {
+    let (key, prefix) = ctx.edges.catalog.config_key();
+    let mut revision = reread(ctx, key).await?;
+    let mut reread_at = clock::now();
+    loop {
+        let sent = clock::now();
+        let Changes { events, revision: next } =
+            ctx.edges.records.changes(prefix, revision, WATCH_WAIT).await?;
+        revision = next;
+        for event in events {
+            if let Event::Put(entry) = event
+                && entry.key == key
+            {
+                apply(ctx, &entry);
+            }
+        }
+        ctx.configs.confirm(sent);
+        if clock::now().saturating_sub(reread_at) >= REREAD_PERIOD {
+            reread(ctx, key).await?;
+            reread_at = clock::now();
+        }
+    }
+}
+
+/// Reads the whole configuration; gets its revision.
+async fn reread(ctx: &Context, key: &str) -> Result<Revision, Error> {
+    let sent = clock::now();
+    let entry = ctx.edges.records.get(key).await?;
+    let Some(entry) = entry else {
+        return Ok(Revision::ABSENT);
+    };
+    apply(ctx, &entry);
+    ctx.configs.confirm(sent);
+    Ok(entry.revision)
+}
+
+fn apply(ctx: &Context, entry: &Entry) {
+    let config = match ctx.edges.catalog.config(&entry.value) {
+        Ok(config) => config,
+        Err(reason) => {
+            emit!(ctx.log, error, ConfigRefused; "revision" => entry.revision.0, "why" => reason);
+            return;
+        }
+    };
+    let before = ctx.configs.current().version;
+    if config.version > before {
+        emit!(ctx.log, info, ConfigApplied; "version" => config.version, "before" => before,
+            "queues" => config.queues.len(), "teams" => config.teams.len());
+        ctx.configs.current.send_replace(Arc::new(config));
+    }
+}
--- /dev/null
+++ b/crates/node/src/context.rs
@@ -0,0 +1,84 @@
+//! What all parts of a node share.
+
+use std::{sync::Arc, time::Duration};
+
+use base::Name;
+use serde::{Deserialize, Serialize};
+use slog::Logger;
+use tokio::{net::TcpListener, sync::watch};
+
+use crate::{configs::Configs, edge::Edges, settings::Settings, states::States};
+
+/// A `Leader` is who leads the cell, as the key-value service has it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Leader {
+    /// Name of the instance.
+    pub(crate) instance: Name,
+    /// Where its links are accepted.
+    pub(crate) links: Name,
+    /// The process, as a random number.
+    pub(crate) process: u64,
+    /// Number of its term, from 1.
+    pub(crate) term: u64,
+}
+
+/// A `Context` is what all parts of a node share.
+pub struct Context {
+    /// The settings that the process was started with.
+    pub settings: Settings,
+    /// The log.
+    pub log: Logger,
+    /// What lies outside.
+    pub edges: Edges,
+    /// The port towards other instances.
+    pub(crate) links: TcpListener,
+    pub(crate) configs: Configs,
+    pub(crate) states: States,
+    /// Who leads, as far as this node knows.
+    pub(crate) leader: watch::Sender<Option<Leader>>,
+    /// Whether the process is to end.
+    pub(crate) stopping: watch::Sender<bool>,
+    /// Whether no new requests are to be taken.
+    pub(crate) closing: watch::Sender<bool>,
+    /// A random number that no other process has.
+    pub(crate) process: u64,
+}
+
+impl Context {
+    pub(crate) fn new(
+        settings: Settings,
+        log: Logger,
+        edges: Edges,
+        links: TcpListener,
+    ) -> Arc<Self> {
+        let process = getrandom::u64().unwrap_or_else(|_| base::clock::unix_ms());
+        Arc::new(Self {
+            settings,
+            log,
+            edges,
+            links,
+            configs: Configs::default(),
+            states: States::default(),
+            leader: watch::Sender::new(None),
+            stopping: watch::Sender::new(false),
+            closing: watch::Sender::new(false),
+            process,
+        })
+    }
+
+    /// Waits until the process is to end.
+    pub(crate) async fn stopped(&self) {
+        // The sender lives in `self`, so the channel can't be closed.
+        let _ = self.stopping.subscribe().wait_for(|stopping| *stopping).await;
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+}
+
+/// Gets a random time up to `most`.
+pub(crate) fn jitter(most: Duration) -> Duration {
+    let random = getrandom::u32().unwrap_or(0);
+    most * (random % 1024) / 1024
+}
--- /dev/null
+++ b/crates/node/src/front.rs
@@ -0,0 +1,260 @@
+//! What clients ask for.
+//!
+//! A front accepts a job by recording it, whoever leads, so that acceptance
+//! needs only the key-value service. The placer finds it there.
+
+use std::{sync::Arc, time::Duration};
+
+use base::{Failure, Name, Result, clock, emit};
+use bytes::Bytes;
+use platform::{Commit, Committed, Error, Revision, Write};
+use tokio::time;
+use work::{Config, JobState, Policy, Schedule, Spec, Step};
+
+use crate::{context::Context, keys};
+
+/// Time after which a request that was refused for now may be repeated.
+const RETRY_AFTER: Duration = Duration::from_millis(1000);
+
+/// Pause before a change is sent again that was not answered.
+const RESEND_PAUSE: Duration = Duration::from_millis(60);
+
+/// Time that is left for the answer to reach the client.
+const ANSWER_TIME: Duration = Duration::from_millis(250);
+
+/// Oldest numbers of waiting jobs that are told.
+const PENDING_AGE: Duration = Duration::from_millis(2500);
+
+/// A `Front` serves the requests of clients.
+#[derive(Clone)]
+pub struct Front {
+    ctx: Arc<Context>,
+}
+
+/// An `Admitted` is the right to a queue.
+#[derive(Debug)]
+pub struct Admitted {
+    /// Name of the queue.
+    queue: Name,
+    /// Length of what the paths of the queue's requests begin with.
+    pub prefix_length: usize,
+    policy: Policy,
+    team: Name,
+    /// Most bytes of a body.
+    pub body_bytes: usize,
+}
+
+impl Front {
+    pub(crate) fn new(ctx: Arc<Context>) -> Self {
+        Self { ctx }
+    }
+
+    /// Tells whether this instance can serve.
+    pub fn is_ready(&self) -> bool {
+        let age = self.ctx.configs.age(clock::now());
+        !self.ctx.is_stopping()
+            && self.ctx.configs.current().version > 0
+            && age < self.ctx.settings.key_patience()
+    }
+
+    /// Tells whether open connections are to be closed.
+    pub fn is_closing(&self) -> bool {
+        self.ctx.is_stopping()
+    }
+
+    /// Waits until no new requests are to be taken.
+    pub async fn closed(&self) {
+        // The sender lives in the context, so the channel can't be closed.
+        let _ = self.ctx.closing.subscribe().wait_for(|closing| *closing).await;
+    }
+
+    /// Finds the queue of a request and checks the key.
+    ///
+    /// # Errors
+    /// Fails without effect: for now while the configuration isn't known or
+    /// confirmed, and for good if there is no such queue or the key is unknown.
+    pub fn admit(&self, host: &str, path: &str, key: Option<&str>) -> Result<Admitted> {
+        let config: Arc<Config> = self.ctx.configs.current();
+        if config.version == 0 {
+            return Err(Failure::busy(RETRY_AFTER, "there is no configuration yet"));
+        }
+        let Some(queue) = config.queue(host, path) else {
+            return Err(Failure::missing("there is no such queue"));
+        };
+        let team = if queue.is_public { None } else { Some(self.team(&config, key)?) };
+        Ok(Admitted {
+            queue: queue.name.clone(),
+            prefix_length: queue.prefix.len(),
+            policy: queue.policy.clone(),
+            team: team.unwrap_or_default(),
+            body_bytes: config.limits.body_bytes,
+        })
+    }
+
+    fn team(&self, config: &Config, key: Option<&str>) -> Result<Name> {
+        let age = self.ctx.configs.age(clock::now());
+        if age >= self.ctx.settings.key_patience() {
+            emit!(self.ctx.log, warn, ConfigStale; "age_ms" => age.as_millis() as u64,
+                "version" => config.version);
+            return Err(Failure::busy(RETRY_AFTER, "keys can't be confirmed"));
+        }
+        key.and_then(|key| config.keys.get(key).cloned())
+            .ok_or_else(|| Failure::denied("the key is not known"))
+    }
+
+    /// Accepts a job and records it.
+    ///
+    /// # Errors
+    /// Fails with the verdict "not run" only if the job surely isn't recorded
+    /// and never will be.
+    pub async fn submit(
+        &self,
+        admitted: Admitted,
+        id: &Name,
+        payload: Name,
+        schedule: Option<Schedule>,
+        steps: Vec<Step>,
+        time_left: Duration,
+    ) -> Result<()> {
+        let spec = Spec {
+            queue: admitted.queue,
+            policy: admitted.policy,
+            team: admitted.team,
+            payload,
+            accepted_unix_ms: clock::unix_ms(),
+            schedule,
+            steps,
+        };
+        if let Some(fault) = spec.fault() {
+            return Err(Failure::fix(fault));
+        }
+        let key = keys::job(id);
+        let write =
+            Write { key: key.clone(), value: Bytes::from(work::encode(&spec)), lease: None };
+        let commit = Commit {
+            expected: vec![(key, Revision::ABSENT)],
+            writes: vec![write],
+            removals: Vec::new(),
+        };
+        let outcome = self.write(commit, time_left).await;
+        let tasks: u32 = spec.steps.iter().map(|step| step.count).sum();
+        match &outcome {
+            // A job that is there is the same one, sent again.
+            Ok(committed) => {
+                emit!(self.ctx.log, info, JobAccepted; "job" => %id, "queue" => %spec.queue,
+                    "team" => %spec.team, "steps" => spec.steps.len(), "tasks" => tasks,
+                    "again" => matches!(committed, Committed::Conflict(_)));
+                self.ctx.states.merge([(id.clone(), JobState::Queued)], clock::now());
+            }
+            Err(failure) => self.log_failure("submit", id, failure),
+        }
+        outcome.map(|_| ())
+    }
+
+    /// Cancels a job; gets whether there is such a job.
+    ///
+    /// # Errors
+    /// Fails if the cancellation surely isn't or may not be recorded.
+    pub async fn cancel(&self, id: &Name, time_left: Duration) -> Result<bool> {
+        if self.ctx.states.get(id).is_none() && !self.is_recorded(id, time_left).await? {
+            return Ok(false);
+        }
+        let write =
+            Write { key: keys::cancellation(id), value: Bytes::from_static(b"1"), lease: None };
+        let commit = Commit { writes: vec![write], ..Commit::default() };
+        match self.write(commit, time_left).await {
+            Ok(_) => {
+                emit!(self.ctx.log, info, JobCancelled; "job" => %id);
+                self.ctx.states.merge([(id.clone(), JobState::Cancelled)], clock::now());
+                Ok(true)
+            }
+            Err(failure) => {
+                self.log_failure("cancel", id, &failure);
+                Err(failure)
+            }
+        }
+    }
+
+    /// Gets the state of a job; `None` if there is no such job.
+    ///
+    /// # Errors
+    /// Fails if that can't be found out for now.
+    pub async fn state(&self, id: &Name, time_left: Duration) -> Result<Option<JobState>> {
+        if let Some(state) = self.ctx.states.get(id) {
+            return Ok(Some(state));
+        }
+        if !self.is_recorded(id, time_left).await? {
+            return Ok(None);
+        }
+        self.ctx.states.merge([(id.clone(), JobState::Queued)], clock::now());
+        Ok(Some(JobState::Queued))
+    }
+
+    /// Gets the number of jobs of a queue that nothing has started of.
+    ///
+    /// # Errors
+    /// Fails if it wasn't told for too long.
+    pub fn pending(&self, admitted: &Admitted) -> Result<u32> {
+        let now = clock::now();
+        match self.ctx.states.pending(&admitted.queue) {
+            Some((count, at)) if now.saturating_sub(at) < PENDING_AGE => Ok(count),
+            Some(_) | None => Err(Failure::busy(RETRY_AFTER, "the leader does not answer")),
+        }
+    }
+
+    /// Logs a request that was refused before it had an id.
+    pub fn log_refused(&self, host: &str, path: &str, failure: &Failure) {
+        emit!(self.ctx.log, info, RequestRefused; "host" => host, "path" => path,
+            "why" => &failure.reason, "verdict" => %failure.verdict,
+            "version" => self.ctx.configs.current().version);
+    }
+
+    async fn is_recorded(&self, id: &str, time_left: Duration) -> Result<bool> {
+        let key = keys::job(id);
+        let read = async {
+            loop {
+                match self.ctx.edges.records.get(&key).await {
+                    Ok(entry) => return entry.is_some(),
+                    Err(_) => time::sleep(RESEND_PAUSE).await,
+                }
+            }
+        };
+        time::timeout(time_left.saturating_sub(ANSWER_TIME), read)
+            .await
+            .map_err(|_| Failure::busy(RETRY_AFTER, "the key-value service does not answer"))
+    }
+
+    /// Makes a change that may be sent more than once, until it is answered.
+    async fn write(&self, commit: Commit, time_left: Duration) -> Result<Committed> {
+        let end = clock::now() + time_left.saturating_sub(ANSWER_TIME);
+        let mut may_have_run = false;
+        loop {
+            let left = end.saturating_sub(clock::now());
+            if left.is_zero() {
+                return Err(match may_have_run {
+                    true => Failure::unknown("the key-value service did not answer"),
+                    false => Failure::busy(RETRY_AFTER, "the key-value service takes no changes"),
+                });
+            }
+            let sent = self.ctx.edges.records.commit(commit.clone());
+            match time::timeout(left, sent).await {
+                Ok(Ok(committed)) => return Ok(committed),
+                Ok(Err(Error::NotRun { .. })) => {}
+                Ok(Err(Error::Unknown { .. } | Error::Lapsed | Error::Forgotten)) | Err(_) => {
+                    may_have_run = true;
+                }
+            }
+            time::sleep(RESEND_PAUSE).await;
+        }
+    }
+
+    fn log_failure(&self, request: &str, id: &str, failure: &Failure) {
+        if failure.is_not_run() {
+            emit!(self.ctx.log, warn, RequestRefused; "request" => request, "job" => id,
+                "why" => &failure.reason, "verdict" => %failure.verdict);
+        } else {
+            emit!(self.ctx.log, warn, RequestUnknown; "request" => request, "job" => id,
+                "why" => &failure.reason, "verdict" => %failure.verdict);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,28 @@
+//! A node of a cell.
+//!
+//! Every node is a [`front`] for clients: it checks their keys, records the
+//! jobs that it accepts and tells their states. One node at a time has the
+//! [`lead`]; it is the [`placer`], which owns the account of the targets and
+//! gives them their orders. The nodes have [`link`]s to the leader.
+//!
+//! What lies outside is met by the traits in [`edge`] and by
+//! [`platform::Records`]; what implements them is given to [`run`].
+
+mod configs;
+mod context;
+pub mod edge;
+mod front;
+mod helper;
+mod keys;
+mod lead;
+mod link;
+mod log;
+mod placer;
+mod run;
+mod settings;
+mod states;
+
+pub use context::Context;
+pub use front::{Admitted, Front};
+pub use run::{Error, Running, load_settings};
+pub use settings::Settings;
--- /dev/null
+++ b/crates/node/src/link.rs
@@ -0,0 +1,209 @@
+//! Links from the nodes to the leader, in CBOR over WebSocket messages.
+
+use std::{sync::Arc, time::Duration};
+
+use base::{Name, clock, emit};
+use futures::{SinkExt, StreamExt};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use tokio::{net::TcpStream, sync::mpsc, time};
+use tokio_tungstenite::{WebSocketStream, tungstenite::Message};
+use work::{JobState, StepKey};
+
+use crate::{context::Context, helper};
+
+/// Time between frames that keep a link alive.
+const PULSE_PERIOD: Duration = Duration::from_millis(700);
+
+/// Time without a frame after which a link counts as silent.
+const SILENCE: Duration = Duration::from_millis(2200);
+
+/// Pause before a link is dialled again.
+const DIAL_PAUSE: Duration = Duration::from_millis(150);
+
+/// A `Down` is a frame of the leader.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum Down {
+    /// States of jobs that have changed, or of all when the link opens.
+    States(Vec<(Name, JobState)>),
+    /// Numbers of jobs that nothing has started of, by queue.
+    Pending(Vec<(Name, u32)>),
+    /// A request to ask which targets may run a step.
+    Advise {
+        /// Number of the request.
+        number: u64,
+        /// The step.
+        step: StepKey,
+        /// The targets in question.
+        targets: Vec<Name>,
+        /// How long to wait for the answer, in milliseconds.
+        timeout_ms: u64,
+    },
+    /// Nothing new.
+    Pulse,
+}
+
+/// An `Up` is a frame to the leader.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum Up {
+    /// The first frame.
+    Hello {
+        /// Name of the sending instance.
+        instance: Name,
+    },
+    /// The answer to [`Down::Advise`].
+    Advised {
+        /// Number of the request.
+        number: u64,
+        /// Targets and tickets; `Err` is why there is no answer.
+        allowed: Result<Vec<(Name, Name)>, String>,
+        /// For how long the tickets are valid, in milliseconds, if told.
+        valid_ms: Option<u64>,
+    },
+    /// Nothing new.
+    Pulse,
+}
+
+/// A `Joined` is a node whose link is open.
+#[derive(Debug)]
+pub(crate) struct Joined {
+    /// Name of the instance.
+    pub(crate) instance: Name,
+    /// Where frames for it go.
+    pub(crate) down: mpsc::UnboundedSender<Down>,
+    /// Where its frames come from.
+    pub(crate) up: mpsc::UnboundedReceiver<Up>,
+}
+
+/// Keeps a link to whoever leads, until the process ends.
+pub(crate) async fn keep_link(ctx: Arc<Context>) {
+    let mut leaders = ctx.leader.subscribe();
+    loop {
+        let leader = leaders.borrow_and_update().clone();
+        let Some(leader) = leader.filter(|leader| leader.process != ctx.process) else {
+            let _ = leaders.changed().await;
+            continue;
+        };
+        let ended = tokio::select! {
+            ended = dial(&ctx, &leader.links) => ended,
+            _ = leaders.changed() => continue,
+        };
+        emit!(ctx.log, warn, LinkDown; "leader" => %leader.instance, "why" => ended);
+        time::sleep(DIAL_PAUSE).await;
+    }
+}
+
+/// Opens a link and serves it until it fails; gets why.
+async fn dial(ctx: &Arc<Context>, address: &str) -> String {
+    let connect = async {
+        let stream = TcpStream::connect(address).await.map_err(|error| error.to_string())?;
+        stream.set_nodelay(true).map_err(|error| error.to_string())?;
+        let url = format!("ws://{address}/");
+        let (socket, _) = tokio_tungstenite::client_async(url, stream)
+            .await
+            .map_err(|error| error.to_string())?;
+        Ok::<_, String>(socket)
+    };
+    let socket = match time::timeout(SILENCE, connect).await {
+        Ok(Ok(socket)) => socket,
+        Ok(Err(error)) => return error,
+        Err(_) => return "no connection in time".to_owned(),
+    };
+    emit!(ctx.log, info, LinkUp; "address" => address);
+    let (up, ups) = mpsc::unbounded_channel();
+    let (down, downs) = mpsc::unbounded_channel();
+    let instance = Name::from(ctx.settings.name.as_str());
+    // The receiver lives in the exchange below.
+    let _ = up.send(Up::Hello { instance });
+    tokio::select! {
+        why = exchange(socket, ups, Up::Pulse, down) => why,
+        () = helper::serve(ctx, downs, up) => "closed".to_owned(),
+    }
+}
+
+/// Accepts links while this node leads; gets each node that joins.
+pub(crate) async fn accept_links(ctx: Arc<Context>, joined: mpsc::UnboundedSender<Joined>) {
+    loop {
+        let Ok((stream, _)) = ctx.links.accept().await else {
+            // Out of descriptors, as a rule: some come free in time.
+            time::sleep(DIAL_PAUSE).await;
+            continue;
+        };
+        tokio::spawn(accept_link(Arc::clone(&ctx), stream, joined.clone()));
+    }
+}
+
+async fn accept_link(ctx: Arc<Context>, stream: TcpStream, joined: mpsc::UnboundedSender<Joined>) {
+    let open = async {
+        stream.set_nodelay(true).ok()?;
+        let mut socket = tokio_tungstenite::accept_async(stream).await.ok()?;
+        let hello = socket.next().await?.ok()?;
+        match decode(&hello) {
+            Some(Up::Hello { instance }) => Some((socket, instance)),
+            Some(Up::Advised { .. } | Up::Pulse) | None => None,
+        }
+    };
+    let Ok(Some((socket, instance))) = time::timeout(SILENCE, open).await else {
+        return;
+    };
+    let (down, downs) = mpsc::unbounded_channel();
+    let (up, ups) = mpsc::unbounded_channel();
+    if joined.send(Joined { instance: instance.clone(), down, up: ups }).is_err() {
+        return;
+    }
+    let why = exchange(socket, downs, Down::Pulse, up).await;
+    emit!(ctx.log, info, PeerDown; "peer" => %instance, "why" => why);
+}
+
+/// Sends and receives frames until the link fails or either side is closed;
+/// gets why.
+async fn exchange<S: Serialize, R: DeserializeOwned>(
+    mut socket: WebSocketStream<TcpStream>,
+    mut sends: mpsc::UnboundedReceiver<S>,
+    pulse: S,
+    receives: mpsc::UnboundedSender<R>,
+) -> String {
+    let mut heard = clock::now();
+    let mut pulses = time::interval(PULSE_PERIOD);
+    loop {
+        tokio::select! {
+            frame = sends.recv() => {
+                let Some(frame) = frame else {
+                    return "closed".to_owned();
+                };
+                if let Err(error) = socket.send(encode(&frame)).await {
+                    return error.to_string();
+                }
+            }
+            message = socket.next() => {
+                let frame = match message {
+                    Some(Ok(message)) => decode(&message),
+                    Some(Err(error)) => return error.to_string(),
+                    None => return "closed by the other side".to_owned(),
+                };
+                heard = clock::now();
+                if let Some(frame) = frame && receives.send(frame).is_err() {
+                    return "closed".to_owned();
+                }
+            }
+            _ = pulses.tick() => {
+                if clock::now().saturating_sub(heard) > SILENCE {
+                    return "silent".to_owned();
+                }
+                if let Err(error) = socket.send(encode(&pulse)).await {
+                    return error.to_string();
+                }
+            }
+        }
+    }
+}
+
+fn encode<T: Serialize>(frame: &T) -> Message {
+    Message::Binary(work::encode(frame).into())
+}
+
+fn decode<T: DeserializeOwned>(message: &Message) -> Option<T> {
+    match message {
+        Message::Binary(bytes) => work::decode(bytes).ok(),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/node/src/placer/advice.rs
@@ -0,0 +1,102 @@
+//! Who asks for advice.
+//!
+//! The service answers one call of each instance at a time, so the requests are
+//! spread over all instances that have a link, by the time that is still to be
+//! waited for at each of them.
+
+use std::{collections::HashMap, time::Duration};
+
+use base::Name;
+use plan::Ask;
+use tokio::sync::mpsc;
+
+use crate::{link::Down, placer::event::Asked};
+
+/// Requests of one instance at a time; the service refuses more than 32 calls
+/// that wait.
+const MOST_WAITING: usize = 16;
+
+/// Time for an answer beyond what it takes by itself.
+const SLACK: Duration = Duration::from_millis(1500);
+
+/// A `Helper` is an instance that can ask.
+#[derive(Debug)]
+pub(crate) struct Helper {
+    pub(crate) down: mpsc::UnboundedSender<Down>,
+    backlog_us: u64,
+    waiting: usize,
+}
+
+/// A `Helpers` is the instances that have a link.
+#[derive(Debug, Default)]
+pub(crate) struct Helpers {
+    helpers: HashMap<Name, Helper>,
+    asked: HashMap<u64, Asked>,
+    last: u64,
+}
+
+impl Helpers {
+    /// Adds an instance.
+    pub(crate) fn join(&mut self, instance: Name, down: mpsc::UnboundedSender<Down>) {
+        self.helpers.insert(instance, Helper { down, backlog_us: 0, waiting: 0 });
+    }
+
+    /// Removes an instance; gets what it was asked for and won't answer.
+    pub(crate) fn leave(&mut self, instance: &Name) -> Vec<Asked> {
+        if self.helpers.get(instance).is_some_and(|helper| !helper.down.is_closed()) {
+            // It has a newer link.
+            return Vec::new();
+        }
+        self.helpers.remove(instance);
+        let numbers: Vec<u64> = self
+            .asked
+            .iter()
+            .filter(|(_, asked)| asked.helper == *instance)
+            .map(|(number, _)| *number)
+            .collect();
+        numbers.iter().filter_map(|number| self.asked.remove(number)).collect()
+    }
+
+    /// Sends a frame to all instances.
+    pub(crate) fn tell(&self, down: &Down) {
+        for helper in self.helpers.values() {
+            // A closed link is noticed where its frames are received.
+            let _ = helper.down.send(down.clone());
+        }
+    }
+
+    /// Has the instance that will be free first ask. Gets the number of the
+    /// request and the time to wait for its answer, or gives the request back
+    /// if all have enough to do.
+    pub(crate) fn ask(&mut self, ask: Ask) -> Result<(u64, Duration), Ask> {
+        let free = self.helpers.iter_mut().filter(|(_, helper)| helper.waiting < MOST_WAITING);
+        let Some((name, helper)) = free.min_by_key(|(_, helper)| helper.backlog_us) else {
+            return Err(ask);
+        };
+        self.last += 1;
+        helper.backlog_us += ask.cost_us;
+        helper.waiting += 1;
+        let timeout = Duration::from_micros(helper.backlog_us) + SLACK;
+        let down = Down::Advise {
+            number: self.last,
+            step: ask.step.clone(),
+            targets: ask.targets.clone(),
+            timeout_ms: timeout.as_millis() as u64,
+        };
+        let _ = helper.down.send(down);
+        let helper = name.clone();
+        let Ask { step, targets, cost_us } = ask;
+        self.asked.insert(self.last, Asked { step, targets, cost_us, helper });
+        Ok((self.last, timeout + SLACK))
+    }
+
+    /// Gets the request that an answer is for; `None` if it was given up.
+    pub(crate) fn answered(&mut self, number: u64) -> Option<Asked> {
+        let asked = self.asked.remove(&number)?;
+        if let Some(helper) = self.helpers.get_mut(&asked.helper) {
+            helper.backlog_us = helper.backlog_us.saturating_sub(asked.cost_us);
+            helper.waiting = helper.waiting.saturating_sub(1);
+        }
+        Some(asked)
+    }
+}
--- /dev/null
+++ b/crates/node/src/placer/follow.rs
@@ -0,0 +1,146 @@
+//! Following the key-value service for a placer.
+
+use std::{sync::Arc, time::Duration};
+
+use base::{Name, emit};
+use platform::{Error, Event as Change, Revision};
+use tokio::{sync::mpsc, time};
+use work::Spec;
+
+use crate::{
+    context::Context,
+    edge::Listed,
+    keys::{self, JobKey},
+    placer::{event::Event, read::read_all},
+};
+
+/// How long one wait for changes takes.
+const WATCH_WAIT: Duration = Duration::from_millis(2000);
+
+/// Time between reads of the whole list of targets, in case that a watch
+/// misses a change.
+const REREAD_EVERY: u32 = 8;
+
+/// Pause after a failed request.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// Follows accepted and cancelled jobs.
+pub(crate) async fn follow_jobs(
+    ctx: Arc<Context>,
+    mut revision: Revision,
+    events: mpsc::UnboundedSender<Event>,
+) {
+    loop {
+        let error = follow_job_changes(&ctx, &mut revision, &events).await;
+        emit!(ctx.log, warn, WatchFailed; "of" => "jobs", "error" => %error);
+        time::sleep(RETRY_PAUSE).await;
+        if error == Error::Forgotten {
+            match read_all(&*ctx.edges.records, keys::JOBS).await {
+                Ok((entries, read_at)) => {
+                    for entry in entries {
+                        tell_job(&ctx, Change::Put(entry), &events);
+                    }
+                    revision = read_at;
+                }
+                Err(error) => {
+                    emit!(ctx.log, warn, WatchFailed; "of" => "jobs", "error" => %error);
+                }
+            }
+        }
+    }
+}
+
+async fn follow_job_changes(
+    ctx: &Context,
+    revision: &mut Revision,
+    events: &mpsc::UnboundedSender<Event>,
+) -> Error {
+    loop {
+        match ctx.edges.records.changes(keys::JOBS, *revision, WATCH_WAIT).await {
+            Ok(changes) => {
+                *revision = changes.revision;
+                for change in changes.events {
+                    tell_job(ctx, change, events);
+                }
+            }
+            Err(error) => return error,
+        }
+    }
+}
+
+fn tell_job(ctx: &Context, change: Change, events: &mpsc::UnboundedSender<Event>) {
+    let Change::Put(entry) = change else {
+        return;
+    };
+    let event = match JobKey::parse(&entry.key) {
+        Some(JobKey::Accepted(id)) => match work::decode::<Spec>(&entry.value) {
+            Ok(spec) => Event::Accepted(id, Box::new(spec)),
+            Err(error) => {
+                emit!(ctx.log, error, RecordFailed; "key" => &entry.key, "error" => %error);
+                return;
+            }
+        },
+        Some(JobKey::Cancelled(id)) => Event::Cancelled(id),
+        None => return,
+    };
+    // The placer has ended if nobody receives.
+    let _ = events.send(event);
+}
+
+/// Follows the list of targets.
+pub(crate) async fn follow_targets(ctx: Arc<Context>, events: mpsc::UnboundedSender<Event>) {
+    loop {
+        if let Err(error) = follow_target_changes(&ctx, &events).await {
+            emit!(ctx.log, warn, WatchFailed; "of" => "targets", "error" => %error);
+            time::sleep(RETRY_PAUSE).await;
+        }
+    }
+}
+
+/// Reads the list, then follows its changes for some time.
+async fn follow_target_changes(
+    ctx: &Context,
+    events: &mpsc::UnboundedSender<Event>,
+) -> Result<(), Error> {
+    let prefix = ctx.edges.catalog.target_prefix();
+    let (entries, mut revision) = read_all(&*ctx.edges.records, prefix).await?;
+    let mut targets = Listed::new();
+    for entry in entries {
+        note_target(ctx, &mut targets, prefix, Change::Put(entry));
+    }
+    let _ = events.send(Event::Targets(targets.clone()));
+    for _ in 0..REREAD_EVERY {
+        let changes = ctx.edges.records.changes(prefix, revision, WATCH_WAIT).await?;
+        revision = changes.revision;
+        if changes.events.is_empty() {
+            continue;
+        }
+        for change in changes.events {
+            note_target(ctx, &mut targets, prefix, change);
+        }
+        let _ = events.send(Event::Targets(targets.clone()));
+    }
+    Ok(())
+}
+
+fn note_target(ctx: &Context, targets: &mut Listed, prefix: &str, change: Change) {
+    match change {
+        Change::Put(entry) => {
+            let id = Name::from(entry.key.strip_prefix(prefix).unwrap_or_default());
+            match ctx.edges.catalog.target(&id, &entry.value) {
+                Ok(target) => {
+                    targets.insert(id, target);
+                }
+                Err(why) => {
+                    // It names no target to use; one that was known is gone.
+                    emit!(ctx.log, debug, TargetLost; "target" => %id, "why" => why);
+                    targets.remove(&id);
+                }
+            }
+        }
+        Change::Deleted { key, .. } => {
+            targets.remove(key.strip_prefix(prefix).unwrap_or_default());
+        }
+        Change::Heartbeat => {}
+    }
+}
--- /dev/null
+++ b/crates/node/src/placer/mod.rs
@@ -0,0 +1,17 @@
+//! The placer: the one owner of the cell's account while its instance leads.
+//!
+//! [`run`] reads what is recorded, then takes in what happens in one loop.
+//! The tasks beside it follow the key-value service ([`follow`]), hold the
+//! targets ([`hold`]), carry orders ([`order`]), ask for advice ([`advice`])
+//! and record progress ([`record`]). They end with it.
+
+mod advice;
+mod event;
+mod follow;
+mod hold;
+mod order;
+mod read;
+mod record;
+mod run;
+
+pub(crate) use run::run;
--- /dev/null
+++ b/crates/node/src/placer/order.rs
@@ -0,0 +1,100 @@
+//! Carrying orders to targets.
+
+use std::{sync::Arc, time::Duration};
+
+use base::{clock, emit};
+use plan::{Refusal, Start, StartAnswer, Stop};
+use tokio::sync::mpsc;
+
+use crate::{
+    context::Context,
+    edge::{self, Unanswered},
+    lead::Lead,
+    placer::{event::Event, hold::Holder},
+};
+
+/// Time for the answer to an order.
+const ANSWER_TIME: Duration = Duration::from_millis(1500);
+
+/// Starts a run.
+pub(crate) async fn start(
+    ctx: Arc<Context>,
+    lead: Arc<Lead>,
+    holder: Arc<Holder>,
+    start: Start,
+    lease: Duration,
+    events: mpsc::UnboundedSender<Event>,
+) {
+    let Start { target, task, run, payload, checkpoint, ticket } = start;
+    let now = clock::now();
+    let lease_until_ms = holder.lease_until_ms(lease, now).filter(|_| lead.is_valid(now));
+    let answer = match lease_until_ms {
+        // It isn't sent at all.
+        None => StartAnswer::Refused(Refusal::Late),
+        Some(lease_until_ms) => {
+            let order = edge::Start {
+                task: task.clone(),
+                run,
+                payload,
+                checkpoint,
+                ticket,
+                lease_until_ms,
+                term: lead.term,
+            };
+            let (answer, clock_ms) =
+                ctx.edges.orders.start(&holder.target, &order, ANSWER_TIME).await;
+            if let Some(clock_ms) = clock_ms {
+                holder.note_clock(clock_ms, clock::now());
+            }
+            answer
+        }
+    };
+    let step = &task.step;
+    match &answer {
+        StartAnswer::Started => {
+            emit!(ctx.log, info, StartSent; "job" => %step.job, "occurrence" => step.occurrence,
+                "step" => step.step, "task" => task.index, "run" => run, "target" => %target,
+                "term" => lead.term);
+        }
+        StartAnswer::Refused(_) | StartAnswer::Unknown => {
+            emit!(ctx.log, warn, StartFailed; "job" => %step.job, "occurrence" => step.occurrence,
+                "step" => step.step, "task" => task.index, "run" => run, "target" => %target,
+                "answer" => ?answer);
+        }
+    }
+    let event = if answer == StartAnswer::Refused(Refusal::Fenced) {
+        Event::Fenced("a target knows a later term")
+    } else {
+        Event::Started { target, task, run, answer }
+    };
+    // The placer has ended if nobody receives.
+    let _ = events.send(event);
+}
+
+/// Stops a run.
+pub(crate) async fn stop(
+    ctx: Arc<Context>,
+    lead: Arc<Lead>,
+    holder: Arc<Holder>,
+    stop: Stop,
+    events: mpsc::UnboundedSender<Event>,
+) {
+    let Stop { target, task, run } = stop;
+    if !lead.is_valid(clock::now()) {
+        return;
+    }
+    let answer = ctx.edges.orders.stop(&holder.target, &task, run, lead.term, ANSWER_TIME).await;
+    emit!(ctx.log, info, StopSent; "job" => %task.step.job, "step" => task.step.step,
+        "task" => task.index, "run" => run, "target" => %target,
+        "answered" => answer.is_ok());
+    let event = match answer {
+        Ok(((), clock_ms)) => {
+            holder.note_clock(clock_ms, clock::now());
+            Event::Stopped { target, task, run }
+        }
+        Err(Unanswered::Fenced) => Event::Fenced("a target knows a later term"),
+        // The stop is sent again as long as the run may be there.
+        Err(Unanswered::Replaced | Unanswered::Silent(_)) => return,
+    };
+    let _ = events.send(event);
+}
--- /dev/null
+++ b/crates/node/src/placer/read.rs
@@ -0,0 +1,85 @@
+//! What is read when a term begins.
+
+use std::collections::{HashMap, HashSet};
+
+use base::{Name, emit};
+use platform::{Entry, Error, Records, Revision};
+use work::{Progress, Spec};
+
+use crate::{
+    context::Context,
+    keys::{self, JobKey},
+};
+
+/// A `Recorded` is all that is recorded of a cell.
+#[derive(Debug, Default)]
+pub(crate) struct Recorded {
+    pub(crate) jobs: Vec<(Name, Spec, Option<Progress>)>,
+    pub(crate) cancelled: Vec<Name>,
+    /// Targets that runs may be on.
+    pub(crate) held: HashSet<Name>,
+    /// Revision of the record of those.
+    pub(crate) held_revision: Revision,
+    /// Revision after which jobs have to be followed.
+    pub(crate) revision: Revision,
+}
+
+/// Reads all that is recorded of a cell.
+pub(crate) async fn read(ctx: &Context) -> Result<Recorded, Error> {
+    let records = &*ctx.edges.records;
+    let (entries, revision) = read_all(records, keys::JOBS).await?;
+    let (outcomes, _) = read_all(records, keys::PROGRESS).await?;
+    let mut progress: HashMap<Name, Progress> = HashMap::new();
+    for entry in outcomes {
+        let id = entry.key.strip_prefix(keys::PROGRESS).unwrap_or_default();
+        if let Some(read) = decode::<Progress>(ctx, &entry) {
+            progress.insert(Name::from(id), read);
+        }
+    }
+    let mut recorded = Recorded { revision, ..Recorded::default() };
+    for entry in entries {
+        match JobKey::parse(&entry.key) {
+            Some(JobKey::Accepted(id)) => {
+                if let Some(spec) = decode::<Spec>(ctx, &entry) {
+                    let progress = progress.remove(&id);
+                    recorded.jobs.push((id, spec, progress));
+                }
+            }
+            Some(JobKey::Cancelled(id)) => recorded.cancelled.push(id),
+            None => {}
+        }
+    }
+    if let Some(entry) = records.get(keys::HELD).await? {
+        recorded.held_revision = entry.revision;
+        recorded.held = decode::<Vec<Name>>(ctx, &entry).unwrap_or_default().into_iter().collect();
+    }
+    Ok(recorded)
+}
+
+/// Reads all entries with a prefix, page by page. Changes after the revision
+/// may be missing.
+pub(crate) async fn read_all(
+    records: &dyn Records,
+    prefix: &str,
+) -> Result<(Vec<Entry>, Revision), Error> {
+    let mut entries: Vec<Entry> = Vec::new();
+    let mut first = None;
+    loop {
+        let after = entries.last().map(|entry| entry.key.clone()).unwrap_or_default();
+        let page = records.page(prefix, &after).await?;
+        let revision = *first.get_or_insert(page.revision);
+        let is_empty = page.entries.is_empty();
+        entries.extend(page.entries);
+        if !page.has_more || is_empty {
+            return Ok((entries, revision));
+        }
+    }
+}
+
+fn decode<T: serde::de::DeserializeOwned>(ctx: &Context, entry: &Entry) -> Option<T> {
+    work::decode(&entry.value)
+        .inspect_err(|error| {
+            emit!(ctx.log, error, RecordFailed; "key" => &entry.key, "error" => %error);
+        })
+        .ok()
+}
--- /dev/null
+++ b/crates/node/src/placer/run.rs
@@ -0,0 +1,431 @@
+//! The loop of a placer.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use base::{Name, clock, emit};
+use plan::{Action, Ask, Board};
+use tokio::{
+    sync::mpsc,
+    task::JoinSet,
+    time::{self, Instant, MissedTickBehavior},
+};
+
+use crate::{
+    context::Context,
+    edge::{Listed, Target},
+    helper,
+    lead::Lead,
+    link::{self, Down, Joined, Up},
+    placer::{
+        advice::Helpers, event::Event, follow, hold, hold::Holder, order, read, read::Recorded,
+        record,
+    },
+};
+
+/// Time between rounds in which nothing happens.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Time between tellings of the numbers of jobs that wait.
+const PENDING_PERIOD: Duration = Duration::from_millis(700);
+
+/// Time between looks for jobs that ended long ago.
+const EXPIRY_PERIOD: Duration = Duration::from_secs(5);
+
+/// Least time between records, so that ends that come one after the other
+/// share one.
+const RECORD_PERIOD: Duration = Duration::from_millis(30);
+
+/// Pause after a failed read at the beginning of a term.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Time for the last record when the process is to end.
+const LAST_RECORD_TIME: Duration = Duration::from_millis(800);
+
+/// A `Placer` is the one owner of a cell's account.
+struct Placer {
+    ctx: Arc<Context>,
+    lead: Arc<Lead>,
+    board: Board,
+    lease: Duration,
+    holders: HashMap<Name, Arc<Holder>>,
+    listed: Listed,
+    /// Targets that are recorded as holding runs.
+    held: HashSet<Name>,
+    is_recording_held: bool,
+    is_recording: bool,
+    recorded_at: Duration,
+    helpers: Helpers,
+    /// Requests for advice that no instance can take yet.
+    unasked: Vec<Ask>,
+    events: mpsc::UnboundedSender<Event>,
+    tasks: JoinSet<()>,
+}
+
+/// Places the jobs of the cell until the lead is lost or the process ends;
+/// gets why.
+pub(crate) async fn run(ctx: Arc<Context>, lead: Arc<Lead>) -> &'static str {
+    let began = clock::now();
+    let recorded = loop {
+        match read::read(&ctx).await {
+            Ok(recorded) => break recorded,
+            Err(error) => {
+                emit!(ctx.log, warn, StoreFailed; "request" => "read of jobs", "error" => %error);
+                time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    };
+    let now = clock::now();
+    emit!(ctx.log, info, JobsRead; "jobs" => recorded.jobs.len(),
+        "cancelled" => recorded.cancelled.len(), "held" => recorded.held.len(),
+        "ms" => now.saturating_sub(began).as_millis() as u64);
+    let (sender, mut events) = mpsc::unbounded_channel();
+    let mut placer = Placer::new(ctx, lead, recorded, sender, now);
+    placer.serve(&mut events).await
+}
+
+impl Placer {
+    fn new(
+        ctx: Arc<Context>,
+        lead: Arc<Lead>,
+        recorded: Recorded,
+        events: mpsc::UnboundedSender<Event>,
+        now: Duration,
+    ) -> Self {
+        let hold_max = Duration::from_millis(ctx.settings.bounds.hold_max_ms);
+        let defaults = plan::Settings::default();
+        let settings = plan::Settings {
+            target_lease: defaults.target_lease.min(hold_max),
+            keep_ended: Duration::from_secs_f64(ctx.settings.bounds.status_s.max(0.0) + 30.0),
+            ..defaults
+        };
+        let lease = settings.target_lease;
+        let mut board = Board::new(settings, lead.term as u32, recorded.held.clone(), now);
+        board.configure(ctx.configs.current());
+        for (id, spec, progress) in recorded.jobs {
+            board.inherit(&id, spec, progress.as_ref(), now);
+        }
+        for id in recorded.cancelled {
+            board.cancel(&id, now);
+        }
+        let mut tasks = JoinSet::new();
+        tasks.spawn(follow::follow_jobs(Arc::clone(&ctx), recorded.revision, events.clone()));
+        tasks.spawn(follow::follow_targets(Arc::clone(&ctx), events.clone()));
+        tasks.spawn(follow_config(Arc::clone(&ctx), events.clone()));
+        let (joined, joins) = mpsc::unbounded_channel();
+        tasks.spawn(link::accept_links(Arc::clone(&ctx), joined.clone()));
+        tasks.spawn(forward_joins(joins, events.clone()));
+        let mut placer = Self {
+            ctx,
+            lead,
+            board,
+            lease,
+            holders: HashMap::new(),
+            listed: Listed::new(),
+            held: recorded.held,
+            is_recording_held: false,
+            is_recording: false,
+            recorded_at: Duration::ZERO,
+            helpers: Helpers::default(),
+            unasked: Vec::new(),
+            events,
+            tasks,
+        };
+        placer.join_own_node();
+        placer
+    }
+
+    /// Has this instance's own node serve as the others do.
+    fn join_own_node(&mut self) {
+        let (down, downs) = mpsc::unbounded_channel();
+        let (up, ups) = mpsc::unbounded_channel();
+        let instance = Name::from(self.ctx.settings.name.as_str());
+        let ctx = Arc::clone(&self.ctx);
+        self.tasks.spawn(async move { helper::serve(&ctx, downs, up).await });
+        self.join(Joined { instance, down, up: ups });
+    }
+
+    /// Takes in what happens; gets why it ended.
+    async fn serve(&mut self, events: &mut mpsc::UnboundedReceiver<Event>) -> &'static str {
+        let mut tick = time::interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut pending_at = Instant::now();
+        let mut expiry_at = Instant::now();
+        let ctx = Arc::clone(&self.ctx);
+        loop {
+            tokio::select! {
+                event = events.recv() => {
+                    let mut next = event;
+                    while let Some(event) = next {
+                        if let Some(why) = self.take(event) {
+                            return why;
+                        }
+                        next = events.try_recv().ok();
+                    }
+                }
+                _ = tick.tick() => self.board.reconsider(),
+                () = ctx.stopped() => return self.wind_down(events).await,
+            }
+            self.step();
+            if pending_at.elapsed() >= PENDING_PERIOD {
+                pending_at = Instant::now();
+                self.helpers.tell(&Down::Pending(self.board.pending()));
+            }
+            if expiry_at.elapsed() >= EXPIRY_PERIOD {
+                expiry_at = Instant::now();
+                self.forget_expired();
+            }
+            while self.tasks.try_join_next().is_some() {}
+        }
+    }
+
+    /// Decides, and does what follows.
+    fn step(&mut self) {
+        let now = clock::now();
+        if self.lead.is_valid(now) {
+            self.board.decide(now, clock::unix_ms());
+        }
+        for ask in std::mem::take(&mut self.unasked) {
+            self.ask(ask);
+        }
+        for action in self.board.take_actions() {
+            self.act(action);
+        }
+        let changes = self.board.take_changes();
+        if !changes.is_empty() {
+            self.helpers.tell(&Down::States(changes));
+        }
+        self.record(now);
+    }
+
+    fn record(&mut self, now: Duration) {
+        if self.is_recording || now.saturating_sub(self.recorded_at) < RECORD_PERIOD {
+            return;
+        }
+        if let Some(batch) = self.board.take_batch() {
+            self.is_recording = true;
+            self.recorded_at = now;
+            let (ctx, lead) = (Arc::clone(&self.ctx), Arc::clone(&self.lead));
+            self.tasks.spawn(record::record(ctx, lead, batch, self.events.clone()));
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        let (ctx, lead) = (Arc::clone(&self.ctx), Arc::clone(&self.lead));
+        let events = self.events.clone();
+        match action {
+            Action::Start(start) => {
+                if let Some(holder) = self.holders.get(&start.target) {
+                    let holder = Arc::clone(holder);
+                    self.tasks.spawn(order::start(ctx, lead, holder, start, self.lease, events));
+                }
+            }
+            Action::Stop(stop) => {
+                if let Some(holder) = self.holders.get(&stop.target) {
+                    self.tasks.spawn(order::stop(ctx, lead, Arc::clone(holder), stop, events));
+                }
+            }
+            Action::Ask(ask) => self.ask(ask),
+        }
+    }
+
+    fn ask(&mut self, ask: Ask) {
+        match self.helpers.ask(ask) {
+            Ok((number, timeout)) => {
+                let events = self.events.clone();
+                self.tasks.spawn(async move {
+                    time::sleep(timeout).await;
+                    let _ = events.send(Event::Unadvised(number));
+                });
+            }
+            Err(ask) => self.unasked.push(ask),
+        }
+    }
+
+    /// Takes in one event; gets why the placer has to end, if it has.
+    fn take(&mut self, event: Event) -> Option<&'static str> {
+        let now = clock::now();
+        match event {
+            Event::Accepted(id, spec) => self.board.accept(&id, *spec, now),
+            Event::Cancelled(id) => self.board.cancel(&id, now),
+            Event::Config(config) => self.board.configure(config),
+            Event::Targets(listed) => {
+                self.board.list_targets(listed.values().map(|(facts, _)| facts.clone()).collect());
+                self.listed = listed;
+                self.hold_targets();
+            }
+            Event::Held(held) => {
+                self.is_recording_held = false;
+                self.held.extend(held);
+                self.hold_targets();
+            }
+            Event::Listed { target, asked, granted, listing } => {
+                self.board.granted(&target, granted);
+                self.board.listed(&target, asked, &listing, now);
+            }
+            Event::Silent { target, granted, why } => {
+                self.board.granted(&target, granted);
+                if self.board.silent(&target) {
+                    emit!(self.ctx.log, warn, TargetLost; "target" => %target, "why" => why);
+                }
+            }
+            Event::Started { target, task, run, answer } => {
+                self.board.start_answered(&target, &task, run, &answer, now);
+            }
+            Event::Stopped { target, task, run } => {
+                self.board.stop_answered(&target, &task, run, now);
+            }
+            Event::Joined(joined) => self.join(joined),
+            Event::Up(instance, up) => self.hear(&instance, up, now),
+            Event::Left(instance) => {
+                for asked in self.helpers.leave(&instance) {
+                    self.board.advised(&asked.step, &asked.targets, None, now);
+                }
+            }
+            Event::Unadvised(number) => {
+                if let Some(asked) = self.helpers.answered(number) {
+                    emit!(self.ctx.log, warn, AdviceFailed; "job" => %asked.step.job,
+                        "step" => asked.step.step, "why" => "no answer in time");
+                    self.board.advised(&asked.step, &asked.targets, None, now);
+                }
+            }
+            Event::Recorded(batch) => {
+                self.is_recording = false;
+                self.board.recorded(batch);
+                for (name, holder) in &self.holders {
+                    holder.set_recorded_end(self.board.recorded_end(name));
+                }
+            }
+            Event::NotRecorded(batch) => {
+                self.is_recording = false;
+                self.board.not_recorded(batch);
+            }
+            Event::Fenced(why) => return Some(why),
+        }
+        None
+    }
+
+    fn hear(&mut self, instance: &Name, up: Up, now: Duration) {
+        let Up::Advised { number, allowed, valid_ms } = up else {
+            return;
+        };
+        let Some(asked) = self.helpers.answered(number) else {
+            return;
+        };
+        let allowed = match allowed {
+            Ok(allowed) => allowed,
+            Err(why) => {
+                emit!(self.ctx.log, warn, AdviceFailed; "job" => %asked.step.job,
+                    "step" => asked.step.step, "by" => %instance, "why" => why);
+                return self.board.advised(&asked.step, &asked.targets, None, now);
+            }
+        };
+        emit!(self.ctx.log, info, AdviceAsked; "job" => %asked.step.job,
+            "step" => asked.step.step, "asked" => asked.targets.len(),
+            "allowed" => allowed.len(), "by" => %instance);
+        let valid = Duration::from_millis(valid_ms.unwrap_or(0));
+        self.board.advised(&asked.step, &asked.targets, Some(allowed), now + valid);
+    }
+
+    fn join(&mut self, joined: Joined) {
+        let Joined { instance, down, mut up } = joined;
+        // A closed link is noticed where its frames are received.
+        let _ = down.send(Down::States(self.board.states()));
+        let _ = down.send(Down::Pending(self.board.pending()));
+        self.helpers.join(instance.clone(), down);
+        let events = self.events.clone();
+        self.tasks.spawn(async move {
+            while let Some(frame) = up.recv().await {
+                if events.send(Event::Up(instance.clone(), frame)).is_err() {
+                    return;
+                }
+            }
+            let _ = events.send(Event::Left(instance));
+        });
+    }
+
+    /// Begins to hold the targets that are listed, once it is recorded that
+    /// runs may be on them.
+    fn hold_targets(&mut self) {
+        let is_new = |name: &&Name| !self.held.contains(*name);
+        if self.listed.keys().any(|name| is_new(&name)) {
+            self.record_held();
+        }
+        for (name, (_, address)) in &self.listed {
+            let is_known = self.holders.get(name).is_some_and(|h| h.target.address == *address);
+            if is_known || !self.held.contains(name) {
+                continue;
+            }
+            emit!(self.ctx.log, info, TargetListed; "target" => %name, "address" => %address);
+            let target = Target { id: name.clone(), address: address.clone() };
+            let holder = Arc::new(Holder::new(target));
+            self.holders.insert(name.clone(), Arc::clone(&holder));
+            let (ctx, lead) = (Arc::clone(&self.ctx), Arc::clone(&self.lead));
+            let events = self.events.clone();
+            self.tasks.spawn(hold::hold(ctx, lead, holder, self.lease, events));
+        }
+    }
+
+    fn record_held(&mut self) {
+        if self.is_recording_held {
+            return;
+        }
+        self.is_recording_held = true;
+        let held = self.board.held_targets().into_iter().collect();
+        let (ctx, lead) = (Arc::clone(&self.ctx), Arc::clone(&self.lead));
+        self.tasks.spawn(record::record_held(ctx, lead, held, self.events.clone()));
+    }
+
+    fn forget_expired(&mut self) {
+        let expired = self.board.take_expired(clock::now());
+        if !expired.is_empty() {
+            let (ctx, lead) = (Arc::clone(&self.ctx), Arc::clone(&self.lead));
+            self.tasks.spawn(record::forget(ctx, lead, expired));
+        }
+    }
+
+    /// Records what isn't yet, before another instance takes over.
+    async fn wind_down(&mut self, events: &mut mpsc::UnboundedReceiver<Event>) -> &'static str {
+        let finish = async {
+            while self.is_recording {
+                match events.recv().await {
+                    Some(event) => {
+                        self.take(event);
+                    }
+                    None => return,
+                }
+            }
+            if let Some(batch) = self.board.take_batch() {
+                let (ctx, lead) = (Arc::clone(&self.ctx), Arc::clone(&self.lead));
+                record::record(ctx, lead, batch, self.events.clone()).await;
+            }
+        };
+        // What can't be recorded in time is listed by the targets again.
+        let _ = time::timeout(LAST_RECORD_TIME, finish).await;
+        "the process is to end"
+    }
+}
+
+async fn follow_config(ctx: Arc<Context>, events: mpsc::UnboundedSender<Event>) {
+    let mut configs = ctx.configs.subscribe();
+    while configs.changed().await.is_ok() {
+        let config = Arc::clone(&configs.borrow_and_update());
+        if events.send(Event::Config(config)).is_err() {
+            return;
+        }
+    }
+}
+
+async fn forward_joins(
+    mut joins: mpsc::UnboundedReceiver<Joined>,
+    events: mpsc::UnboundedSender<Event>,
+) {
+    while let Some(joined) = joins.recv().await {
+        if events.send(Event::Joined(joined)).is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,109 @@
+//! Settings of a node.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// A `Settings` is everything a node is told when it starts. Keys that it
+/// doesn't know are ignored, as later releases of the platform add some.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Settings {
+    /// Unique name of the instance.
+    pub name: String,
+    /// Region of the instance.
+    pub region: String,
+    /// Data centre of the instance.
+    pub data_centre: String,
+    /// Address of the port towards clients.
+    pub clients: String,
+    /// Address of the port that tells whether the instance is ready.
+    pub readiness: String,
+    /// Address of the port towards other instances.
+    pub links: String,
+    /// Address of the key-value service.
+    pub store: String,
+    /// Address of the service that knows which targets may run a step; empty
+    /// if there is none.
+    pub advice: String,
+    /// Bounds that the platform's operators set.
+    pub bounds: Bounds,
+    /// Times of the lead.
+    pub lead: Lead,
+    /// Logs.
+    pub log: Log,
+}
+
+/// Bounds that the platform's operators set.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Bounds {
+    /// Time after which a withdrawn key must not work, in milliseconds.
+    pub revoke_ms: u64,
+    /// Time from SIGTERM to SIGKILL, in seconds.
+    pub grace_s: f64,
+    /// Longest lease of a target, in milliseconds.
+    pub hold_max_ms: u64,
+    /// For how long finished jobs are known, in seconds.
+    pub status_s: f64,
+}
+
+/// The defaults are the bounds of the users' deployments.
+impl Default for Bounds {
+    fn default() -> Self {
+        Self { revoke_ms: 5000, grace_s: 6.0, hold_max_ms: 10_000, status_s: 120.0 }
+    }
+}
+
+/// Times of the lead.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Lead {
+    /// Time after which the lead of a silent instance lapses, in milliseconds.
+    pub ttl_ms: u64,
+    /// Time between renewals, in milliseconds.
+    pub renew_ms: u64,
+    /// How long before the lapse the leader stops giving orders, in
+    /// milliseconds; the time that a renewal may take to arrive.
+    pub margin_ms: u64,
+}
+
+/// The defaults bridge lost renewals and keep a takeover within a few seconds.
+impl Default for Lead {
+    fn default() -> Self {
+        Self { ttl_ms: 4000, renew_ms: 1000, margin_ms: 300 }
+    }
+}
+
+/// Logs.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Log {
+    /// The lowest level that is written.
+    pub level: Level,
+}
+
+/// A `Level` is the lowest level that is written to the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Level {
+    /// Errors only.
+    Error,
+    /// Also what somebody should look at.
+    Warning,
+    /// Also each decision.
+    #[default]
+    Info,
+    /// Also what helps to debug.
+    Debug,
+}
+
+impl Settings {
+    /// Gets the time since the last confirmed configuration after which keys
+    /// are refused.
+    pub(crate) fn key_patience(&self) -> Duration {
+        /// For how long a request that was admitted may still take.
+        const MARGIN_MS: u64 = 1500;
+        Duration::from_millis(self.bounds.revoke_ms.saturating_sub(MARGIN_MS))
+    }
+}
--- /dev/null
+++ b/crates/node/src/states.rs
@@ -0,0 +1,81 @@
+//! The states of jobs as this node may tell them.
+
+use std::{
+    collections::HashMap,
+    sync::{Mutex, MutexGuard},
+    time::Duration,
+};
+
+use base::Name;
+use work::JobState;
+
+/// Time after which a finished job is no longer kept; longer than the leader
+/// keeps it, so that a request finds it at the same time everywhere.
+const KEEP: Duration = Duration::from_secs(200);
+
+/// Number of entries after which old ones are looked for.
+const SWEEP_AT: usize = 1024;
+
+/// A `States` is the states of jobs as this node may tell them. A state never
+/// goes back, whoever tells it.
+#[derive(Debug, Default)]
+pub(crate) struct States {
+    table: Mutex<Table>,
+}
+
+#[derive(Debug, Default)]
+struct Table {
+    jobs: HashMap<Name, (JobState, Duration)>,
+    pending: HashMap<Name, u32>,
+    pending_at: Option<Duration>,
+    sweep_at: usize,
+}
+
+impl States {
+    /// Gets the state of a job.
+    pub(crate) fn get(&self, id: &str) -> Option<JobState> {
+        self.lock().jobs.get(id).map(|(state, _)| *state)
+    }
+
+    /// Takes in states.
+    pub(crate) fn merge(&self, states: impl IntoIterator<Item = (Name, JobState)>, now: Duration) {
+        let mut table = self.lock();
+        for (id, state) in states {
+            let entry = table.jobs.entry(id).or_insert((state, now));
+            if rank(state) > rank(entry.0) {
+                *entry = (state, now);
+            }
+        }
+        if table.jobs.len() >= table.sweep_at.max(SWEEP_AT) {
+            table.jobs.retain(|_, (state, at)| !state.is_final() || now.saturating_sub(*at) < KEEP);
+            table.sweep_at = table.jobs.len() * 2;
+        }
+    }
+
+    /// Takes in the numbers of jobs that nothing has started of, by queue.
+    pub(crate) fn set_pending(&self, pending: Vec<(Name, u32)>, now: Duration) {
+        let mut table = self.lock();
+        table.pending = pending.into_iter().collect();
+        table.pending_at = Some(now);
+    }
+
+    /// Gets the number of jobs of a queue that nothing has started of, with the
+    /// time at which it was told.
+    pub(crate) fn pending(&self, queue: &str) -> Option<(u32, Duration)> {
+        let table = self.lock();
+        let at = table.pending_at?;
+        Some((table.pending.get(queue).copied().unwrap_or(0), at))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().expect("no holder of the lock panics")
+    }
+}
+
+fn rank(state: JobState) -> u8 {
+    match state {
+        JobState::Queued => 0,
+        JobState::Active => 1,
+        JobState::Complete | JobState::Failed | JobState::Cancelled => 2,
+    }
+}
--- /dev/null
+++ b/crates/plan/src/action.rs
@@ -0,0 +1,54 @@
+//! What is to be done after a decision.
+
+use base::Name;
+use work::{StepKey, TaskKey};
+
+/// An `Action` is an order or a request that follows from a decision.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Start a run.
+    Start(Start),
+    /// Stop a run.
+    Stop(Stop),
+    /// Ask which targets may run a step.
+    Ask(Ask),
+}
+
+/// A `Start` is the order to start a run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Start {
+    /// The target.
+    pub target: Name,
+    /// The task.
+    pub task: TaskKey,
+    /// Number of the run.
+    pub run: u32,
+    /// What is to run.
+    pub payload: Name,
+    /// Where the work resumes.
+    pub checkpoint: Option<Name>,
+    /// The permission to run the step on the target.
+    pub ticket: Option<Name>,
+}
+
+/// A `Stop` is the order to stop a run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Stop {
+    /// The target.
+    pub target: Name,
+    /// The task.
+    pub task: TaskKey,
+    /// Number of the run.
+    pub run: u32,
+}
+
+/// An `Ask` is the request for the targets that may run a step.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ask {
+    /// The step.
+    pub step: StepKey,
+    /// The targets in question.
+    pub targets: Vec<Name>,
+    /// How long the answer takes, in microseconds.
+    pub cost_us: u64,
+}
--- /dev/null
+++ b/crates/plan/src/board.rs
@@ -0,0 +1,359 @@
+//! The account of a cell, and what changes it from outside.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use base::Name;
+use quota::Order;
+use work::{Config, JobState, Progress, Spec, StepKey, TaskKey};
+
+use crate::{
+    action::{Action, Stop},
+    job::{Job, Origin},
+    settings::Settings,
+    step::TaskState,
+    target::{Availability, Facts, Phase, Target, TargetId},
+};
+
+/// A `Rank` is the place of a step in the order of decisions.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Rank {
+    pub(crate) priority: u32,
+    pub(crate) since_unix_ms: u64,
+    pub(crate) step: StepKey,
+}
+
+/// A `Board` is the exact account of a cell.
+#[derive(Debug, Default)]
+pub struct Board {
+    pub(crate) settings: Settings,
+    pub(crate) config: Arc<Config>,
+    pub(crate) targets: Vec<Target>,
+    pub(crate) ids: HashMap<Name, TargetId>,
+    pub(crate) jobs: HashMap<Name, Job>,
+    /// What each team may have running.
+    pub(crate) used: Order,
+    /// Steps with tasks that wait, in the order of decisions.
+    pub(crate) ready: BTreeSet<Rank>,
+    /// Occurrences that are to come, by the time that they are due.
+    pub(crate) due: BTreeSet<(u64, Name)>,
+    pub(crate) ended: BTreeSet<(Duration, Name)>,
+    pub(crate) actions: Vec<Action>,
+    pub(crate) changes: Vec<(Name, JobState)>,
+    /// Jobs whose progress isn't recorded.
+    pub(crate) unrecorded: HashSet<Name>,
+    /// Jobs in a final state, which is told once it is recorded.
+    pub(crate) unannounced: HashSet<Name>,
+    /// First number that runs of inherited jobs may have.
+    pub(crate) first_run: u32,
+    /// Targets that runs of earlier terms may be on, until they have answered.
+    pub(crate) unclaimed: HashSet<Name>,
+    /// When unknown runs of earlier terms have surely lapsed.
+    pub(crate) settled_at: Duration,
+    pub(crate) pending: BTreeMap<Name, u32>,
+    /// Share of targets that are allowed, by queue, in thousandths.
+    pub(crate) allowed_milli: HashMap<Name, u32>,
+    /// Whether anything has changed since the last round.
+    pub(crate) is_changed: bool,
+}
+
+/// A `Batch` is what was recorded in one go.
+#[derive(Debug)]
+pub struct Batch {
+    /// The jobs with their progress.
+    pub records: Vec<(Name, Progress)>,
+    seen: Vec<u64>,
+}
+
+impl Board {
+    /// Makes the board of a placer.
+    ///
+    /// `term` is the number of the placer's term, from 1. Runs of earlier terms
+    /// may be on the targets `held` until they have answered or `now` is long
+    /// enough ago.
+    pub fn new(settings: Settings, term: u32, held: HashSet<Name>, now: Duration) -> Self {
+        let settled_at = now + settings.lapse_after();
+        let first_run = term.saturating_sub(1).saturating_mul(settings.runs_per_term);
+        Self { settings, first_run, unclaimed: held, settled_at, ..Self::default() }
+    }
+
+    /// Takes in a new configuration.
+    pub fn configure(&mut self, config: Arc<Config>) {
+        self.config = config;
+        self.is_changed = true;
+        let steps: Vec<StepKey> = self.ready.iter().map(|rank| rank.step.clone()).collect();
+        self.ready.clear();
+        for step in steps {
+            self.queue_step(&step);
+        }
+    }
+
+    /// Takes in a job that was accepted, if it isn't known yet.
+    pub fn accept(&mut self, id: &Name, spec: Spec, now: Duration) {
+        self.add_job(id, spec, Origin::Own, None, now);
+    }
+
+    /// Takes in a job that was accepted before the placer's term.
+    pub fn inherit(&mut self, id: &Name, spec: Spec, progress: Option<&Progress>, now: Duration) {
+        self.add_job(id, spec, Origin::Inherited, progress, now);
+    }
+
+    fn add_job(
+        &mut self,
+        id: &Name,
+        spec: Spec,
+        origin: Origin,
+        progress: Option<&Progress>,
+        now: Duration,
+    ) {
+        if self.jobs.contains_key(id) {
+            return;
+        }
+        let mut job = Job::new(Arc::new(spec), origin, progress);
+        self.changes.push((id.clone(), job.state));
+        if job.state.is_final() {
+            job.ended = Some(now);
+            self.ended.insert((now, id.clone()));
+        } else {
+            if job.state == JobState::Queued && job.spec.schedule.is_none() {
+                *self.pending.entry(job.spec.queue.clone()).or_default() += 1;
+            }
+            if job.next < job.spec.occurrences() {
+                self.due.insert((job.spec.due_unix_ms(job.next), id.clone()));
+            }
+        }
+        let begun: Vec<u32> = job.occurrences.keys().copied().collect();
+        self.jobs.insert(id.clone(), job);
+        for occurrence in begun {
+            self.open_steps(id, occurrence, now);
+        }
+        self.is_changed = true;
+    }
+
+    /// Cancels a job; its runs are told to stop.
+    pub fn cancel(&mut self, id: &Name, now: Duration) {
+        if self.jobs.get(id).is_some_and(|job| !job.state.is_final()) {
+            self.end_job(id, JobState::Cancelled, now);
+        }
+    }
+
+    /// Ends a job and stops what may be running of it.
+    pub(crate) fn end_job(&mut self, id: &Name, state: JobState, now: Duration) {
+        self.set_state(id, state);
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.ended = Some(now);
+        let occurrences = std::mem::take(&mut job.occurrences);
+        let (number, spec) = (job.next, Arc::clone(&job.spec));
+        self.ended.insert((now, id.clone()));
+        self.unrecorded.insert(id.clone());
+        self.unannounced.insert(id.clone());
+        if number < spec.occurrences() {
+            self.due.remove(&(spec.due_unix_ms(number), id.clone()));
+        }
+        for (occurrence, states) in occurrences {
+            for (step, state) in (0..).zip(states) {
+                let key = StepKey { job: id.clone(), occurrence, step };
+                self.unqueue_step(&key);
+                for (index, task) in (0..).zip(state.tasks) {
+                    if let TaskState::Assigned { target, run } = task.state {
+                        self.stop_run(target, &TaskKey { step: key.clone(), index }, run, now);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Tells a run to stop. It counts until its end is certain.
+    pub(crate) fn stop_run(&mut self, target: TargetId, task: &TaskKey, run: u32, now: Duration) {
+        let target = &mut self.targets[target.0 as usize];
+        if let Some(known) = target.runs.get_mut(task)
+            && known.number == run
+            && !matches!(known.phase, Phase::Stopping(_))
+        {
+            known.phase = Phase::Stopping(now);
+        }
+        let target = target.facts.id.clone();
+        self.actions.push(Action::Stop(Stop { target, task: task.clone(), run }));
+    }
+
+    /// Takes in what the targets say of themselves. Those that aren't named
+    /// are no longer listed.
+    pub fn list_targets(&mut self, facts: Vec<Facts>) {
+        let mut unlisted: HashSet<TargetId> = self.ids.values().copied().collect();
+        for facts in facts {
+            let id = *self.ids.entry(facts.id.clone()).or_insert_with(|| {
+                self.targets.push(Target::default());
+                TargetId(self.targets.len() as u32 - 1)
+            });
+            unlisted.remove(&id);
+            self.targets[id.0 as usize].facts = facts;
+        }
+        for id in unlisted {
+            self.targets[id.0 as usize].facts.availability = Availability::Unlisted;
+        }
+        self.is_changed = true;
+    }
+
+    /// Gets the highest end of a target that it may forget.
+    pub fn recorded_end(&self, target: &str) -> u64 {
+        self.ids.get(target).map_or(0, |id| self.targets[id.0 as usize].recorded)
+    }
+
+    /// Notes when a target was granted its lease anew, if it was.
+    pub fn granted(&mut self, target: &str, at: Option<Duration>) {
+        if let Some(id) = self.ids.get(target) {
+            let target = &mut self.targets[id.0 as usize];
+            target.granted = target.granted.max(at);
+        }
+    }
+
+    /// Notes that a target does not answer, so that it gets no new work until
+    /// it does; gets whether it did before.
+    pub fn silent(&mut self, target: &str) -> bool {
+        let id = self.ids.get(target);
+        id.is_some_and(|id| self.targets[id.0 as usize].heard.take().is_some())
+    }
+
+    /// Gets what is to be done, and forgets it.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Gets the changes of states to tell, and forgets them.
+    pub fn take_changes(&mut self) -> Vec<(Name, JobState)> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Gets the states of all jobs as they may be told.
+    pub fn states(&self) -> Vec<(Name, JobState)> {
+        let told = |(id, job): (&Name, &Job)| {
+            let is_told = !self.unannounced.contains(id);
+            (id.clone(), if is_told { job.state } else { JobState::Active })
+        };
+        self.jobs.iter().map(told).collect()
+    }
+
+    /// Gets the number of jobs that nothing has started of, by queue.
+    pub fn pending(&self) -> Vec<(Name, u32)> {
+        self.pending.iter().map(|(queue, count)| (queue.clone(), *count)).collect()
+    }
+
+    /// Gets what has changed and has to be recorded; `None` if nothing has.
+    pub fn take_batch(&mut self) -> Option<Batch> {
+        let unseen = self.targets.iter().any(|target| target.seen > target.recorded);
+        if self.unrecorded.is_empty() && !unseen {
+            return None;
+        }
+        let ids: Vec<Name> = self.unrecorded.drain().collect();
+        let records = ids.into_iter().filter_map(|id| {
+            let progress = self.jobs.get(&id)?.progress();
+            Some((id, progress))
+        });
+        let records = records.collect();
+        Some(Batch { records, seen: self.targets.iter().map(|target| target.seen).collect() })
+    }
+
+    /// Takes note that a batch is recorded: targets may forget its ends, and
+    /// final states may be told.
+    pub fn recorded(&mut self, batch: Batch) {
+        for (target, seen) in self.targets.iter_mut().zip(batch.seen) {
+            target.recorded = target.recorded.max(seen.min(target.seen));
+        }
+        for (id, progress) in batch.records {
+            if progress.state.is_final() && self.unannounced.remove(&id) {
+                self.changes.push((id, progress.state));
+            }
+        }
+    }
+
+    /// Takes note that a batch could not be recorded.
+    pub fn not_recorded(&mut self, batch: Batch) {
+        self.unrecorded.extend(batch.records.into_iter().map(|(id, _)| id));
+    }
+
+    /// Gets the jobs that ended long ago, and forgets them.
+    pub fn take_expired(&mut self, now: Duration) -> Vec<Name> {
+        let mut expired = Vec::new();
+        while let Some((at, id)) = self.ended.first().cloned() {
+            if now.saturating_sub(at) < self.settings.keep_ended {
+                break;
+            }
+            self.ended.pop_first();
+            self.jobs.remove(&id);
+            expired.push(id);
+        }
+        expired
+    }
+
+    /// Tells whether no run of an earlier term can be unknown.
+    pub fn is_settled(&self, now: Duration) -> bool {
+        self.unclaimed.is_empty() || now >= self.settled_at
+    }
+
+    /// Gets the targets that may hold runs.
+    pub fn held_targets(&self) -> HashSet<Name> {
+        let listed = self.targets.iter();
+        let held = listed.filter(|target| {
+            target.granted.is_some() || target.facts.availability != Availability::Unlisted
+        });
+        held.map(|target| target.facts.id.clone()).chain(self.unclaimed.iter().cloned()).collect()
+    }
+
+    pub(crate) fn set_state(&mut self, id: &Name, state: JobState) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.state == JobState::Queued
+            && job.spec.schedule.is_none()
+            && let Some(count) = self.pending.get_mut(&job.spec.queue)
+        {
+            *count = count.saturating_sub(1);
+        }
+        job.state = state;
+        if !state.is_final() {
+            self.changes.push((id.clone(), state));
+        }
+    }
+
+    /// Enters a step in the order of decisions if tasks of it wait.
+    pub(crate) fn queue_step(&mut self, key: &StepKey) {
+        let Some(rank) = self.rank(key) else {
+            return;
+        };
+        let Some(state) = self.step_state(key) else {
+            return;
+        };
+        if state.is_open && !state.waiting.is_empty() {
+            self.ready.insert(rank);
+            self.is_changed = true;
+        }
+    }
+
+    /// Takes a step out of the order of decisions.
+    pub(crate) fn unqueue_step(&mut self, key: &StepKey) {
+        if let Some(rank) = self.rank(key) {
+            self.ready.remove(&rank);
+        }
+    }
+
+    fn rank(&self, key: &StepKey) -> Option<Rank> {
+        let spec = &self.jobs.get(&key.job)?.spec;
+        let policy = self.config.policy(&spec.queue, &spec.policy);
+        let since_unix_ms = spec.accepted_unix_ms.max(spec.due_unix_ms(key.occurrence));
+        Some(Rank { priority: policy.priority, since_unix_ms, step: key.clone() })
+    }
+
+    pub(crate) fn step_state(&self, key: &StepKey) -> Option<&crate::step::StepState> {
+        self.jobs.get(&key.job)?.occurrences.get(&key.occurrence)?.get(usize::from(key.step))
+    }
+
+    pub(crate) fn step_state_mut(&mut self, key: &StepKey) -> Option<&mut crate::step::StepState> {
+        let occurrences = &mut self.jobs.get_mut(&key.job)?.occurrences;
+        occurrences.get_mut(&key.occurrence)?.get_mut(usize::from(key.step))
+    }
+}
--- /dev/null
+++ b/crates/plan/src/decide.rs
@@ -0,0 +1,315 @@
+//! Rounds of decisions.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use base::{Name, Resources};
+use work::{JobState, Spec, Step, StepKey, TaskKey};
+
+use crate::{
+    action::{Action, Start, Stop},
+    board::{Board, Rank},
+    job::Origin,
+    step::{Permission, TaskState},
+    target::{Phase, Run, TargetId},
+};
+
+/// A `Round` is what one round of decisions keeps for steps that come first in
+/// its order.
+#[derive(Debug, Default)]
+pub(crate) struct Round {
+    /// Room that is kept, by target.
+    pub(crate) kept: HashMap<TargetId, Resources>,
+}
+
+impl Round {
+    /// Keeps room for a step that can't start yet.
+    pub(crate) fn keep(&mut self, target: TargetId, size: Resources) {
+        *self.kept.entry(target).or_default() += size;
+    }
+}
+
+/// A `Slot` is a target with the number of tasks of a step that it takes.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Slot {
+    pub(crate) target: TargetId,
+    pub(crate) tasks: u32,
+    /// What is free beside them, as the smallest fraction, in millionths.
+    pub(crate) free_ppm: u64,
+}
+
+impl Board {
+    /// Places what can be placed. `unix_ms` is the time of day.
+    pub fn decide(&mut self, now: Duration, unix_ms: u64) {
+        self.end_lapsed_runs(now);
+        self.repeat_stops(now);
+        self.begin_due(unix_ms, now);
+        if !std::mem::take(&mut self.is_changed) {
+            return;
+        }
+        let mut round = Round::default();
+        let ranks: Vec<Rank> =
+            self.ready.iter().take(self.settings.steps_per_round).cloned().collect();
+        for rank in ranks {
+            self.place_step(&rank.step, &mut round, now);
+        }
+    }
+
+    /// Has the next round look at all steps again, for what changes with time
+    /// alone.
+    pub fn reconsider(&mut self) {
+        self.is_changed = true;
+    }
+
+    fn begin_due(&mut self, unix_ms: u64, now: Duration) {
+        while let Some((at, id)) = self.due.first().cloned() {
+            if at > unix_ms {
+                return;
+            }
+            self.due.pop_first();
+            self.begin_next(&id, now);
+        }
+    }
+
+    /// Begins the next occurrence of a job.
+    pub(crate) fn begin_next(&mut self, id: &Name, now: Duration) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let occurrence = job.next;
+        self.due.remove(&(job.spec.due_unix_ms(occurrence), id.clone()));
+        job.begin(occurrence, &[]);
+        job.next += 1;
+        if job.next < job.spec.occurrences() {
+            self.due.insert((job.spec.due_unix_ms(job.next), id.clone()));
+        }
+        self.open_steps(id, occurrence, now);
+    }
+
+    /// Opens the steps of an occurrence whose earlier steps are done. An
+    /// occurrence of which all is done is forgotten.
+    pub(crate) fn open_steps(&mut self, id: &Name, occurrence: u32, now: Duration) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let spec = Arc::clone(&job.spec);
+        let Some(states) = job.occurrences.get_mut(&occurrence) else {
+            return;
+        };
+        let done: Vec<bool> = states.iter().map(|state| state.is_done()).collect();
+        let mut opened = Vec::new();
+        for (number, (state, step)) in (0..).zip(states.iter_mut().zip(&spec.steps)) {
+            let may_open = step.after.iter().all(|before| done[usize::from(*before)]);
+            if may_open && !state.is_open {
+                state.is_open = true;
+                opened.push(StepKey { job: id.clone(), occurrence, step: number });
+            }
+        }
+        if done.iter().all(|done| *done) {
+            job.occurrences.remove(&occurrence);
+        }
+        for key in opened {
+            self.queue_step(&key);
+        }
+        if self.jobs.get(id).is_some_and(|job| !job.state.is_final() && job.is_done()) {
+            self.end_job(id, JobState::Complete, now);
+        }
+    }
+
+    /// Notes that something of a job has started.
+    pub(crate) fn note_started(&mut self, id: &Name) {
+        if self.jobs.get(id).is_some_and(|job| job.state == JobState::Queued) {
+            self.set_state(id, JobState::Active);
+        }
+    }
+
+    /// Sends stops again that have had no effect.
+    fn repeat_stops(&mut self, now: Duration) {
+        let again = self.settings.stop_again;
+        for target in &mut self.targets {
+            for (task, run) in &mut target.runs {
+                if let Phase::Stopping(at) = run.phase
+                    && now.saturating_sub(at) >= again
+                {
+                    run.phase = Phase::Stopping(now);
+                    self.actions.push(Action::Stop(Stop {
+                        target: target.facts.id.clone(),
+                        task: task.clone(),
+                        run: run.number,
+                    }));
+                }
+            }
+        }
+    }
+
+    fn place_step(&mut self, key: &StepKey, round: &mut Round, now: Duration) {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        if job.origin == Origin::Inherited && !self.is_settled(now) {
+            return;
+        }
+        let spec = Arc::clone(&job.spec);
+        let step = &spec.steps[usize::from(key.step)];
+        let Some(state) = self.step_state(key) else {
+            return;
+        };
+        let waiting = state.waiting.len() as u32;
+        if step.gang && state.has_runs() {
+            // What is left of an earlier gang has to end first.
+            return self.stop_members(key, now);
+        }
+        let allowed = self.team_allows(&spec.team, step.size, now).min(waiting);
+        let wanted = if step.gang { step.count } else { allowed };
+        if wanted == 0 || allowed < wanted {
+            return;
+        }
+        let service = self.config.policy(&spec.queue, &spec.policy).service.clone();
+        let needs_advice = self.config.policy(&spec.queue, &spec.policy).advice.is_some();
+        let mut slots = self.slots(key, step, &service, round, now);
+        if needs_advice {
+            self.ask_for_step(key, &spec, &slots, wanted, round, now);
+            slots.retain(|slot| self.has_ticket(key, slot.target, now));
+        }
+        let chosen = choose(step, slots, wanted, self);
+        if step.gang && (chosen.len() as u32) < wanted {
+            return;
+        }
+        for target in chosen {
+            self.start_next(key, &spec, target, now);
+        }
+        if self.step_state(key).is_some_and(|state| state.waiting.is_empty()) {
+            self.unqueue_step(key);
+        }
+    }
+
+    /// Gets how many tasks of a size a team may start.
+    fn team_allows(&self, team: &Name, size: Resources, now: Duration) -> u32 {
+        let most = self.config.teams.get(team).map_or(Resources::MAX, |team| team.most);
+        if most == Resources::MAX {
+            return u32::MAX;
+        }
+        if !self.is_settled(now) {
+            return 0;
+        }
+        (most - self.used.used(team)).times(&size)
+    }
+
+    /// Gets the targets with room for tasks of a step, whether or not they are
+    /// allowed to run it.
+    fn slots(
+        &self,
+        key: &StepKey,
+        step: &Step,
+        service: &Name,
+        round: &Round,
+        now: Duration,
+    ) -> Vec<Slot> {
+        let state = self.step_state(key);
+        let mut slots = Vec::new();
+        for (index, target) in self.targets.iter().enumerate() {
+            let id = TargetId(index as u32);
+            if !target.suits(service, step) || !target.is_open(now, self.settings.silence) {
+                continue;
+            }
+            let is_refused = state
+                .and_then(|state| state.permissions.get(&id))
+                .is_some_and(|permission| *permission == Permission::Refused);
+            if is_refused {
+                continue;
+            }
+            let kept = round.kept.get(&id).copied().unwrap_or_default();
+            let free = target.free() - kept;
+            let mut tasks = free.times(&step.size);
+            if let Some(most) = step.most_per_target {
+                let there = state.map_or(0, |state| state.count_on(id));
+                tasks = tasks.min(most.saturating_sub(there));
+            }
+            if tasks > 0 {
+                let free_ppm = (free - step.size).least_ppm(&target.facts.capacity);
+                slots.push(Slot { target: id, tasks, free_ppm });
+            }
+        }
+        slots
+    }
+
+    pub(crate) fn has_ticket(&self, key: &StepKey, target: TargetId, now: Duration) -> bool {
+        let permission = self.step_state(key).and_then(|state| state.permissions.get(&target));
+        matches!(permission, Some(Permission::Allowed { until, .. })
+            if now + self.settings.ticket_margin < *until)
+    }
+
+    /// Starts the next waiting task of a step on a target.
+    fn start_next(&mut self, key: &StepKey, spec: &Arc<Spec>, target: TargetId, now: Duration) {
+        let step = &spec.steps[usize::from(key.step)];
+        let first_run = match self.jobs.get(&key.job).map(|job| job.origin) {
+            Some(Origin::Inherited) => self.first_run,
+            Some(Origin::Own) | None => 0,
+        };
+        let Some(state) = self.step_state_mut(key) else {
+            return;
+        };
+        let Some(index) = state.waiting.pop_first() else {
+            return;
+        };
+        // The members of a gang have the same number. Those that start later in
+        // the round find the number that the first one has taken.
+        let last = if step.gang {
+            let taken = state.tasks.iter().filter_map(|task| match task.state {
+                TaskState::Assigned { run, .. } => Some(run - 1),
+                TaskState::Waiting | TaskState::Done => None,
+            });
+            let highest = state.tasks.iter().map(|task| task.run).max().unwrap_or(0);
+            taken.min().unwrap_or(highest)
+        } else {
+            state.tasks[index as usize].run
+        };
+        let run = last.max(first_run) + 1;
+        let ticket = match state.permissions.get(&target) {
+            Some(Permission::Allowed { ticket, .. }) => Some(ticket.clone()),
+            Some(Permission::Refused) | None => None,
+        };
+        let task = &mut state.tasks[index as usize];
+        task.run = run;
+        task.state = TaskState::Assigned { target, run };
+        let checkpoint = task.checkpoint.clone();
+        let task = TaskKey { step: key.clone(), index };
+        let account = &mut self.targets[target.0 as usize];
+        account.promised += step.size;
+        account.granted = Some(now);
+        let entry = Run { number: run, size: step.size, phase: Phase::Starting, settled: None };
+        account.runs.insert(task.clone(), entry);
+        let target = account.facts.id.clone();
+        self.used.add(&spec.team, step.size);
+        self.note_started(&key.job);
+        let payload = spec.payload.clone();
+        self.actions.push(Action::Start(Start { target, task, run, payload, checkpoint, ticket }));
+    }
+}
+
+/// Chooses a target for each of `wanted` tasks, as far as there is room: near
+/// the data, few racks where that matters, and the fullest targets first, so
+/// that large gaps stay whole.
+fn choose(step: &Step, mut slots: Vec<Slot>, wanted: u32, board: &Board) -> Vec<TargetId> {
+    let rack_of = |slot: &Slot| &board.targets[slot.target.0 as usize].facts.rack;
+    if step.same_rack
+        && let Some(rack) = widest_rack(&slots, board)
+    {
+        slots.sort_by_key(|slot| (*rack_of(slot) != rack, slot.free_ppm));
+    } else {
+        let is_far =
+            |slot: &Slot| step.data_rack.as_ref().is_some_and(|rack| rack_of(slot) != rack);
+        slots.sort_by_key(|slot| (is_far(slot), slot.free_ppm));
+    }
+    let each = slots.iter().flat_map(|slot| (0..slot.tasks).map(|_| slot.target));
+    each.take(wanted as usize).collect()
+}
+
+/// Gets the rack whose targets take the most tasks.
+fn widest_rack(slots: &[Slot], board: &Board) -> Option<Name> {
+    let mut tasks: HashMap<&Name, u32> = HashMap::new();
+    for slot in slots {
+        let rack = &board.targets[slot.target.0 as usize].facts.rack;
+        *tasks.entry(rack).or_default() += slot.tasks;
+    }
+    tasks.into_iter().max_by_key(|(rack, tasks)| (*tasks, *rack)).map(|(rack, _)| rack.clone())
+}
--- /dev/null
+++ b/crates/plan/src/settings.rs
@@ -0,0 +1,55 @@
+//! Times and bounds of decisions.
+
+use std::time::Duration;
+
+/// A `Settings` is the times and bounds that decisions keep to.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// For how long a target goes on without hearing from its placer.
+    pub target_lease: Duration,
+    /// How much slower than ours a target's clock may run, in thousandths.
+    pub clock_drift_milli: u32,
+    /// Time within which a target must have answered to get new work.
+    pub silence: Duration,
+    /// How long before its end a ticket is no longer used: the time to send a
+    /// start to the farthest target.
+    pub ticket_margin: Duration,
+    /// Time after which an unanswered stop is sent again.
+    pub stop_again: Duration,
+    /// How long a finished job is known.
+    pub keep_ended: Duration,
+    /// Run numbers that each placer has for itself, so that those of an
+    /// earlier one that were lost with it aren't used again.
+    pub runs_per_term: u32,
+    /// Most steps that one round of decisions looks at.
+    pub steps_per_round: usize,
+    /// Most targets that one request for advice names.
+    pub targets_per_ask: usize,
+}
+
+/// The defaults fit leases of at most 10 s and links of 20 ms.
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            target_lease: Duration::from_secs(7),
+            clock_drift_milli: 20,
+            silence: Duration::from_millis(2500),
+            ticket_margin: Duration::from_millis(150),
+            stop_again: Duration::from_millis(500),
+            keep_ended: Duration::from_secs(150),
+            runs_per_term: 1000,
+            steps_per_round: 256,
+            targets_per_ask: 100,
+        }
+    }
+}
+
+impl Settings {
+    /// Gets the time after the last grant when a target's lease has surely
+    /// lapsed.
+    pub(crate) fn lapse_after(&self) -> Duration {
+        /// The time for a grant to be sent, which counts from before that.
+        const SLACK: Duration = Duration::from_millis(300);
+        self.target_lease * (1000 + self.clock_drift_milli) / 1000 + SLACK
+    }
+}
--- /dev/null
+++ b/crates/plan/src/target.rs
@@ -0,0 +1,104 @@
+//! The account of one target.
+
+use std::{collections::HashMap, time::Duration};
+
+use base::{Name, Resources};
+use smallvec::SmallVec;
+use work::{Step, TaskKey};
+
+/// A `TargetId` is the position of a target on its board.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TargetId(pub(crate) u32);
+
+/// An `Availability` says whether a target takes new work.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Availability {
+    /// It does.
+    #[default]
+    Ready,
+    /// It is about to leave.
+    Draining,
+    /// It is no longer listed.
+    Unlisted,
+}
+
+/// A `Facts` is what a target says of itself.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Facts {
+    /// Its id.
+    pub id: Name,
+    /// The pool that it belongs to.
+    pub service: Name,
+    /// Its data centre.
+    pub data_centre: Name,
+    /// The rack that it stands in.
+    pub rack: Name,
+    /// Its labels, the rack among them.
+    pub labels: SmallVec<[Name; 4]>,
+    /// What it can hold.
+    pub capacity: Resources,
+    /// Whether it takes new work.
+    pub availability: Availability,
+    /// Start of its life, in milliseconds since 1970.
+    pub born_unix_ms: u64,
+}
+
+/// A `Phase` is how far a run is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// Its start has not been answered.
+    Starting,
+    /// It runs.
+    Running,
+    /// It has been told to stop, at this time for the last time.
+    Stopping(Duration),
+}
+
+/// A `Run` is what may be running on a target.
+#[derive(Clone, Debug)]
+pub(crate) struct Run {
+    pub(crate) number: u32,
+    pub(crate) size: Resources,
+    pub(crate) phase: Phase,
+    /// When it was settled whether the run is there: a listing that was asked
+    /// for later and lacks it means that it isn't.
+    pub(crate) settled: Option<Duration>,
+}
+
+/// A `Target` is one target with what may be running on it.
+#[derive(Debug, Default)]
+pub(crate) struct Target {
+    pub(crate) facts: Facts,
+    pub(crate) promised: Resources,
+    pub(crate) runs: HashMap<TaskKey, Run>,
+    /// When its last listing was asked for.
+    pub(crate) heard: Option<Duration>,
+    /// When the last lease was granted.
+    pub(crate) granted: Option<Duration>,
+    /// Life that its listings are of.
+    pub(crate) life: u64,
+    /// Highest end that was taken in.
+    pub(crate) seen: u64,
+    /// Highest end that is recorded.
+    pub(crate) recorded: u64,
+}
+
+impl Target {
+    /// Gets the room that isn't promised.
+    pub(crate) fn free(&self) -> Resources {
+        self.facts.capacity - self.promised
+    }
+
+    /// Tells whether the target could run tasks of a step if it were empty.
+    pub(crate) fn suits(&self, service: &Name, step: &Step) -> bool {
+        self.facts.service == *service
+            && step.label.as_ref().is_none_or(|label| self.facts.labels.contains(label))
+            && step.size.fits(&self.facts.capacity)
+    }
+
+    /// Tells whether the target may get new work.
+    pub(crate) fn is_open(&self, now: Duration, silence: Duration) -> bool {
+        self.facts.availability == Availability::Ready
+            && self.heard.is_some_and(|heard| now.saturating_sub(heard) < silence)
+    }
+}
--- a/crates/platform/src/error.rs
+++ b/crates/platform/src/error.rs
@@ -20,6 +20,9 @@
         /// The cause.
         reason: String,
     },
+    /// The history that was asked for is no longer kept: read anew.
+    #[snafu(display("the history is no longer kept"))]
+    Forgotten,
     /// The lease has lapsed: take a new one.
     #[snafu(display("the lease has lapsed"))]
     Lapsed,
