--- a/crates/node/src/configs.rs
+++ b/crates/node/src/configs.rs
@@ -94,6 +94,7 @@
             }
         }
         ctx.configs.confirm(sent);
+        ctx.is_store_suspect.store(false, Ordering::Relaxed);
         if clock::now().saturating_sub(reread_at) >= REREAD_PERIOD {
             reread(ctx, key).await?;
             reread_at = clock::now();
@@ -111,6 +112,7 @@
     };
     apply(ctx, entry);
     ctx.configs.confirm(sent);
+    ctx.is_store_suspect.store(false, Ordering::Relaxed);
     Ok(page.revision)
 }
 
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -1,13 +1,16 @@
 //! What all parts of a node share.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::AtomicBool},
+    time::Duration,
+};
 
 use base::Name;
 use serde::{Deserialize, Serialize};
 use slog::Logger;
 use tokio::{net::TcpListener, sync::watch};
 
-use crate::{configs::Configs, edge::Edges, settings::Settings, states::States};
+use crate::{configs::Configs, edge::Edges, settings::Settings, states::States, uplink::Uplink};
 
 /// A `Leader` is who leads the cell, as the key-value service has it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -34,6 +37,10 @@
     pub(crate) links: TcpListener,
     pub(crate) configs: Configs,
     pub(crate) states: States,
+    pub(crate) uplink: Uplink,
+    /// Whether the last change of the key-value service failed, and nothing
+    /// has succeeded since.
+    pub(crate) is_store_suspect: AtomicBool,
     /// Who leads, as far as this node knows.
     pub(crate) leader: watch::Sender<Option<Leader>>,
     /// Whether the process is to end.
@@ -59,6 +66,8 @@
             links,
             configs: Configs::default(),
             states: States::default(),
+            uplink: Uplink::default(),
+            is_store_suspect: AtomicBool::new(false),
             leader: watch::Sender::new(None),
             stopping: watch::Sender::new(false),
             closing: watch::Sender::new(false),
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -6,12 +6,10 @@
 use std::{sync::Arc, time::Duration};
 
 use base::{Failure, Name, Result, clock, emit};
-use bytes::Bytes;
-use platform::{Commit, Committed, Error, Revision, Write};
 use tokio::time;
 use work::{Config, JobState, Policy, Schedule, Spec, Step};
 
-use crate::{context::Context, keys};
+use crate::{context::Context, keys, writes};
 
 /// Time after which a request that was refused for now may be repeated.
 const RETRY_AFTER: Duration = Duration::from_millis(1000);
@@ -128,27 +126,17 @@
         if let Some(fault) = spec.fault() {
             return Err(Failure::fix(fault));
         }
-        let key = keys::job(id);
-        let write =
-            Write { key: key.clone(), value: Bytes::from(work::encode(&spec)), lease: None };
-        let commit = Commit {
-            expected: vec![(key, Revision::ABSENT)],
-            writes: vec![write],
-            removals: Vec::new(),
-        };
-        let outcome = self.write(commit, time_left).await;
+        let outcome = writes::submit(&self.ctx, id, &spec, self.time_to_write(time_left)).await;
         let tasks: u32 = spec.steps.iter().map(|step| step.count).sum();
         match &outcome {
-            // A job that is there is the same one, sent again.
-            Ok(committed) => {
+            Ok(()) => {
                 emit!(self.ctx.log, info, JobAccepted; "job" => %id, "queue" => %spec.queue,
-                    "team" => %spec.team, "steps" => spec.steps.len(), "tasks" => tasks,
-                    "again" => matches!(committed, Committed::Conflict(_)));
+                    "team" => %spec.team, "steps" => spec.steps.len(), "tasks" => tasks);
                 self.ctx.states.merge([(id.clone(), JobState::Queued)], clock::now());
             }
             Err(failure) => self.log_failure("submit", id, failure),
         }
-        outcome.map(|_| ())
+        outcome
     }
 
     /// Cancels a job; gets whether there is such a job.
@@ -159,11 +147,8 @@
         if self.ctx.states.get(id).is_none() && !self.is_recorded(id, time_left).await? {
             return Ok(false);
         }
-        let write =
-            Write { key: keys::cancellation(id), value: Bytes::from_static(b"1"), lease: None };
-        let commit = Commit { writes: vec![write], ..Commit::default() };
-        match self.write(commit, time_left).await {
-            Ok(_) => {
+        match writes::cancel(&self.ctx, id, self.time_to_write(time_left)).await {
+            Ok(()) => {
                 emit!(self.ctx.log, info, JobCancelled; "job" => %id);
                 self.ctx.states.merge([(id.clone(), JobState::Cancelled)], clock::now());
                 Ok(true)
@@ -224,28 +209,8 @@
             .map_err(|_| Failure::busy(RETRY_AFTER, "the key-value service does not answer"))
     }
 
-    /// Makes a change that may be sent more than once, until it is answered.
-    async fn write(&self, commit: Commit, time_left: Duration) -> Result<Committed> {
-        let end = clock::now() + time_left.saturating_sub(ANSWER_TIME);
-        let mut may_have_run = false;
-        loop {
-            let left = end.saturating_sub(clock::now());
-            if left.is_zero() {
-                return Err(match may_have_run {
-                    true => Failure::unknown("the key-value service did not answer"),
-                    false => Failure::busy(RETRY_AFTER, "the key-value service takes no changes"),
-                });
-            }
-            let sent = self.ctx.edges.records.commit(commit.clone());
-            match time::timeout(left, sent).await {
-                Ok(Ok(committed)) => return Ok(committed),
-                Ok(Err(Error::NotRun { .. })) => {}
-                Ok(Err(Error::Unknown { .. } | Error::Lapsed | Error::Forgotten)) | Err(_) => {
-                    may_have_run = true;
-                }
-            }
-            time::sleep(RESEND_PAUSE).await;
-        }
+    fn time_to_write(&self, time_left: Duration) -> Duration {
+        time_left.saturating_sub(ANSWER_TIME)
     }
 
     fn log_failure(&self, request: &str, id: &str, failure: &Failure) {
--- a/crates/node/src/helper.rs
+++ b/crates/node/src/helper.rs
@@ -22,6 +22,7 @@
             Down::States(states) => ctx.states.merge(states, clock::now()),
             Down::Pending(pending) => ctx.states.set_pending(pending, clock::now()),
             Down::Pulse => {}
+            Down::Written { number, outcome } => ctx.uplink.answered(number, outcome),
             Down::Advise { number, step, targets, timeout_ms } => {
                 let (ctx, up) = (Arc::clone(ctx), up.clone());
                 tokio::spawn(async move {
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -19,8 +19,9 @@
 
 use base::{Name, clock, emit};
 use bytes::Bytes;
+use futures::{FutureExt, StreamExt, stream::FuturesUnordered};
 use platform::{Commit, Committed, Error, Event, Lease, Revision, Write};
-use tokio::time;
+use tokio::time::{self, MissedTickBehavior};
 
 use crate::{
     context::{Context, Leader, jitter},
@@ -174,23 +175,31 @@
     }
 }
 
-/// Renews the lease until it has lapsed; gets why.
+/// Renews the lease until it has lapsed; gets why. A renewal doesn't wait for
+/// the answer to the one before, which may be lost.
 async fn renew(ctx: &Context, lead: &Lead) -> &'static str {
-    let period = Duration::from_millis(ctx.settings.lead.renew_ms);
     let ttl = Duration::from_millis(ctx.settings.lead.ttl_ms).saturating_sub(margin(ctx));
-    let mut is_valid = true;
+    let mut period = time::interval(Duration::from_millis(ctx.settings.lead.renew_ms));
+    period.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut under_way = FuturesUnordered::new();
+    let mut was_valid = true;
     loop {
-        time::sleep(if is_valid { period } else { RETRY_PAUSE }).await;
-        let sent = clock::now();
-        match ctx.edges.records.renew(lead.lease).await {
-            Ok(()) => lead.extend(sent, ttl),
-            Err(Error::Lapsed) => return "the lease has lapsed",
-            Err(error) => {
-                emit!(ctx.log, warn, StoreFailed; "request" => "renewal", "error" => %error);
+        tokio::select! {
+            _ = period.tick() => {
+                let sent = clock::now();
+                let renewal = ctx.edges.records.renew(lead.lease);
+                under_way.push(renewal.map(move |answer| (sent, answer)));
             }
+            Some((sent, answer)) = under_way.next() => match answer {
+                Ok(()) => lead.extend(sent, ttl),
+                Err(Error::Lapsed) => return "the lease has lapsed",
+                Err(error) => {
+                    emit!(ctx.log, warn, StoreFailed; "request" => "renewal", "error" => %error);
+                }
+            },
         }
-        let was_valid = std::mem::replace(&mut is_valid, lead.is_valid(clock::now()));
-        match (was_valid, is_valid) {
+        let is_valid = lead.is_valid(clock::now());
+        match (std::mem::replace(&mut was_valid, is_valid), is_valid) {
             (true, false) => emit!(ctx.log, warn, LeadSuspended; "term" => lead.term),
             (false, true) => emit!(ctx.log, info, LeadResumed; "term" => lead.term),
             (true, true) | (false, false) => {}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,8 @@
 mod run;
 mod settings;
 mod states;
+mod uplink;
+mod writes;
 
 pub use context::Context;
 pub use front::{Admitted, Front};
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -2,12 +2,12 @@
 
 use std::{sync::Arc, time::Duration};
 
-use base::{Name, clock, emit};
+use base::{Failure, Name, clock, emit};
 use futures::{SinkExt, StreamExt};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::{net::TcpStream, sync::mpsc, time};
 use tokio_tungstenite::{WebSocketStream, tungstenite::Message};
-use work::{JobState, StepKey};
+use work::{JobState, Spec, StepKey};
 
 use crate::{context::Context, helper};
 
@@ -38,6 +38,13 @@
         /// How long to wait for the answer, in milliseconds.
         timeout_ms: u64,
     },
+    /// The outcome of [`Up::Submit`] or [`Up::Cancel`].
+    Written {
+        /// Number of the request.
+        number: u64,
+        /// Whether it is recorded, or the failure.
+        outcome: Result<(), Failure>,
+    },
     /// Nothing new.
     Pulse,
 }
@@ -59,6 +66,26 @@
         /// For how long the tickets are valid, in milliseconds, if told.
         valid_ms: Option<u64>,
     },
+    /// A job that the sender has recorded.
+    Accepted(Name, Box<Spec>),
+    /// A cancellation that the sender has recorded.
+    Cancelled(Name),
+    /// A job to record, as the sender can't.
+    Submit {
+        /// Number of the request.
+        number: u64,
+        /// Id of the job.
+        id: Name,
+        /// The job.
+        spec: Box<Spec>,
+    },
+    /// A cancellation to record, as the sender can't.
+    Cancel {
+        /// Number of the request.
+        number: u64,
+        /// Id of the job.
+        id: Name,
+    },
     /// Nothing new.
     Pulse,
 }
@@ -114,6 +141,7 @@
     let instance = Name::from(ctx.settings.name.as_str());
     // The receiver lives in the exchange below.
     let _ = up.send(Up::Hello { instance });
+    let _open = ctx.uplink.open(up.clone());
     tokio::select! {
         why = exchange(socket, ups, Up::Pulse, down) => why,
         () = helper::serve(ctx, downs, up) => "closed".to_owned(),
@@ -139,7 +167,7 @@
         let hello = socket.next().await?.ok()?;
         match decode(&hello) {
             Some(Up::Hello { instance }) => Some((socket, instance)),
-            Some(Up::Advised { .. } | Up::Pulse) | None => None,
+            _ => None,
         }
     };
     let Ok(Some((socket, instance))) = time::timeout(SILENCE, open).await else {
--- a/crates/node/src/placer/advice.rs
+++ b/crates/node/src/placer/advice.rs
@@ -7,7 +7,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use base::Name;
-use plan::Ask;
+use plan::{Ask, AskLength};
 use tokio::sync::mpsc;
 
 use crate::{link::Down, placer::event::Asked};
@@ -25,6 +25,8 @@
     pub(crate) down: mpsc::UnboundedSender<Down>,
     backlog_us: u64,
     waiting: usize,
+    /// Long requests under way.
+    long: usize,
 }
 
 /// A `Helpers` is the instances that have a link.
@@ -43,7 +45,7 @@
 
     /// Adds an instance.
     pub(crate) fn join(&mut self, instance: Name, down: mpsc::UnboundedSender<Down>) {
-        self.helpers.insert(instance, Helper { down, backlog_us: 0, waiting: 0 });
+        self.helpers.insert(instance, Helper { down, backlog_us: 0, waiting: 0, long: 0 });
     }
 
     /// Removes an instance; gets what it was asked for and won't answer.
@@ -62,6 +64,11 @@
         numbers.iter().filter_map(|number| self.asked.remove(number)).collect()
     }
 
+    /// Gets where the frames for an instance go.
+    pub(crate) fn down(&self, instance: &Name) -> Option<mpsc::UnboundedSender<Down>> {
+        self.helpers.get(instance).map(|helper| helper.down.clone())
+    }
+
     /// Sends a frame to all instances.
     pub(crate) fn tell(&self, down: &Down) {
         for helper in self.helpers.values() {
@@ -75,12 +82,18 @@
     /// if all have enough to do.
     pub(crate) fn ask(&mut self, ask: Ask) -> Result<(u64, Duration), Ask> {
         let free = self.helpers.iter_mut().filter(|(_, helper)| helper.waiting < MOST_WAITING);
-        let Some((name, helper)) = free.min_by_key(|(_, helper)| helper.backlog_us) else {
+        // A long request also keeps away from others of its kind.
+        let best = match ask.length {
+            AskLength::Short => free.min_by_key(|(_, helper)| helper.backlog_us),
+            AskLength::Long => free.min_by_key(|(_, helper)| (helper.long, helper.backlog_us)),
+        };
+        let Some((name, helper)) = best else {
             return Err(ask);
         };
         self.last += 1;
         helper.backlog_us += ask.cost_us;
         helper.waiting += 1;
+        helper.long += usize::from(ask.length == AskLength::Long);
         let timeout = Duration::from_micros(helper.backlog_us) + SLACK;
         let down = Down::Advise {
             number: self.last,
@@ -90,8 +103,8 @@
         };
         let _ = helper.down.send(down);
         let helper = name.clone();
-        let Ask { step, targets, cost_us } = ask;
-        self.asked.insert(self.last, Asked { step, targets, cost_us, helper });
+        let Ask { step, targets, cost_us, length } = ask;
+        self.asked.insert(self.last, Asked { step, targets, cost_us, length, helper });
         Ok((self.last, timeout + SLACK))
     }
 
@@ -101,6 +114,7 @@
         if let Some(helper) = self.helpers.get_mut(&asked.helper) {
             helper.backlog_us = helper.backlog_us.saturating_sub(asked.cost_us);
             helper.waiting = helper.waiting.saturating_sub(1);
+            helper.long -= usize::from(asked.length == AskLength::Long).min(helper.long);
         }
         Some(asked)
     }
--- a/crates/node/src/placer/follow.rs
+++ b/crates/node/src/placer/follow.rs
@@ -17,6 +17,10 @@
 /// How long one wait for changes takes.
 const WATCH_WAIT: Duration = Duration::from_millis(2000);
 
+/// Time between looks for jobs that fronts have recorded. They tell the leader
+/// of them as well; this finds what that misses.
+const JOBS_PERIOD: Duration = Duration::from_millis(800);
+
 /// Time between reads of the whole list of targets, in case that a watch
 /// misses a change.
 const REREAD_EVERY: u32 = 8;
@@ -56,12 +60,17 @@
     events: &mpsc::UnboundedSender<Event>,
 ) -> Error {
     loop {
-        match ctx.edges.records.changes(keys::JOBS, *revision, WATCH_WAIT).await {
+        match ctx.edges.records.changes(keys::JOBS, *revision, Duration::ZERO).await {
             Ok(changes) => {
-                *revision = changes.revision;
+                let is_empty = changes.events.is_empty();
                 for change in changes.events {
                     tell_job(ctx, change, events);
                 }
+                let has_gap = is_empty || changes.revision > *revision;
+                *revision = changes.revision;
+                if has_gap {
+                    time::sleep(JOBS_PERIOD).await;
+                }
             }
             Err(error) => return error,
         }
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -24,6 +24,7 @@
         advice::Helpers, event::Event, follow, hold, hold::Holder, order, read, read::Recorded,
         record,
     },
+    writes,
 };
 
 /// Time between rounds in which nothing happens.
@@ -147,7 +148,10 @@
         let (up, ups) = mpsc::unbounded_channel();
         let instance = Name::from(self.ctx.settings.name.as_str());
         let ctx = Arc::clone(&self.ctx);
-        self.tasks.spawn(async move { helper::serve(&ctx, downs, up).await });
+        self.tasks.spawn(async move {
+            let _open = ctx.uplink.open(up.clone());
+            helper::serve(&ctx, downs, up).await;
+        });
         self.join(Joined { instance, down, up: ups });
     }
 
@@ -320,9 +324,46 @@
     }
 
     fn hear(&mut self, instance: &Name, up: Up, now: Duration) {
-        let Up::Advised { number, allowed, valid_ms } = up else {
-            return;
-        };
+        match up {
+            Up::Hello { .. } | Up::Pulse => {}
+            Up::Accepted(id, spec) => self.board.accept(&id, *spec, now),
+            Up::Cancelled(id) => self.board.cancel(&id, now),
+            Up::Submit { number, id, spec } => {
+                let (ctx, down) = (Arc::clone(&self.ctx), self.helpers.down(instance));
+                let events = self.events.clone();
+                self.tasks.spawn(async move {
+                    let outcome = writes::submit_here(&ctx, &id, &spec).await;
+                    if outcome.is_ok() {
+                        let _ = events.send(Event::Accepted(id, spec));
+                    }
+                    tell(down, Down::Written { number, outcome });
+                });
+            }
+            Up::Cancel { number, id } => {
+                let (ctx, down) = (Arc::clone(&self.ctx), self.helpers.down(instance));
+                let events = self.events.clone();
+                self.tasks.spawn(async move {
+                    let outcome = writes::cancel_here(&ctx, &id).await;
+                    if outcome.is_ok() {
+                        let _ = events.send(Event::Cancelled(id));
+                    }
+                    tell(down, Down::Written { number, outcome });
+                });
+            }
+            Up::Advised { number, allowed, valid_ms } => {
+                self.take_advice(instance, number, allowed, valid_ms, now);
+            }
+        }
+    }
+
+    fn take_advice(
+        &mut self,
+        instance: &Name,
+        number: u64,
+        allowed: Result<Vec<(Name, Name)>, String>,
+        valid_ms: Option<u64>,
+        now: Duration,
+    ) {
         let Some(asked) = self.helpers.answered(number) else {
             return;
         };
@@ -445,6 +486,14 @@
     }
 }
 
+/// Sends a frame to an instance if it still has a link.
+fn tell(down: Option<mpsc::UnboundedSender<Down>>, frame: Down) {
+    if let Some(down) = down {
+        // A closed link is noticed where its frames are received.
+        let _ = down.send(frame);
+    }
+}
+
 async fn follow_config(ctx: Arc<Context>, events: mpsc::UnboundedSender<Event>) {
     let mut configs = ctx.configs.subscribe();
     while configs.changed().await.is_ok() {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -68,10 +68,11 @@
     pub margin_ms: u64,
 }
 
-/// The defaults bridge lost renewals and keep a takeover within a few seconds.
+/// The defaults bridge two lost renewals, and the others wait for two seconds
+/// when the leader has ended.
 impl Default for Lead {
     fn default() -> Self {
-        Self { ttl_ms: 3000, renew_ms: 700, margin_ms: 300 }
+        Self { ttl_ms: 1800, renew_ms: 450, margin_ms: 200 }
     }
 }
 
--- /dev/null
+++ b/crates/node/src/writes.rs
@@ -0,0 +1,132 @@
+//! Recording what clients ask for.
+//!
+//! A front records it by itself. If the key-value service fails it, the front
+//! asks the leader to record the same, which also settles whether a change that
+//! wasn't answered was made: it is the same change. After a failure it goes to
+//! the leader first, until a request of its own succeeds again.
+
+use std::{sync::atomic::Ordering, time::Duration};
+
+use base::{Failure, Name, Result, clock};
+use bytes::Bytes;
+use platform::{Commit, Committed, Error, Revision, Write};
+use tokio::time;
+use work::Spec;
+
+use crate::{context::Context, keys, link::Up};
+
+/// Time for an answer to one change; the service answers in milliseconds, and
+/// in some 300 ms when it is slow.
+const ANSWER_TIME: Duration = Duration::from_millis(500);
+
+/// Pause before a change is sent again.
+const RESEND_PAUSE: Duration = Duration::from_millis(60);
+
+/// Time after which a request that was refused for now may be repeated.
+const RETRY_AFTER: Duration = Duration::from_millis(1000);
+
+/// Records an accepted job. A job that is there already is the same one, sent
+/// again.
+pub(crate) async fn submit(
+    ctx: &Context,
+    id: &Name,
+    spec: &Spec,
+    time_left: Duration,
+) -> Result<()> {
+    let boxed = || Box::new(spec.clone());
+    let ask = |number| Up::Submit { number, id: id.clone(), spec: boxed() };
+    let outcome = write(ctx, job(id, spec), ask, time_left).await;
+    if outcome.is_ok() {
+        ctx.uplink.tell(Up::Accepted(id.clone(), boxed()));
+    }
+    outcome
+}
+
+/// Records a cancellation.
+pub(crate) async fn cancel(ctx: &Context, id: &Name, time_left: Duration) -> Result<()> {
+    let ask = |number| Up::Cancel { number, id: id.clone() };
+    let outcome = write(ctx, cancellation(id), ask, time_left).await;
+    if outcome.is_ok() {
+        ctx.uplink.tell(Up::Cancelled(id.clone()));
+    }
+    outcome
+}
+
+/// Records a job for another instance.
+pub(crate) async fn submit_here(ctx: &Context, id: &Name, spec: &Spec) -> Result<()> {
+    once(ctx, job(id, spec), ANSWER_TIME).await
+}
+
+/// Records a cancellation for another instance.
+pub(crate) async fn cancel_here(ctx: &Context, id: &Name) -> Result<()> {
+    once(ctx, cancellation(id), ANSWER_TIME).await
+}
+
+fn job(id: &str, spec: &Spec) -> Commit {
+    let key = keys::job(id);
+    let value = Bytes::from(work::encode(spec));
+    Commit {
+        expected: vec![(key.clone(), Revision::ABSENT)],
+        writes: vec![Write { key, value, lease: None }],
+        removals: Vec::new(),
+    }
+}
+
+fn cancellation(id: &str) -> Commit {
+    let value = Bytes::from_static(b"1");
+    let write = Write { key: keys::cancellation(id), value, lease: None };
+    Commit { writes: vec![write], ..Commit::default() }
+}
+
+/// Makes a change by itself or through the leader; both may be tried.
+async fn write(
+    ctx: &Context,
+    commit: Commit,
+    ask: impl FnOnce(u64) -> Up,
+    time_left: Duration,
+) -> Result<()> {
+    let end = clock::now() + time_left;
+    let left = || end.saturating_sub(clock::now());
+    let leads = ctx.leader.borrow().as_ref().is_some_and(|leader| leader.process == ctx.process);
+    let mut may_have_run = false;
+    if !ctx.is_store_suspect.load(Ordering::Relaxed) {
+        match once(ctx, commit.clone(), ANSWER_TIME.min(left())).await {
+            Ok(()) => return Ok(()),
+            Err(failure) => may_have_run = !failure.is_not_run(),
+        }
+        ctx.is_store_suspect.store(true, Ordering::Relaxed);
+    }
+    if !leads {
+        match ctx.uplink.ask(ask, (ANSWER_TIME * 2).min(left())).await {
+            Ok(()) => return Ok(()),
+            Err(failure) => may_have_run |= !failure.is_not_run(),
+        }
+    }
+    // What surely isn't recorded is better sent to another instance.
+    while may_have_run && !left().is_zero() {
+        if once(ctx, commit.clone(), ANSWER_TIME.min(left())).await.is_ok() {
+            return Ok(());
+        }
+        time::sleep(RESEND_PAUSE).await;
+    }
+    if may_have_run {
+        return Err(Failure::unknown("the key-value service did not answer"));
+    }
+    Err(Failure::busy(RETRY_AFTER, "the key-value service takes no changes"))
+}
+
+/// Makes a change, once.
+async fn once(ctx: &Context, commit: Commit, timeout: Duration) -> Result<()> {
+    match time::timeout(timeout, ctx.edges.records.commit(commit)).await {
+        // In conflict is only a job that is there already.
+        Ok(Ok(Committed::Done(_) | Committed::Conflict(_))) => {
+            ctx.is_store_suspect.store(false, Ordering::Relaxed);
+            Ok(())
+        }
+        Ok(Err(Error::NotRun { reason })) => Err(Failure::busy(RETRY_AFTER, reason)),
+        Ok(Err(error @ (Error::Unknown { .. } | Error::Lapsed | Error::Forgotten))) => {
+            Err(Failure::unknown(error.to_string()))
+        }
+        Err(_) => Err(Failure::unknown("no answer in time")),
+    }
+}
--- a/crates/plan/src/action.rs
+++ b/crates/plan/src/action.rs
@@ -51,4 +51,15 @@
     pub targets: Vec<Name>,
     /// How long the answer takes, in microseconds.
     pub cost_us: u64,
+    /// Whether others should not wait for it.
+    pub length: AskLength,
+}
+
+/// An `AskLength` says whether others should wait for a request for advice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AskLength {
+    /// They may.
+    Short,
+    /// They should not.
+    Long,
 }
--- a/crates/plan/src/ask.rs
+++ b/crates/plan/src/ask.rs
@@ -11,7 +11,7 @@
 use work::{Advice, Spec, StepKey};
 
 use crate::{
-    action::{Action, Ask},
+    action::{Action, Ask, AskLength},
     board::Board,
     decide::{Round, Slot},
     step::Permission,
@@ -141,23 +141,29 @@
         let names: Vec<Name> =
             targets.iter().map(|id| self.targets[id.0 as usize].facts.id.clone()).collect();
         let cost_us = cost_us(advice, names.len());
-        // More requests at a time would only wait for one another, while the
-        // room that they are for goes unused.
-        let backlog_us = self.settings.advice_backlog.as_micros() as u64;
-        let under_way: u64 = self.asking.values().sum();
-        if under_way > 0 && under_way + cost_us > backlog_us * u64::from(self.advisors) {
+        if !self.may_ask(cost_us) {
             return;
         }
-        for slot in slots.iter().filter(|slot| targets.contains(&slot.target)) {
-            let tasks = slot.tasks.min(left);
-            round.keep(slot.target, step.size * tasks);
-            left -= tasks;
-        }
         self.asking.insert(key.clone(), cost_us);
         if let Some(state) = self.step_state_mut(key) {
             state.asked = Some(targets);
         }
-        self.actions.push(Action::Ask(Ask { step: key.clone(), targets: names, cost_us }));
+        let length =
+            if self.settings.is_long_ask(cost_us) { AskLength::Long } else { AskLength::Short };
+        let ask = Ask { step: key.clone(), targets: names, cost_us, length };
+        self.actions.push(Action::Ask(ask));
+    }
+
+    /// Tells whether one more request for advice may be made. Too many would
+    /// only wait for one another, while the room that they are for goes unused.
+    fn may_ask(&self, cost_us: u64) -> bool {
+        let (long, short): (Vec<u64>, Vec<u64>) =
+            self.asking.values().partition(|cost_us| self.settings.is_long_ask(**cost_us));
+        if self.settings.is_long_ask(cost_us) {
+            return long.len() < self.settings.long_asks(self.advisors);
+        }
+        let most_us = self.settings.advice_backlog.as_micros() as u64 * u64::from(self.advisors);
+        short.is_empty() || short.iter().sum::<u64>() + cost_us <= most_us
     }
 
     fn targets_to_ask(
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -22,7 +22,7 @@
 mod step;
 mod target;
 
-pub use action::{Action, Ask, Start, Stop};
+pub use action::{Action, Ask, AskLength, Start, Stop};
 pub use board::{Batch, Board};
 pub use listing::{Listing, Refusal, RunEnd, RunSeen, StartAnswer};
 pub use settings::Settings;
--- a/crates/plan/src/settings.rs
+++ b/crates/plan/src/settings.rs
@@ -23,9 +23,13 @@
     pub runs_per_term: u32,
     /// Most steps that one round of decisions looks at.
     pub steps_per_round: usize,
-    /// Most time that the requests for advice under way may take, for each
+    /// Most time that the short requests for advice under way may take, for each
     /// instance that asks.
     pub advice_backlog: Duration,
+    /// A request for advice that takes longer than this is a long one. Each
+    /// instance makes one of them at a time, and some make none, so that short
+    /// ones never wait for long ones.
+    pub long_ask: Duration,
     /// Most targets that one request for advice names.
     pub targets_per_ask: usize,
 }
@@ -42,13 +46,26 @@
             keep_ended: Duration::from_secs(150),
             runs_per_term: 1000,
             steps_per_round: 256,
-            advice_backlog: Duration::from_millis(700),
+            advice_backlog: Duration::from_millis(150),
+            long_ask: Duration::from_millis(150),
             targets_per_ask: 100,
         }
     }
 }
 
 impl Settings {
+    /// Tells whether a request for advice is a long one.
+    pub fn is_long_ask(&self, cost_us: u64) -> bool {
+        Duration::from_micros(cost_us) > self.long_ask
+    }
+
+    /// Gets how many long requests for advice may be under way.
+    pub(crate) fn long_asks(&self, advisors: u32) -> usize {
+        /// One instance in so many makes no long requests.
+        const SHORT_ONLY: u32 = 4;
+        advisors.saturating_sub(advisors.div_ceil(SHORT_ONLY)).max(1) as usize
+    }
+
     /// Gets the time after the last grant when a target's lease has surely
     /// lapsed.
     pub(crate) fn lapse_after(&self) -> Duration {
