--- a/crates/node/src/placer/hold.rs
+++ b/crates/node/src/placer/hold.rs
@@ -27,13 +27,16 @@
 /// Time for an answer beyond that.
 const ANSWER_TIME: Duration = Duration::from_millis(1000);
 
+/// Time for the answer when a start wasn't answered.
+const LOOK_TIME: Duration = Duration::from_millis(400);
+
 /// Time between requests while ends wait to be recorded, or nothing may be
 /// ordered.
 const UNRECORDED_PAUSE: Duration = Duration::from_millis(100);
 
 /// Least time between requests, so that ends that come one after the other
 /// share an answer.
-const LEAST_PAUSE: Duration = Duration::from_millis(40);
+const LEAST_PAUSE: Duration = Duration::from_millis(90);
 
 /// A `Holder` is what the parts of a placer share of one target.
 #[derive(Debug)]
@@ -143,3 +146,25 @@
         }
     }
 }
+
+/// Hears once what a target runs.
+pub(crate) async fn look(
+    ctx: Arc<Context>,
+    lead: Arc<Lead>,
+    holder: Arc<Holder>,
+    events: mpsc::UnboundedSender<Event>,
+) {
+    let asked = clock::now();
+    if !lead.is_valid(asked) {
+        return;
+    }
+    let recorded_end = holder.recorded_end.load(Ordering::Relaxed);
+    let hold = Hold { lease_until_ms: None, recorded_end, wait: Duration::ZERO, term: lead.term };
+    let answer = ctx.edges.orders.hold(&holder.target, hold, LOOK_TIME).await;
+    // Without an answer the next one of the usual kind has to do.
+    if let Ok((listing, clock_ms)) = answer {
+        holder.note_clock(clock_ms, clock::now());
+        let target = holder.target.id.clone();
+        let _ = events.send(Event::Listed { target, asked, granted: None, listing });
+    }
+}
--- a/crates/node/src/placer/order.rs
+++ b/crates/node/src/placer/order.rs
@@ -14,7 +14,7 @@
 };
 
 /// Time for the answer to an order.
-const ANSWER_TIME: Duration = Duration::from_millis(1500);
+const ANSWER_TIME: Duration = Duration::from_millis(500);
 
 /// Starts a run.
 pub(crate) async fn start(
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -41,7 +41,11 @@
 
 /// Least time between records, so that ends that come one after the other
 /// share one.
-const RECORD_PERIOD: Duration = Duration::from_millis(30);
+const RECORD_PERIOD: Duration = Duration::from_millis(60);
+
+/// Records under way at a time; more than one, so that a slow key-value service
+/// makes ends late by one answer only.
+const MOST_RECORDING: u32 = 6;
 
 /// Pause after a failed read at the beginning of a term.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
@@ -60,7 +64,8 @@
     /// Targets that are recorded as holding runs.
     held: HashSet<Name>,
     is_recording_held: bool,
-    is_recording: bool,
+    /// Records under way.
+    recording: u32,
     recorded_at: Duration,
     helpers: Helpers,
     /// Requests for advice that no instance can take yet.
@@ -131,7 +136,7 @@
             listed: Listed::new(),
             held: recorded.held,
             is_recording_held: false,
-            is_recording: false,
+            recording: 0,
             recorded_at: Duration::ZERO,
             helpers: Helpers::default(),
             unasked: Vec::new(),
@@ -214,11 +219,12 @@
     }
 
     fn record(&mut self, now: Duration) {
-        if self.is_recording || now.saturating_sub(self.recorded_at) < RECORD_PERIOD {
+        if self.recording >= MOST_RECORDING || now.saturating_sub(self.recorded_at) < RECORD_PERIOD
+        {
             return;
         }
         if let Some(batch) = self.board.take_batch() {
-            self.is_recording = true;
+            self.recording += 1;
             self.recorded_at = now;
             let (ctx, lead) = (Arc::clone(&self.ctx), Arc::clone(&self.lead));
             self.tasks.spawn(record::record(ctx, lead, batch, self.events.clone()));
@@ -241,6 +247,11 @@
                 }
             }
             Action::Ask(ask) => self.ask(ask),
+            Action::Look(target) => {
+                if let Some(holder) = self.holders.get(&target) {
+                    self.tasks.spawn(hold::look(ctx, lead, Arc::clone(holder), events));
+                }
+            }
         }
     }
 
@@ -308,14 +319,14 @@
                 }
             }
             Event::Recorded(batch) => {
-                self.is_recording = false;
+                self.recording -= 1;
                 self.board.recorded(batch);
                 for (name, holder) in &self.holders {
                     holder.set_recorded_end(self.board.recorded_end(name));
                 }
             }
             Event::NotRecorded(batch) => {
-                self.is_recording = false;
+                self.recording -= 1;
                 self.board.not_recorded(batch);
             }
             Event::Fenced(why) => return Some(why),
@@ -467,7 +478,7 @@
     /// Records what isn't yet, before another instance takes over.
     async fn wind_down(&mut self, events: &mut mpsc::UnboundedReceiver<Event>) -> &'static str {
         let finish = async {
-            while self.is_recording {
+            while self.recording > 0 {
                 match events.recv().await {
                     Some(event) => {
                         self.take(event);
--- a/crates/plan/src/action.rs
+++ b/crates/plan/src/action.rs
@@ -12,6 +12,8 @@
     Stop(Stop),
     /// Ask which targets may run a step.
     Ask(Ask),
+    /// Hear at once what a target runs.
+    Look(Name),
 }
 
 /// A `Start` is the order to start a run.
--- a/crates/plan/src/ask.rs
+++ b/crates/plan/src/ask.rs
@@ -5,7 +5,7 @@
 //! allowed already, then those that it knows nothing of, as many as are likely
 //! to give it what it wants.
 
-use std::time::Duration;
+use std::{cmp::Reverse, time::Duration};
 
 use base::Name;
 use work::{Advice, Spec, StepKey};
@@ -14,7 +14,7 @@
     action::{Action, Ask, AskLength},
     board::Board,
     decide::{Round, Slot},
-    step::Permission,
+    step::{Permission, StepState},
     target::TargetId,
 };
 
@@ -28,6 +28,14 @@
 /// Room to ask for beyond what is wanted, in thousandths of it.
 const SURPLUS_MILLI: u32 = 1300;
 
+/// The room of the allowed targets when they are empty, against what a gang
+/// wants: enough for it to find room beside others.
+const WHOLE_FACTOR: u32 = 3;
+
+/// Further targets are named as long as they make the answer later by at most
+/// this part of its fixed time.
+const CHEAP_PART: u32 = 4;
+
 impl Board {
     /// Takes in how many instances can ask at the same time.
     pub fn set_advisors(&mut self, count: usize) {
@@ -105,53 +113,48 @@
         let Some(state) = self.step_state(key) else {
             return;
         };
-        let is_allowed = |slot: &&Slot| {
-            matches!(state.permissions.get(&slot.target), Some(Permission::Allowed { .. }))
-        };
-        let count = |slots: &mut dyn Iterator<Item = &Slot>| -> u32 {
-            slots.map(|slot| slot.tasks).fold(0, u32::saturating_add)
-        };
-        let usable = count(&mut slots.iter().filter(|slot| self.has_ticket(key, slot.target, now)));
+        let with_ticket = slots.iter().filter(|slot| self.has_ticket(key, slot.target, now));
+        let usable = free_tasks(with_ticket);
         if usable >= wanted {
             return;
         }
-        // The room of allowed targets is kept for a gang until it is enough,
-        // and for other steps while their tickets are on the way.
-        let mut left = wanted;
-        for slot in slots.iter().filter(is_allowed) {
-            let tasks = slot.tasks.min(left);
-            if step.gang {
-                round.keep(slot.target, step.size * tasks);
-            }
-            left -= tasks;
+        if step.gang {
+            // It is kept until it is enough; what isn't known to be allowed
+            // would keep too much from the others.
+            let allowed = slots.iter().filter(|slot| state.allows(slot.target));
+            round.keep_tasks(allowed, step, wanted);
         }
         if let Some(asked) = &state.asked {
-            for slot in slots.iter().filter(|slot| asked.contains(&slot.target)) {
-                let tasks = slot.tasks.min(left);
-                round.keep(slot.target, step.size * tasks);
-                left -= tasks;
+            if !step.gang {
+                let asked = slots.iter().filter(|slot| asked.contains(&slot.target));
+                round.keep_tasks(asked, step, wanted - usable);
             }
             return;
         }
-        let targets = self.targets_to_ask(key, spec, slots, wanted);
-        if targets.is_empty() {
-            return;
-        }
+        let share = self.allowed_milli.get(&spec.queue).copied().unwrap_or(FIRST_ALLOWED_MILLI);
         let advice = self.config.policy(&spec.queue, &spec.policy).advice.unwrap_or_default();
-        let names: Vec<Name> =
-            targets.iter().map(|id| self.targets[id.0 as usize].facts.id.clone()).collect();
-        let cost_us = cost_us(advice, names.len());
-        if !self.may_ask(cost_us) {
+        let mut targets = if step.gang {
+            gang_targets(state, slots, wanted, share.max(1))
+        } else {
+            targets(state, slots, wanted - usable, share.max(1), advice)
+        };
+        targets.truncate(self.settings.targets_per_ask);
+        let cost_us = cost_us(advice, targets.len());
+        if targets.is_empty() || !self.may_ask(cost_us) {
             return;
         }
+        if !step.gang {
+            let asked = slots.iter().filter(|slot| targets.contains(&slot.target));
+            round.keep_tasks(asked, step, wanted - usable);
+        }
+        let names = targets.iter().map(|id| self.targets[id.0 as usize].facts.id.clone()).collect();
+        let length =
+            if self.settings.is_long_ask(cost_us) { AskLength::Long } else { AskLength::Short };
+        self.actions.push(Action::Ask(Ask { step: key.clone(), targets: names, cost_us, length }));
         self.asking.insert(key.clone(), cost_us);
         if let Some(state) = self.step_state_mut(key) {
             state.asked = Some(targets);
         }
-        let length =
-            if self.settings.is_long_ask(cost_us) { AskLength::Long } else { AskLength::Short };
-        let ask = Ask { step: key.clone(), targets: names, cost_us, length };
-        self.actions.push(Action::Ask(ask));
     }
 
     /// Tells whether one more request for advice may be made. Too many would
@@ -165,50 +168,78 @@
         let most_us = self.settings.advice_backlog.as_micros() as u64 * u64::from(self.advisors);
         short.is_empty() || short.iter().sum::<u64>() + cost_us <= most_us
     }
+}
 
-    fn targets_to_ask(
-        &self,
-        key: &StepKey,
-        spec: &Spec,
-        slots: &[Slot],
-        wanted: u32,
-    ) -> Vec<TargetId> {
-        let step = &spec.steps[usize::from(key.step)];
-        let Some(state) = self.step_state(key) else {
-            return Vec::new();
-        };
-        let (known, unknown): (Vec<&Slot>, Vec<&Slot>) =
-            slots.iter().partition(|slot| state.permissions.contains_key(&slot.target));
-        let mut chosen = Vec::new();
-        let mut tasks = 0;
-        for slot in known {
-            if tasks < wanted * SURPLUS_MILLI / 1000 {
-                chosen.push(slot.target);
-                tasks += slot.tasks;
-            }
-        }
-        if tasks >= wanted || (tasks > 0 && !step.gang) {
-            return chosen;
+/// Gets the targets that a step whose tasks start one by one asks about: with
+/// room, those that are allowed first, as many as are likely to give it what it
+/// wants, and further ones that hardly make the answer later.
+fn targets(
+    state: &StepState,
+    slots: &[Slot],
+    wanted: u32,
+    share_milli: u32,
+    advice: Advice,
+) -> Vec<TargetId> {
+    let with_room = slots.iter().filter(|slot| slot.tasks > 0);
+    let (mut known, mut unknown): (Vec<&Slot>, Vec<&Slot>) =
+        with_room.partition(|slot| state.allows(slot.target));
+    known.sort_by_key(|slot| Reverse((slot.tasks, slot.free_ppm)));
+    unknown.sort_by_key(|slot| Reverse((slot.tasks, slot.free_ppm)));
+    let cheap = advice.request_us / CHEAP_PART / advice.target_us.max(1);
+    let mut expected_milli = 0;
+    let mut chosen = Vec::new();
+    let numbered =
+        (0..).zip(known.iter().map(|s| (s, 1000)).chain(unknown.iter().map(|s| (s, share_milli))));
+    for (number, (slot, share_milli)) in numbered {
+        if expected_milli >= wanted * SURPLUS_MILLI && number >= cheap {
+            break;
         }
-        let share = self.allowed_milli.get(&spec.queue).copied().unwrap_or(FIRST_ALLOWED_MILLI);
-        let mut expected_milli = tasks * 1000;
-        let mut unknown = unknown;
-        unknown.sort_by_key(|slot| std::cmp::Reverse((slot.tasks, slot.free_ppm)));
-        for slot in unknown {
-            if expected_milli >= wanted * SURPLUS_MILLI
-                || chosen.len() >= self.settings.targets_per_ask
-            {
-                break;
-            }
-            chosen.push(slot.target);
-            // The first answers are unsure: one target's room is counted at
-            // most up to what is wanted.
-            expected_milli += slot.tasks.min(wanted) * share.max(1);
+        chosen.push(slot.target);
+        expected_milli += slot.tasks.min(wanted) * share_milli;
+    }
+    chosen
+}
+
+/// Gets the targets that a gang asks about: those that are allowed if their
+/// room is enough now; else, unless they would be enough when empty, further
+/// ones with or without room, as what is allowed doesn't change.
+fn gang_targets(state: &StepState, slots: &[Slot], wanted: u32, share_milli: u32) -> Vec<TargetId> {
+    let (mut known, mut unknown): (Vec<&Slot>, Vec<&Slot>) =
+        slots.iter().partition(|slot| state.allows(slot.target));
+    if free_tasks(known.iter().copied()) >= wanted {
+        known.sort_by_key(|slot| Reverse((slot.tasks, slot.free_ppm)));
+        let mut left = wanted;
+        let enough = known.iter().take_while(|slot| {
+            let is_needed = left > 0;
+            left = left.saturating_sub(slot.tasks);
+            is_needed
+        });
+        return enough.map(|slot| slot.target).collect();
+    }
+    let known_whole: u32 = known.iter().map(|slot| slot.whole).fold(0, u32::saturating_add);
+    if known_whole >= wanted * WHOLE_FACTOR {
+        return Vec::new();
+    }
+    unknown.sort_by_key(|slot| Reverse((slot.tasks, slot.free_ppm)));
+    let mut free_milli = free_tasks(known.iter().copied()) * 1000;
+    let mut whole_milli = known_whole * 1000;
+    let mut chosen: Vec<TargetId> =
+        known.iter().filter(|slot| slot.tasks > 0).map(|slot| slot.target).collect();
+    let mut has_new = false;
+    for slot in unknown {
+        if free_milli >= wanted * SURPLUS_MILLI && whole_milli >= wanted * WHOLE_FACTOR * 1000 {
+            break;
         }
-        let has_new = chosen.iter().any(|id| !state.permissions.contains_key(id));
-        // A gang that knows all targets waits until their room is enough.
-        if step.gang && !has_new { Vec::new() } else { chosen }
+        chosen.push(slot.target);
+        free_milli += slot.tasks.min(wanted) * share_milli;
+        whole_milli += slot.whole.min(wanted) * share_milli;
+        has_new = true;
     }
+    if has_new { chosen } else { Vec::new() }
+}
+
+fn free_tasks<'a>(slots: impl Iterator<Item = &'a Slot>) -> u32 {
+    slots.map(|slot| slot.tasks).fold(0, u32::saturating_add)
 }
 
 fn cost_us(advice: Advice, targets: usize) -> u64 {
--- a/crates/plan/src/board.rs
+++ b/crates/plan/src/board.rs
@@ -1,7 +1,7 @@
 //! The account of a cell, and what changes it from outside.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
     sync::Arc,
     time::Duration,
 };
@@ -42,6 +42,11 @@
     pub(crate) changes: Vec<(Name, JobState)>,
     /// Jobs whose progress isn't recorded.
     pub(crate) unrecorded: HashSet<Name>,
+    /// Jobs whose progress is being recorded.
+    recording: HashSet<Name>,
+    /// The batches under way, the oldest first, and whether each is recorded.
+    batches: VecDeque<Pending>,
+    last_batch: u64,
     /// Jobs in a final state, which is told once it is recorded.
     pub(crate) unannounced: HashSet<Name>,
     /// First number that runs of inherited jobs may have.
@@ -57,12 +62,28 @@
     pub(crate) is_changed: bool,
 }
 
-/// A `Batch` is what was recorded in one go.
+/// A `Batch` is what is recorded in one go.
 #[derive(Debug)]
 pub struct Batch {
     /// The jobs with their progress.
     pub records: Vec<(Name, Progress)>,
-    seen: Vec<u64>,
+    number: u64,
+}
+
+/// A `Pending` is a batch under way.
+#[derive(Debug)]
+struct Pending {
+    number: u64,
+    /// The life of each target and its highest end that was taken in before.
+    seen: Vec<(u64, u64)>,
+    outcome: Option<Outcome>,
+}
+
+/// An `Outcome` is what became of a batch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outcome {
+    Recorded,
+    Failed,
 }
 
 impl Board {
@@ -235,37 +256,78 @@
         self.pending.iter().map(|(queue, count)| (queue.clone(), *count)).collect()
     }
 
-    /// Gets what has changed and has to be recorded; `None` if nothing has.
+    /// Gets what has changed and has to be recorded; `None` if nothing has, or
+    /// only what is of jobs that are being recorded. Several batches may be
+    /// under way at a time, each job in one of them.
     pub fn take_batch(&mut self) -> Option<Batch> {
-        let unseen = self.targets.iter().any(|target| target.seen > target.recorded);
-        if self.unrecorded.is_empty() && !unseen {
+        let seen: Vec<(u64, u64)> =
+            self.targets.iter().map(|target| (target.life, target.seen)).collect();
+        let is_covered = self.batches.back().is_some_and(|batch| batch.seen == seen)
+            || self.targets.iter().all(|target| target.seen <= target.recorded);
+        let (held, ids): (HashSet<Name>, HashSet<Name>) =
+            self.unrecorded.drain().partition(|id| self.recording.contains(id));
+        self.unrecorded = held;
+        // An end may be forgotten only when all that it has changed is recorded.
+        if ids.is_empty() && (is_covered || !self.unrecorded.is_empty()) {
             return None;
         }
-        let ids: Vec<Name> = self.unrecorded.drain().collect();
-        let records = ids.into_iter().filter_map(|id| {
-            let progress = self.jobs.get(&id)?.progress();
-            Some((id, progress))
-        });
-        let records = records.collect();
-        Some(Batch { records, seen: self.targets.iter().map(|target| target.seen).collect() })
+        let records: Vec<(Name, Progress)> = ids
+            .into_iter()
+            .filter_map(|id| {
+                let progress = self.jobs.get(&id)?.progress();
+                Some((id, progress))
+            })
+            .collect();
+        self.last_batch += 1;
+        let number = self.last_batch;
+        self.recording.extend(records.iter().map(|(id, _)| id.clone()));
+        let covered = if self.unrecorded.is_empty() { seen } else { Vec::new() };
+        self.batches.push_back(Pending { number, seen: covered, outcome: None });
+        Some(Batch { records, number })
     }
 
-    /// Takes note that a batch is recorded: targets may forget its ends, and
-    /// final states may be told.
+    /// Takes note that a batch is recorded: final states may be told, and once
+    /// the batches before it are recorded too, targets may forget its ends.
     pub fn recorded(&mut self, batch: Batch) {
-        for (target, seen) in self.targets.iter_mut().zip(batch.seen) {
-            target.recorded = target.recorded.max(seen.min(target.seen));
-        }
         for (id, progress) in batch.records {
+            self.recording.remove(&id);
             if progress.state.is_final() && self.unannounced.remove(&id) {
                 self.changes.push((id, progress.state));
             }
         }
+        self.settle_batch(batch.number, Outcome::Recorded);
     }
 
     /// Takes note that a batch could not be recorded.
     pub fn not_recorded(&mut self, batch: Batch) {
-        self.unrecorded.extend(batch.records.into_iter().map(|(id, _)| id));
+        for (id, _) in batch.records {
+            self.recording.remove(&id);
+            self.unrecorded.insert(id);
+        }
+        self.settle_batch(batch.number, Outcome::Failed);
+    }
+
+    fn settle_batch(&mut self, number: u64, outcome: Outcome) {
+        if let Some(batch) = self.batches.iter_mut().find(|batch| batch.number == number) {
+            batch.outcome = Some(outcome);
+        }
+        if outcome == Outcome::Failed {
+            // What it held goes into a later batch, which covers these ends.
+            for batch in &mut self.batches {
+                batch.seen.clear();
+            }
+        }
+        while self.batches.front().is_some_and(|batch| batch.outcome.is_some()) {
+            let Some(batch) = self.batches.pop_front() else {
+                return;
+            };
+            for (target, (life, seen)) in self.targets.iter_mut().zip(batch.seen) {
+                // The ends of a later life have numbers of their own.
+                if target.life == life {
+                    target.recorded = target.recorded.max(seen);
+                }
+            }
+        }
     }
 
     /// Gets the jobs that ended long ago, and forgets them.
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -24,9 +24,21 @@
 }
 
 impl Round {
-    /// Keeps room for a step that can't start yet.
-    pub(crate) fn keep(&mut self, target: TargetId, size: Resources) {
-        *self.kept.entry(target).or_default() += size;
+    /// Keeps room for as many tasks of a step that can't start yet.
+    pub(crate) fn keep_tasks<'a>(
+        &mut self,
+        slots: impl Iterator<Item = &'a Slot>,
+        step: &Step,
+        wanted: u32,
+    ) {
+        let mut left = wanted;
+        for slot in slots {
+            let tasks = slot.tasks.min(left);
+            if tasks > 0 {
+                *self.kept.entry(slot.target).or_default() += step.size * tasks;
+                left -= tasks;
+            }
+        }
     }
 }
 
@@ -35,6 +47,8 @@
 pub(crate) struct Slot {
     pub(crate) target: TargetId,
     pub(crate) tasks: u32,
+    /// How many it takes when it is empty.
+    pub(crate) whole: u32,
     /// What is free beside them, as the smallest fraction, in millionths.
     pub(crate) free_ppm: u64,
 }
@@ -214,8 +228,8 @@
         unknown
     }
 
-    /// Gets the targets with room for tasks of a step, whether or not they are
-    /// allowed to run it.
+    /// Gets the targets that suit a step, with or without room, if it isn't
+    /// known that they are not allowed to run it.
     fn slots(
         &self,
         key: &StepKey,
@@ -240,14 +254,14 @@
             let kept = round.kept.get(&id).copied().unwrap_or_default();
             let free = target.free() - kept;
             let mut tasks = free.times(&step.size);
+            let mut whole = target.facts.capacity.times(&step.size);
             if let Some(most) = step.most_per_target {
                 let there = state.map_or(0, |state| state.count_on(id));
                 tasks = tasks.min(most.saturating_sub(there));
+                whole = whole.min(most);
             }
-            if tasks > 0 {
-                let free_ppm = (free - step.size).least_ppm(&target.facts.capacity);
-                slots.push(Slot { target: id, tasks, free_ppm });
-            }
+            let free_ppm = (free - step.size).least_ppm(&target.facts.capacity);
+            slots.push(Slot { target: id, tasks, whole, free_ppm });
         }
         slots
     }
--- a/crates/plan/src/listing.rs
+++ b/crates/plan/src/listing.rs
@@ -6,6 +6,7 @@
 use work::{End, JobState, StepKey, TaskKey};
 
 use crate::{
+    action::Action,
     board::Board,
     step::TaskState,
     target::{Phase, Run, TargetId},
@@ -119,8 +120,15 @@
                 }
                 self.end_run(id, task, run, End::Lapsed, None, now);
             }
-            // Stopping it settles whether it is there.
-            StartAnswer::Unknown => self.stop_run(id, task, run, now),
+            // A listing tells whether it is there; if it isn't, a stop settles
+            // that it won't be.
+            StartAnswer::Unknown => {
+                if known.phase == Phase::Starting {
+                    known.phase = Phase::Unsure(now);
+                    let target = Name::from(target);
+                    self.actions.push(Action::Look(target));
+                }
+            }
         }
     }
 
@@ -167,6 +175,19 @@
         if listing.ended.len() < ENDS_PER_LISTING {
             self.end_missing_runs(id, asked, listing, now);
         }
+        self.stop_unsure_runs(id, asked, now);
+    }
+
+    /// Stops the runs whose starts weren't answered and that a listing lacks.
+    fn stop_unsure_runs(&mut self, id: TargetId, asked: Duration, now: Duration) {
+        let runs = self.targets[id.0 as usize].runs.iter();
+        let unsure: Vec<(TaskKey, u32)> = runs
+            .filter(|(_, run)| matches!(run.phase, Phase::Unsure(since) if since <= asked))
+            .map(|(task, run)| (task.clone(), run.number))
+            .collect();
+        for (task, run) in unsure {
+            self.stop_run(id, &task, run, now);
+        }
     }
 
     /// Takes in that runs of a target whose lease has lapsed are gone.
@@ -193,7 +214,7 @@
         if let Some(known) = self.targets[id.0 as usize].runs.get_mut(&seen.task)
             && known.number == seen.run
         {
-            if known.phase == Phase::Starting {
+            if matches!(known.phase, Phase::Starting | Phase::Unsure(_)) {
                 known.phase = Phase::Running;
                 known.settled = Some(now);
             }
--- a/crates/plan/src/step.rs
+++ b/crates/plan/src/step.rs
@@ -147,6 +147,11 @@
         runs.collect::<HashSet<_>>().len() as u32
     }
 
+    /// Tells whether a target is known to be allowed.
+    pub(crate) fn allows(&self, target: TargetId) -> bool {
+        matches!(self.permissions.get(&target), Some(Permission::Allowed { .. }))
+    }
+
     /// Tells whether any task may have a run.
     pub(crate) fn has_runs(&self) -> bool {
         self.tasks.iter().any(|task| matches!(task.state, TaskState::Assigned { .. }))
--- a/crates/plan/src/target.rs
+++ b/crates/plan/src/target.rs
@@ -48,6 +48,8 @@
 pub(crate) enum Phase {
     /// Its start has not been answered.
     Starting,
+    /// Its start wasn't answered in time, as was noted at this time.
+    Unsure(Duration),
     /// It runs.
     Running,
     /// It has been told to stop, at this time for the last time.
--- a/crates/plan/tests/board.rs
+++ b/crates/plan/tests/board.rs
@@ -65,6 +65,9 @@
     cell.accept("job", vec![step(1)]);
     let starts = cell.decide_starts();
     cell.answer_all(&starts, &StartAnswer::Unknown);
+    // It may be there: a listing that lacks it makes the difference.
+    expect_that!(cell.stops(), is_empty());
+    cell.list_nothing(&starts[0].target);
     expect_that!(cell.stops().len(), eq(1));
     cell.advance(Duration::from_millis(50));
     // Listings without it prove nothing while the stop isn't answered.
@@ -239,3 +242,51 @@
     }
     expect_that!(cell.decide_starts().len(), eq(1));
 }
+
+#[gtest]
+fn an_unanswered_start_that_is_listed_goes_on() {
+    let mut cell = Cell::new(1);
+    cell.accept("job", vec![step(1)]);
+    let starts = cell.decide_starts();
+    cell.answer_all(&starts, &StartAnswer::Unknown);
+    cell.list_running(&starts);
+    expect_that!(cell.stops(), is_empty());
+    cell.end(&starts[0], End::Done);
+    cell.record();
+    expect_that!(cell.state("job"), eq(JobState::Complete));
+}
+
+#[gtest]
+fn an_end_is_forgotten_only_when_all_before_it_is_recorded() {
+    let mut cell = Cell::new(1);
+    cell.accept("one", vec![step(1)]);
+    cell.accept("two", vec![step(1)]);
+    let starts = cell.decide_starts();
+    cell.answer_all(&starts, &StartAnswer::Started);
+    cell.end(&starts[0], End::Done);
+    let first = cell.board.take_batch().expect("there is an end to record");
+    cell.end(&starts[1], End::Done);
+    let second = cell.board.take_batch().expect("there is another one");
+    cell.board.recorded(second);
+    expect_that!(cell.board.recorded_end(&starts[0].target), eq(0));
+    cell.board.not_recorded(first);
+    expect_that!(cell.board.recorded_end(&starts[0].target), eq(0));
+    let again = cell.board.take_batch().expect("the first is tried again");
+    cell.board.recorded(again);
+    expect_that!(cell.board.recorded_end(&starts[0].target), eq(2));
+}
+
+#[gtest]
+fn what_is_recorded_of_one_life_of_a_target_says_nothing_of_the_next() {
+    let mut cell = Cell::new(1);
+    cell.accept("job", vec![step(3)]);
+    let starts = cell.decide_starts();
+    cell.answer_all(&starts, &StartAnswer::Started);
+    cell.end(&starts[0], End::Done);
+    cell.end(&starts[1], End::Done);
+    let batch = cell.board.take_batch().expect("there are ends to record");
+    cell.be_born_again(&starts[0].target);
+    cell.end(&starts[2], End::Done);
+    cell.board.recorded(batch);
+    expect_that!(cell.board.recorded_end(&starts[0].target), eq(0));
+}
--- a/crates/plan/tests/common/mod.rs
+++ b/crates/plan/tests/common/mod.rs
@@ -7,7 +7,7 @@
 };
 
 use base::{Name, Resources};
-use plan::{Action, Board, Facts, Listing, RunEnd, Settings, Start, StartAnswer, Stop};
+use plan::{Action, Board, Facts, Listing, RunEnd, RunSeen, Settings, Start, StartAnswer, Stop};
 use work::{Config, End, JobState, Policy, Progress, Queue, Service, Spec, Step, Team};
 
 /// Failures of a task after which its job has failed.
@@ -34,6 +34,7 @@
     pub unix_ms: u64,
     targets: Vec<Name>,
     ends: HashMap<Name, u64>,
+    lives: HashMap<Name, u64>,
     specs: Vec<(Name, Spec)>,
     progress: HashMap<Name, Progress>,
     config: Config,
@@ -50,6 +51,7 @@
             unix_ms: 1_000_000,
             targets: names.collect(),
             ends: HashMap::new(),
+            lives: HashMap::new(),
             specs: Vec::new(),
             progress: HashMap::new(),
             config: Config {
@@ -104,7 +106,7 @@
             match action {
                 Action::Start(start) => starts.push(start),
                 Action::Stop(stop) => self.stops.push(stop),
-                Action::Ask(_) => {}
+                Action::Ask(_) | Action::Look(_) => {}
             }
         }
         starts
@@ -148,7 +150,8 @@
     fn list_end(&mut self, start: &Start, end: End, number: u64) {
         let ended =
             RunEnd { number, task: start.task.clone(), run: start.run, end, checkpoint: None };
-        let listing = Listing { born_unix_ms: 1, running: Vec::new(), ended: vec![ended] };
+        let born_unix_ms = self.life(&start.target);
+        let listing = Listing { born_unix_ms, running: Vec::new(), ended: vec![ended] };
         // Asked for before the starts were settled, so that it says nothing of
         // the other runs.
         self.board.listed(&start.target, Duration::ZERO, &listing, self.now);
@@ -156,10 +159,32 @@
 
     /// Has a target list that it runs nothing.
     pub fn list_nothing(&mut self, target: &str) {
-        let listing = Listing { born_unix_ms: 1, ..Listing::default() };
+        let listing = Listing { born_unix_ms: self.life(target), ..Listing::default() };
         self.board.listed(target, self.now, &listing, self.now);
     }
 
+    /// Has the targets list that they run this.
+    pub fn list_running(&mut self, starts: &[Start]) {
+        for start in starts {
+            let seen =
+                RunSeen { task: start.task.clone(), run: start.run, checkpoint: None, percent: 0 };
+            let born_unix_ms = self.life(&start.target);
+            let listing = Listing { born_unix_ms, running: vec![seen], ended: Vec::new() };
+            self.board.listed(&start.target, self.now, &listing, self.now);
+        }
+    }
+
+    /// Has a target crash and start again under its id.
+    pub fn be_born_again(&mut self, target: &str) {
+        let life = self.life(target) + 1;
+        self.lives.insert(Name::from(target), life);
+        self.ends.remove(target);
+    }
+
+    fn life(&self, target: &str) -> u64 {
+        self.lives.get(target).copied().unwrap_or(1)
+    }
+
     pub fn fall_silent(&mut self, target: &str) {
         self.board.silent(target);
     }
