--- a/crates/daemon/src/version/ledger.rs
+++ b/crates/daemon/src/version/ledger.rs
@@ -115,7 +115,9 @@
                     return Ok(());
                 }
                 Ok(Outcome::Conflict) => return Err(Lost),
-                Err(Error::NotRun { .. } | Error::Unknown { .. } | Error::Lapsed) => {
+                Err(
+                    Error::NotRun { .. } | Error::Unknown { .. } | Error::Forgotten | Error::Lapsed,
+                ) => {
                     time::sleep(RETRY_PAUSE).await;
                 }
             }
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -8,9 +8,15 @@
 use base::Name;
 use serde::{Deserialize, Serialize};
 use slog::Logger;
-use tokio::{net::TcpListener, sync::watch};
+use tokio::{
+    net::TcpListener,
+    sync::{Notify, watch},
+};
 
-use crate::{configs::Configs, edge::Edges, settings::Settings, states::States, uplink::Uplink};
+use crate::{
+    configs::Configs, edge::Edges, link::Succession, settings::Settings, states::States,
+    uplink::Uplink,
+};
 
 /// A `Leader` is who leads the cell, as the key-value service has it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -43,6 +49,10 @@
     pub(crate) is_store_suspect: AtomicBool,
     /// Who leads, as far as this node knows.
     pub(crate) leader: watch::Sender<Option<Leader>>,
+    /// Notified when the leader looks for a successor.
+    pub(crate) doubted: Notify,
+    /// The lead that this node is to take over.
+    pub(crate) succeeded: watch::Sender<Option<Succession>>,
     /// Whether the process is to end.
     pub(crate) stopping: watch::Sender<bool>,
     /// Whether no new requests are to be taken.
@@ -69,6 +79,8 @@
             uplink: Uplink::default(),
             is_store_suspect: AtomicBool::new(false),
             leader: watch::Sender::new(None),
+            doubted: Notify::new(),
+            succeeded: watch::Sender::new(None),
             stopping: watch::Sender::new(false),
             closing: watch::Sender::new(false),
             process,
--- a/crates/node/src/helper.rs
+++ b/crates/node/src/helper.rs
@@ -22,6 +22,10 @@
             Down::States(states) => ctx.states.merge(states, clock::now()),
             Down::Pending(pending) => ctx.states.set_pending(pending, clock::now()),
             Down::Pulse => {}
+            Down::Doubt => ctx.doubted.notify_one(),
+            Down::Succeed(succession) => {
+                ctx.succeeded.send_replace(Some(succession));
+            }
             Down::Written { number, outcome } => ctx.uplink.answered(number, outcome),
             Down::Advise { number, step, targets, timeout_ms } => {
                 let (ctx, up) = (Arc::clone(ctx), up.clone());
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -6,6 +6,10 @@
 //! a renewal shows that the lease outlasted the silence. Each lead has a term,
 //! whose number targets use to refuse the orders of earlier ones.
 //!
+//! A leader that ends, or that the key-value service fails while it serves
+//! others, hands over: it asks the nodes who can lead, goes on until one has
+//! made ready, stops, and has that one take the lead.
+//!
 //! A process that finds its own instance's name in the key, of an earlier
 //! process, takes the lead at once: the earlier process has ended.
 
@@ -20,12 +24,15 @@
 use base::{Name, clock, emit};
 use bytes::Bytes;
 use futures::{FutureExt, StreamExt, stream::FuturesUnordered};
-use platform::{Commit, Committed, Error, Event, Lease, Revision, Write};
+use platform::{Commit, Committed, Entry, Error, Event, Lease, Revision, Write};
 use tokio::time::{self, MissedTickBehavior};
+use work::TaskKey;
 
 use crate::{
     context::{Context, Leader, jitter},
-    keys, placer,
+    keys,
+    link::{Succession, Up},
+    placer,
 };
 
 /// How long one wait for a change of the lead takes.
@@ -38,6 +45,12 @@
 /// write at once.
 const TAKE_JITTER: Duration = Duration::from_millis(100);
 
+/// Time without a confirmation after which a leader looks for a successor.
+const DOUBT_AFTER: Duration = Duration::from_millis(800);
+
+/// Time within which a node that is ready to lead is told to.
+const SUCCESSION_TIME: Duration = Duration::from_millis(1500);
+
 /// A `Lead` is the right to give orders.
 #[derive(Debug)]
 pub(crate) struct Lead {
@@ -49,6 +62,30 @@
     /// Until when the lease surely holds, in milliseconds since the machine
     /// started.
     valid_until_ms: AtomicU64,
+    /// When the lease was confirmed last, in the same time.
+    confirmed_ms: AtomicU64,
+    /// The targets that the leader before found silent, with all that may run
+    /// on them, if it handed over.
+    pub(crate) silent: Vec<(Name, Vec<(TaskKey, u32)>)>,
+}
+
+/// A `Candidate` is what a node needs to take the lead.
+struct Candidate {
+    last_term: Option<Entry>,
+    lease: Lease,
+    ttl: Duration,
+    sent: Duration,
+}
+
+/// An `Ending` is why a lead ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Ending {
+    /// It was lost.
+    Lost(&'static str),
+    /// Another node was told to take it.
+    HandedOver,
+    /// The process is to end.
+    Stopped,
 }
 
 impl Lead {
@@ -57,9 +94,21 @@
         (now.as_millis() as u64) < self.valid_until_ms.load(Ordering::Relaxed)
     }
 
+    /// Has no more orders be given.
+    pub(crate) fn end(&self) {
+        self.valid_until_ms.store(0, Ordering::Relaxed);
+    }
+
+    /// Tells whether it is time to look for a successor.
+    pub(crate) fn is_doubtful(&self, now: Duration) -> bool {
+        let confirmed = Duration::from_millis(self.confirmed_ms.load(Ordering::Relaxed));
+        now.saturating_sub(confirmed) > DOUBT_AFTER
+    }
+
     fn extend(&self, sent: Duration, ttl: Duration) {
         let until = (sent + ttl).as_millis() as u64;
         self.valid_until_ms.fetch_max(until, Ordering::Relaxed);
+        self.confirmed_ms.store(clock::now().as_millis() as u64, Ordering::Relaxed);
     }
 }
 
@@ -98,13 +147,18 @@
     let Ok(leader) = work::decode::<Leader>(&entry.value) else {
         return take(ctx, entry.revision).await;
     };
-    if &*leader.instance == ctx.settings.name.as_str() {
+    let is_earlier_process =
+        &*leader.instance == ctx.settings.name.as_str() && leader.process != ctx.process;
+    if is_earlier_process {
         return take(ctx, entry.revision).await;
     }
     note_leader(ctx, Some(leader));
     let mut revision = page.revision;
     loop {
-        let changes = records.changes(keys::LEAD, revision, WATCH_WAIT).await?;
+        let changes = tokio::select! {
+            changes = records.changes(keys::LEAD, revision, WATCH_WAIT) => changes?,
+            () = ctx.doubted.notified() => return succeed(ctx, revision).await,
+        };
         revision = changes.revision;
         match changes.events.last() {
             None => {}
@@ -113,10 +167,51 @@
     }
 }
 
+/// Makes ready to lead, and takes the lead if the leader says so, unless
+/// another one takes it first.
+async fn succeed(ctx: &Context, seen: Revision) -> Result<Option<(Lead, Leader)>, Error> {
+    ctx.succeeded.send_replace(None);
+    let candidate = prepare(ctx).await?;
+    ctx.uplink.tell(Up::CanLead);
+    let mut succeeded = ctx.succeeded.subscribe();
+    let told =
+        async { succeeded.wait_for(Option::is_some).await.ok().and_then(|told| told.clone()) };
+    let succession = tokio::select! {
+        told = time::timeout(SUCCESSION_TIME, told) => told.ok().flatten(),
+        changes = ctx.edges.records.changes(keys::LEAD, seen, SUCCESSION_TIME) => {
+            changes?;
+            None
+        }
+    };
+    let Some(Succession { revision, silent }) = succession else {
+        return Ok(None);
+    };
+    let taken = take_as(ctx, candidate, Revision(revision)).await?;
+    Ok(taken.map(|(lead, leader)| (Lead { silent, ..lead }, leader)))
+}
+
 /// Takes the lead if its key still has the revision.
 async fn take(ctx: &Context, expected: Revision) -> Result<Option<(Lead, Leader)>, Error> {
+    let candidate = prepare(ctx).await?;
+    take_as(ctx, candidate, expected).await
+}
+
+async fn prepare(ctx: &Context) -> Result<Candidate, Error> {
     let records = &ctx.edges.records;
-    let last = records.get(keys::TERM).await?;
+    let sent = clock::now();
+    let ttl = Duration::from_millis(ctx.settings.lead.ttl_ms);
+    let (last_term, granted) = futures::join!(records.get(keys::TERM), records.grant(ttl));
+    let (lease, ttl) = granted?;
+    Ok(Candidate { last_term: last_term?, lease, ttl, sent })
+}
+
+async fn take_as(
+    ctx: &Context,
+    candidate: Candidate,
+    expected: Revision,
+) -> Result<Option<(Lead, Leader)>, Error> {
+    let records = &ctx.edges.records;
+    let Candidate { last_term: last, lease, ttl: granted, sent } = candidate;
     let term = last.as_ref().and_then(|entry| work::decode::<u64>(&entry.value).ok()).unwrap_or(0);
     let leader = Leader {
         instance: Name::from(ctx.settings.name.as_str()),
@@ -124,9 +219,6 @@
         process: ctx.process,
         term: term + 1,
     };
-    let sent = clock::now();
-    let ttl = Duration::from_millis(ctx.settings.lead.ttl_ms);
-    let (lease, granted) = records.grant(ttl).await?;
     let write = |key: &str, value: Vec<u8>, lease| Write {
         key: key.to_owned(),
         value: Bytes::from(value),
@@ -152,7 +244,14 @@
             _ => return Ok(None),
         },
     };
-    let lead = Lead { term: leader.term, revision, lease, valid_until_ms: AtomicU64::new(0) };
+    let lead = Lead {
+        term: leader.term,
+        revision,
+        lease,
+        valid_until_ms: AtomicU64::new(0),
+        confirmed_ms: AtomicU64::new(0),
+        silent: Vec::new(),
+    };
     lead.extend(sent, granted.saturating_sub(margin(ctx)));
     Ok(Some((lead, leader)))
 }
@@ -161,17 +260,21 @@
 async fn lead_on(ctx: &Arc<Context>, lead: Arc<Lead>, leader: Leader) {
     emit!(ctx.log, info, LeadTaken; "term" => lead.term);
     note_leader(ctx, Some(leader));
-    let why = tokio::select! {
-        why = placer::run(Arc::clone(ctx), Arc::clone(&lead)) => why,
-        why = renew(ctx, &lead) => why,
+    let ending = tokio::select! {
+        ending = placer::run(Arc::clone(ctx), Arc::clone(&lead)) => ending,
+        why = renew(ctx, &lead) => Ending::Lost(why),
     };
     note_leader(ctx, None);
-    if ctx.is_stopping() {
-        // The others need not wait for the lease to lapse.
-        let ended = ctx.edges.records.revoke(lead.lease).await;
-        emit!(ctx.log, info, LeadGiven; "term" => lead.term, "ended" => ?ended);
-    } else {
-        emit!(ctx.log, warn, LeadLost; "term" => lead.term, "why" => why);
+    match ending {
+        Ending::Lost(why) => emit!(ctx.log, warn, LeadLost; "term" => lead.term, "why" => why),
+        Ending::HandedOver => {
+            emit!(ctx.log, info, LeadGiven; "term" => lead.term, "to" => "a successor");
+        }
+        Ending::Stopped => {
+            // The others need not wait for the lease to lapse.
+            let ended = ctx.edges.records.revoke(lead.lease).await;
+            emit!(ctx.log, info, LeadGiven; "term" => lead.term, "ended" => ?ended);
+        }
     }
 }
 
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::{net::TcpStream, sync::mpsc, time};
 use tokio_tungstenite::{WebSocketStream, tungstenite::Message};
-use work::{JobState, Spec, StepKey};
+use work::{JobState, Spec, StepKey, TaskKey};
 
 use crate::{context::Context, helper};
 
@@ -38,6 +38,11 @@
         /// How long to wait for the answer, in milliseconds.
         timeout_ms: u64,
     },
+    /// The leader doubts that it can go on, or is about to end: whoever can lead
+    /// says so.
+    Doubt,
+    /// The leader has stopped, and the receiver is to take the lead at once.
+    Succeed(Succession),
     /// The outcome of [`Up::Submit`] or [`Up::Cancel`].
     Written {
         /// Number of the request.
@@ -49,6 +54,15 @@
     Pulse,
 }
 
+/// A `Succession` is what the next leader has to know.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Succession {
+    /// Revision of the lead's key.
+    pub(crate) revision: u64,
+    /// The targets that don't answer, with all that may run on them.
+    pub(crate) silent: Vec<(Name, Vec<(TaskKey, u32)>)>,
+}
+
 /// An `Up` is a frame to the leader.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum Up {
@@ -66,6 +80,8 @@
         /// For how long the tickets are valid, in milliseconds, if told.
         valid_ms: Option<u64>,
     },
+    /// The sender reaches the key-value service and is ready to take the lead.
+    CanLead,
     /// A job that the sender has recorded.
     Accepted(Name, Box<Spec>),
     /// A cancellation that the sender has recorded.
--- a/crates/node/src/placer/follow.rs
+++ b/crates/node/src/placer/follow.rs
@@ -21,6 +21,12 @@
 /// of them as well; this finds what that misses.
 const JOBS_PERIOD: Duration = Duration::from_millis(800);
 
+/// Time between the first looks of a term.
+const FIRST_JOBS_PERIOD: Duration = Duration::from_millis(150);
+
+/// Number of those.
+const FIRST_LOOKS: u32 = 10;
+
 /// Time between reads of the whole list of targets, in case that a watch
 /// misses a change.
 const REREAD_EVERY: u32 = 8;
@@ -59,7 +65,9 @@
     revision: &mut Revision,
     events: &mpsc::UnboundedSender<Event>,
 ) -> Error {
-    loop {
+    // The fronts have to find the leader before they can tell it.
+    for look in 0_u32.. {
+        let pause = if look < FIRST_LOOKS { FIRST_JOBS_PERIOD } else { JOBS_PERIOD };
         match ctx.edges.records.changes(keys::JOBS, *revision, Duration::ZERO).await {
             Ok(changes) => {
                 let is_empty = changes.events.is_empty();
@@ -69,12 +77,13 @@
                 let has_gap = is_empty || changes.revision > *revision;
                 *revision = changes.revision;
                 if has_gap {
-                    time::sleep(JOBS_PERIOD).await;
+                    time::sleep(pause).await;
                 }
             }
             Err(error) => return error,
         }
     }
+    Error::Forgotten
 }
 
 fn tell_job(ctx: &Context, change: Change, events: &mpsc::UnboundedSender<Event>) {
--- a/crates/node/src/placer/read.rs
+++ b/crates/node/src/placer/read.rs
@@ -27,8 +27,13 @@
 /// Reads all that is recorded of a cell.
 pub(crate) async fn read(ctx: &Context) -> Result<Recorded, Error> {
     let records = &*ctx.edges.records;
-    let (entries, revision) = read_all(records, keys::JOBS).await?;
-    let (outcomes, _) = read_all(records, keys::PROGRESS).await?;
+    // Progress that is written meanwhile can only be of this term.
+    let (jobs, outcomes, held) = futures::join!(
+        read_all(records, keys::JOBS),
+        read_all(records, keys::PROGRESS),
+        records.get(keys::HELD),
+    );
+    let ((entries, revision), (outcomes, _)) = (jobs?, outcomes?);
     let mut progress: HashMap<Name, Progress> = HashMap::new();
     for entry in outcomes {
         let id = entry.key.strip_prefix(keys::PROGRESS).unwrap_or_default();
@@ -49,7 +54,7 @@
             None => {}
         }
     }
-    if let Some(entry) = records.get(keys::HELD).await? {
+    if let Some(entry) = held? {
         recorded.held_revision = entry.revision;
         recorded.held = decode::<Vec<Name>>(ctx, &entry).unwrap_or_default().into_iter().collect();
     }
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -7,7 +7,7 @@
 };
 
 use base::{Name, clock, emit};
-use plan::{Action, Ask, Board};
+use plan::{Action, Ask, Board, Listing};
 use tokio::{
     sync::mpsc,
     task::JoinSet,
@@ -18,8 +18,8 @@
     context::Context,
     edge::{Listed, Target},
     helper,
-    lead::Lead,
-    link::{self, Down, Joined, Up},
+    lead::{Ending, Lead},
+    link::{self, Down, Joined, Succession, Up},
     placer::{
         advice::Helpers, event::Event, follow, hold, hold::Holder, order, read, read::Recorded,
         record,
@@ -50,6 +50,12 @@
 /// Pause after a failed read at the beginning of a term.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// Time for a node to make ready to lead.
+const SUCCESSOR_TIME: Duration = Duration::from_millis(1000);
+
+/// Time for the last frame to be sent.
+const FAREWELL_TIME: Duration = Duration::from_millis(20);
+
 /// Time for the last record when the process is to end.
 const LAST_RECORD_TIME: Duration = Duration::from_millis(800);
 
@@ -70,13 +76,17 @@
     helpers: Helpers,
     /// Requests for advice that no instance can take yet.
     unasked: Vec<Ask>,
+    /// When it began to look for a successor.
+    doubted_at: Option<Instant>,
+    /// The node that is ready to lead.
+    successor: Option<Name>,
     events: mpsc::UnboundedSender<Event>,
     tasks: JoinSet<()>,
 }
 
 /// Places the jobs of the cell until the lead is lost or the process ends;
-/// gets why.
-pub(crate) async fn run(ctx: Arc<Context>, lead: Arc<Lead>) -> &'static str {
+/// gets why it ended.
+pub(crate) async fn run(ctx: Arc<Context>, lead: Arc<Lead>) -> Ending {
     let began = clock::now();
     let recorded = loop {
         match read::read(&ctx).await {
@@ -117,6 +127,9 @@
         for (id, spec, progress) in recorded.jobs {
             board.inherit(&id, spec, progress.as_ref(), now);
         }
+        for (target, runs) in &lead.silent {
+            board.adopt_silent(target, runs, now);
+        }
         for id in recorded.cancelled {
             board.cancel(&id, now);
         }
@@ -140,6 +153,8 @@
             recorded_at: Duration::ZERO,
             helpers: Helpers::default(),
             unasked: Vec::new(),
+            doubted_at: None,
+            successor: None,
             events,
             tasks,
         };
@@ -161,7 +176,7 @@
     }
 
     /// Takes in what happens; gets why it ended.
-    async fn serve(&mut self, events: &mut mpsc::UnboundedReceiver<Event>) -> &'static str {
+    async fn serve(&mut self, events: &mut mpsc::UnboundedReceiver<Event>) -> Ending {
         let mut tick = time::interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut pending_at = Instant::now();
@@ -173,14 +188,27 @@
                 event = events.recv() => {
                     let mut next = event;
                     while let Some(event) = next {
-                        if let Some(why) = self.take(event) {
-                            return why;
+                        match self.take(event) {
+                            None => {}
+                            Some(Ending::HandedOver) => return self.hand_over(events).await,
+                            Some(ending) => return ending,
                         }
                         next = events.try_recv().ok();
                     }
                 }
                 _ = tick.tick() => self.board.reconsider(),
-                () = ctx.stopped() => return self.wind_down(events).await,
+                () = ctx.stopped(), if self.doubted_at.is_none() => self.look_for_successor(),
+            }
+            let has_found_none = self.doubted_at.is_some_and(|at| at.elapsed() >= SUCCESSOR_TIME);
+            if ctx.is_stopping() && has_found_none {
+                self.wind_down(events).await;
+                return Ending::Stopped;
+            }
+            let is_doubtful = self.lead.is_doubtful(clock::now());
+            if has_found_none || (is_doubtful && self.doubted_at.is_none()) {
+                self.look_for_successor();
+            } else if !is_doubtful && !ctx.is_stopping() {
+                self.doubted_at = None;
             }
             self.step();
             if pending_at.elapsed() >= PENDING_PERIOD {
@@ -212,6 +240,10 @@
             self.act(action);
         }
         let changes = self.board.take_changes();
+        for (job, state) in changes.iter().filter(|(_, state)| state.is_final()) {
+            emit!(self.ctx.log, info, JobEnded; "job" => %job, "state" => ?state,
+                "term" => self.lead.term);
+        }
         if !changes.is_empty() {
             self.helpers.tell(&Down::States(changes));
         }
@@ -268,8 +300,8 @@
         }
     }
 
-    /// Takes in one event; gets why the placer has to end, if it has.
-    fn take(&mut self, event: Event) -> Option<&'static str> {
+    /// Takes in one event; gets how the placer has to end, if it has.
+    fn take(&mut self, event: Event) -> Option<Ending> {
         let now = clock::now();
         match event {
             Event::Accepted(id, spec) => self.board.accept(&id, *spec, now),
@@ -288,6 +320,7 @@
                 self.hold_targets();
             }
             Event::Listed { target, asked, granted, listing } => {
+                self.log_ends(&target, &listing);
                 self.board.granted(&target, granted);
                 self.board.listed(&target, asked, &listing, now);
             }
@@ -329,14 +362,30 @@
                 self.recording -= 1;
                 self.board.not_recorded(batch);
             }
-            Event::Fenced(why) => return Some(why),
+            Event::Fenced(why) => return Some(Ending::Lost(why)),
+        }
+        self.successor.is_some().then_some(Ending::HandedOver)
+    }
+
+    fn log_ends(&self, target: &Name, listing: &Listing) {
+        let seen = self.board.seen_end(target, listing.born_unix_ms);
+        for end in listing.ended.iter().filter(|end| end.number > seen) {
+            let step = &end.task.step;
+            emit!(self.ctx.log, info, RunEnded; "job" => %step.job,
+                "occurrence" => step.occurrence, "step" => step.step, "task" => end.task.index,
+                "run" => end.run, "target" => %target, "end" => ?end.end,
+                "number" => end.number);
         }
-        None
     }
 
     fn hear(&mut self, instance: &Name, up: Up, now: Duration) {
         match up {
             Up::Hello { .. } | Up::Pulse => {}
+            Up::CanLead => {
+                if self.doubted_at.is_some() && **instance != *self.ctx.settings.name {
+                    self.successor = Some(instance.clone());
+                }
+            }
             Up::Accepted(id, spec) => self.board.accept(&id, *spec, now),
             Up::Cancelled(id) => self.board.cancel(&id, now),
             Up::Submit { number, id, spec } => {
@@ -475,8 +524,28 @@
         }
     }
 
+    /// Asks the nodes which of them can lead.
+    fn look_for_successor(&mut self) {
+        self.doubted_at = Some(Instant::now());
+        self.helpers.tell(&Down::Doubt);
+    }
+
+    /// Stops, and has the successor take the lead.
+    async fn hand_over(&mut self, events: &mut mpsc::UnboundedReceiver<Event>) -> Ending {
+        let down = self.successor.take().and_then(|successor| self.helpers.down(&successor));
+        if !self.lead.is_doubtful(clock::now()) {
+            self.wind_down(events).await;
+        }
+        self.lead.end();
+        let silent = self.board.silent_targets();
+        tell(down, Down::Succeed(Succession { revision: self.lead.revision.0, silent }));
+        // The frame is sent before the links are closed.
+        time::sleep(FAREWELL_TIME).await;
+        Ending::HandedOver
+    }
+
     /// Records what isn't yet, before another instance takes over.
-    async fn wind_down(&mut self, events: &mut mpsc::UnboundedReceiver<Event>) -> &'static str {
+    async fn wind_down(&mut self, events: &mut mpsc::UnboundedReceiver<Event>) {
         let finish = async {
             while self.recording > 0 {
                 match events.recv().await {
@@ -493,7 +562,6 @@
         };
         // What can't be recorded in time is listed by the targets again.
         let _ = time::timeout(LAST_RECORD_TIME, finish).await;
-        "the process is to end"
     }
 }
 
--- a/crates/plan/src/board.rs
+++ b/crates/plan/src/board.rs
@@ -13,6 +13,7 @@
 use crate::{
     action::{Action, Stop},
     job::{Job, Origin},
+    listing::RunSeen,
     settings::Settings,
     step::TaskState,
     target::{Availability, Facts, Phase, Target, TargetId},
@@ -126,7 +127,9 @@
             return;
         }
         let mut job = Job::new(Arc::new(spec), origin, progress);
-        self.changes.push((id.clone(), job.state));
+        if !job.state.is_final() {
+            self.changes.push((id.clone(), job.state));
+        }
         if job.state.is_final() {
             job.ended = Some(now);
             self.ended.insert((now, id.clone()));
@@ -199,10 +202,7 @@
     pub fn list_targets(&mut self, facts: Vec<Facts>) {
         let mut unlisted: HashSet<TargetId> = self.ids.values().copied().collect();
         for facts in facts {
-            let id = *self.ids.entry(facts.id.clone()).or_insert_with(|| {
-                self.targets.push(Target::default());
-                TargetId(self.targets.len() as u32 - 1)
-            });
+            let id = self.target_id(&facts.id);
             unlisted.remove(&id);
             self.targets[id.0 as usize].facts = facts;
         }
@@ -212,6 +212,12 @@
         self.is_changed = true;
     }
 
+    /// Gets the highest end of a target's life that was taken in.
+    pub fn seen_end(&self, target: &str, born_unix_ms: u64) -> u64 {
+        let target = self.ids.get(target).map(|id| &self.targets[id.0 as usize]);
+        target.filter(|target| target.life == born_unix_ms).map_or(0, |target| target.seen)
+    }
+
     /// Gets the highest end of a target that it may forget.
     pub fn recorded_end(&self, target: &str) -> u64 {
         self.ids.get(target).map_or(0, |id| self.targets[id.0 as usize].recorded)
@@ -344,6 +350,44 @@
         expired
     }
 
+    /// Gets the targets that don't answer, with all that may run on them, as far
+    /// as all their ends are recorded.
+    pub fn silent_targets(&self) -> Vec<(Name, Vec<(TaskKey, u32)>)> {
+        let known = |target: &&Target| {
+            target.heard.is_none()
+                && target.seen == target.recorded
+                && !self.unclaimed.contains(&target.facts.id)
+        };
+        let runs = |target: &Target| {
+            target.runs.iter().map(|(task, run)| (task.clone(), run.number)).collect()
+        };
+        let silent = self.targets.iter().filter(known);
+        silent.map(|target| (target.facts.id.clone(), runs(target))).collect()
+    }
+
+    /// Takes over what the placer before knew of a target that didn't answer it.
+    /// Runs of it count until the target answers or its lease has surely lapsed.
+    pub fn adopt_silent(&mut self, target: &Name, runs: &[(TaskKey, u32)], now: Duration) {
+        self.unclaimed.remove(target);
+        let id = self.target_id(target);
+        let account = &mut self.targets[id.0 as usize];
+        account.facts.id = target.clone();
+        account.facts.availability = Availability::Unlisted;
+        account.granted = Some(now);
+        for (task, run) in runs {
+            let seen = RunSeen { task: task.clone(), run: *run, checkpoint: None, percent: 0 };
+            // A run that isn't wanted is stopped once the target answers.
+            let _ = self.adopt_run(id, &seen, now);
+        }
+    }
+
+    fn target_id(&mut self, name: &Name) -> TargetId {
+        *self.ids.entry(name.clone()).or_insert_with(|| {
+            self.targets.push(Target::default());
+            TargetId(self.targets.len() as u32 - 1)
+        })
+    }
+
     /// Tells whether no run of an earlier term can be unknown.
     pub fn is_settled(&self, now: Duration) -> bool {
         self.unclaimed.is_empty() || now >= self.settled_at
--- a/crates/plan/src/listing.rs
+++ b/crates/plan/src/listing.rs
@@ -230,7 +230,7 @@
     }
 
     /// Takes over a run of an earlier placer; `false` if it is not wanted.
-    fn adopt_run(&mut self, id: TargetId, seen: &RunSeen, now: Duration) -> bool {
+    pub(crate) fn adopt_run(&mut self, id: TargetId, seen: &RunSeen, now: Duration) -> bool {
         let Some(job) = self.jobs.get(&seen.task.step.job) else {
             return false;
         };
--- a/crates/plan/tests/board.rs
+++ b/crates/plan/tests/board.rs
@@ -290,3 +290,35 @@
     cell.board.recorded(batch);
     expect_that!(cell.board.recorded_end(&starts[0].target), eq(0));
 }
+
+#[gtest]
+fn a_successor_goes_on_at_once_with_what_does_not_run_on_silent_targets() {
+    let mut cell = Cell::new(2);
+    cell.accept("running", vec![step(1)]);
+    let starts = cell.decide_starts();
+    cell.answer_all(&starts, &StartAnswer::Started);
+    cell.fall_silent(&starts[0].target);
+    cell.accept("waiting", vec![step(1)]);
+    let lost = starts[0].target.clone();
+    let silent = cell.board.silent_targets();
+    let mut next = cell.take_over_unheard();
+    for (target, runs) in &silent {
+        next.board.adopt_silent(target, runs, next.now);
+    }
+    next.list_targets();
+    next.hear_others(&lost);
+    let starts = next.decide_starts();
+    expect_that!(starts.len(), eq(1));
+    expect_that!(&*starts[0].task.step.job, eq("waiting"));
+    next.answer_all(&starts, &StartAnswer::Started);
+    next.end(&starts[0], End::Done);
+    // The other one counts until its lease has surely lapsed.
+    next.advance(Duration::from_secs(6));
+    next.hear_others(&lost);
+    expect_that!(next.decide_starts(), is_empty());
+    next.advance(Duration::from_secs(1));
+    next.hear_others(&lost);
+    let starts = next.decide_starts();
+    expect_that!(starts.len(), eq(1));
+    expect_that!(&*starts[0].task.step.job, eq("running"));
+}
--- a/crates/plan/tests/common/mod.rs
+++ b/crates/plan/tests/common/mod.rs
@@ -240,7 +240,7 @@
         next
     }
 
-    fn list_targets(&mut self) {
+    pub fn list_targets(&mut self) {
         let facts = |name: &Name| Facts {
             id: name.clone(),
             service: Name::from(SERVICE),
