A repeated stop settles a run all the same; stand-in cell with fifteen fault tests

Also: a run that was adopted from a target that fell silent before its first lease never lapsed.

Ruled out: team limits, advice, room (all free).

Tests: a_stop_that_is_answered_again_settles_a_run_all_the_same, an_adopted_run_lapses_though_its_placer_never_granted_a_lease, and starts_that_are_carried_out_late_run_nothing_twice, which failed before.

--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -41,6 +41,8 @@
     pub edges: Edges,
     /// The port towards other instances.
     pub(crate) links: TcpListener,
+    /// Its address, `host:port`.
+    pub(crate) links_address: Name,
     pub(crate) configs: Configs,
     pub(crate) states: States,
     pub(crate) uplink: Uplink,
@@ -68,12 +70,15 @@
         edges: Edges,
         links: TcpListener,
     ) -> Arc<Self> {
+        let address = links.local_addr().map(|address| Name::from(address.to_string()));
+        let links_address = address.unwrap_or_else(|_| Name::from(settings.links.as_str()));
         let process = getrandom::u64().unwrap_or_else(|_| base::clock::unix_ms());
         Arc::new(Self {
             settings,
             log,
             edges,
             links,
+            links_address,
             configs: Configs::default(),
             states: States::default(),
             uplink: Uplink::default(),
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -215,7 +215,7 @@
     let term = last.as_ref().and_then(|entry| work::decode::<u64>(&entry.value).ok()).unwrap_or(0);
     let leader = Leader {
         instance: Name::from(ctx.settings.name.as_str()),
-        links: Name::from(ctx.settings.links.as_str()),
+        links: ctx.links_address.clone(),
         process: ctx.process,
         term: term + 1,
     };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,7 +19,7 @@
 mod log;
 mod placer;
 mod run;
-mod settings;
+pub mod settings;
 mod states;
 mod uplink;
 mod writes;
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -43,6 +43,9 @@
 /// share one.
 const RECORD_PERIOD: Duration = Duration::from_millis(60);
 
+/// Pause after a record that failed.
+const RECORD_RETRY_PAUSE: Duration = Duration::from_millis(200);
+
 /// Records under way at a time; more than one, so that a slow key-value service
 /// makes ends late by one answer only.
 const MOST_RECORDING: u32 = 6;
@@ -221,7 +224,7 @@
             }
             if held_at.elapsed() >= HELD_PERIOD {
                 held_at = Instant::now();
-                self.release_targets();
+                self.update_held();
             }
             while self.tasks.try_join_next().is_some() {}
         }
@@ -314,10 +317,11 @@
             }
             Event::Held(held) => {
                 self.is_recording_held = false;
+                // What could not be recorded is tried again after a while.
                 if let Some(held) = held {
                     self.held = held.into_iter().collect();
+                    self.hold_targets();
                 }
-                self.hold_targets();
             }
             Event::Listed { target, asked, granted, listing } => {
                 self.log_ends(&target, &listing);
@@ -360,6 +364,7 @@
             }
             Event::NotRecorded(batch) => {
                 self.recording -= 1;
+                self.recorded_at = now + RECORD_RETRY_PAUSE;
                 self.board.not_recorded(batch);
             }
             Event::Fenced(why) => return Some(Ending::Lost(why)),
@@ -484,11 +489,12 @@
         }
     }
 
-    /// Stops holding targets that are gone for certain, so that the next placer
-    /// doesn't wait for them.
-    fn release_targets(&mut self) {
+    /// Records anew which targets runs may be on, if that has changed: the next
+    /// placer is not to wait for targets that are gone for certain.
+    fn update_held(&mut self) {
         let held = self.board.held_targets(clock::now());
-        if self.held.iter().any(|name| !held.contains(name)) {
+        let is_missing = self.listed.keys().any(|name| !self.held.contains(name));
+        if is_missing || self.held.iter().any(|name| !held.contains(name)) {
             self.record_held();
         }
     }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -16,6 +16,9 @@
     link::keep_link, log, settings::Settings,
 };
 
+/// Time between looks at whether the lead is handed over.
+const STOP_POLL: Duration = Duration::from_millis(10);
+
 /// Time for the balancer to notice that the instance is not ready.
 const LINGER: Duration = Duration::from_millis(2200);
 
@@ -95,6 +98,20 @@
         Front::new(Arc::clone(&self.ctx))
     }
 
+    /// Tells whether this instance leads.
+    pub fn is_leading(&self) -> bool {
+        let leader = self.ctx.leader.borrow();
+        leader.as_ref().is_some_and(|leader| leader.process == self.ctx.process)
+    }
+
+    /// Hands over the lead if this instance has it, and waits until it has.
+    pub async fn stop(&self) {
+        self.ctx.stopping.send_replace(true);
+        while !self.leading.is_finished() {
+            time::sleep(STOP_POLL).await;
+        }
+    }
+
     /// Runs until the process is told to stop, has handed over its work, and
     /// the server of its clients has answered what it holds.
     ///
@@ -117,11 +134,10 @@
             }
         }
         emit!(self.ctx.log, info, Draining);
-        self.ctx.stopping.send_replace(true);
         let grace = Duration::from_secs_f64(self.ctx.settings.bounds.grace_s.max(0.0));
         let drain = async {
-            let _ = self.leading.await;
-            time::sleep(LINGER).await;
+            // The balancer notices meanwhile.
+            futures::join!(self.stop(), time::sleep(LINGER));
             self.ctx.closing.send_replace(true);
             // A server that has panicked holds nothing.
             let _ = clients.await;
--- /dev/null
+++ b/crates/node/tests/common/mod.rs
@@ -0,0 +1,165 @@
+//! Nodes that run in this process, each with a runtime of its own, so that one
+//! can be killed.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use base::{Failure, Name, Resources};
+use node::{Front, Running, Settings};
+use standin::cell::World;
+use tokio::runtime::{Builder, Runtime};
+use work::{JobState, Step};
+
+/// Time after which something that should happen is missing.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// How long clients wait.
+const DEADLINE: Duration = Duration::from_secs(3);
+
+/// A task takes one of the eight parts of a target.
+pub const SIZE: Resources = Resources { cpu_milli: 1000, memory_mib: 1024, accelerators: 0 };
+
+/// A `Node` is one node of a cell.
+pub struct Node {
+    runtime: Option<Runtime>,
+    running: Option<Arc<Running>>,
+    pub name: String,
+}
+
+/// A `Cell` is a world with nodes.
+pub struct Cell {
+    pub world: World,
+    pub nodes: Vec<Node>,
+}
+
+impl Cell {
+    /// Starts a cell and waits until it places.
+    pub fn start(nodes: usize, targets: u32) -> Self {
+        let world = World::new(targets, SIZE, 8);
+        let nodes = (0..nodes).map(|number| Node::start(&world, &format!("node-{number}")));
+        let cell = Self { nodes: nodes.collect(), world };
+        wait("a ready cell", || cell.nodes.iter().all(|node| node.pending().is_ok()));
+        cell
+    }
+
+    /// Gets the number of the node that leads.
+    pub fn leader(&self) -> usize {
+        let mut found = None;
+        wait("a leader", || {
+            found = self
+                .nodes
+                .iter()
+                .position(|node| node.running.as_ref().is_some_and(|running| running.is_leading()));
+            found.is_some()
+        });
+        found.expect("it was waited for")
+    }
+
+    /// Gets the number of a node that doesn't lead.
+    pub fn follower(&self) -> usize {
+        let leader = self.leader();
+        (0..self.nodes.len()).find(|number| *number != leader).expect("there are several nodes")
+    }
+
+    /// Waits until a node tells that a job is in a state.
+    pub fn wait_for(&self, node: usize, id: &str, state: JobState) {
+        wait(&format!("{id} {state:?}"), || self.nodes[node].state(id) == Ok(Some(state)));
+    }
+}
+
+impl Node {
+    /// Starts a node.
+    pub fn start(world: &World, name: &str) -> Self {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .expect("a runtime can be built");
+        let settings = Settings {
+            name: name.to_owned(),
+            links: "127.0.0.1:0".to_owned(),
+            log: node::settings::Log { level: node::settings::Level::Error },
+            ..Settings::default()
+        };
+        let edges = world.edges(name);
+        let running = runtime
+            .block_on(Running::start(settings, edges))
+            .expect("a free port can be listened on");
+        Self { runtime: Some(runtime), running: Some(Arc::new(running)), name: name.to_owned() }
+    }
+
+    /// Ends the node without a warning.
+    pub fn kill(&mut self) {
+        self.running = None;
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+
+    /// Tells the node to end and waits until it has handed over.
+    pub fn stop(&mut self) {
+        if let (Some(runtime), Some(running)) = (&self.runtime, &self.running) {
+            runtime.block_on(running.stop());
+        }
+        self.kill();
+    }
+
+    /// Submits a job of one step.
+    pub fn submit(&self, id: &str, payload: &str, step: Step) -> Result<(), Failure> {
+        self.submit_steps(id, payload, vec![step])
+    }
+
+    /// Submits a job.
+    pub fn submit_steps(&self, id: &str, payload: &str, steps: Vec<Step>) -> Result<(), Failure> {
+        let front = self.front();
+        let admitted = front.admit("host", "/queue/", Some("key"))?;
+        let id = Name::from(id);
+        self.block_on(front.submit(admitted, &id, Name::from(payload), None, steps, DEADLINE))
+    }
+
+    /// Cancels a job.
+    pub fn cancel(&self, id: &str) -> Result<bool, Failure> {
+        self.block_on(self.front().cancel(&Name::from(id), DEADLINE))
+    }
+
+    /// Gets the state of a job.
+    pub fn state(&self, id: &str) -> Result<Option<JobState>, Failure> {
+        self.block_on(self.front().state(&Name::from(id), DEADLINE))
+    }
+
+    /// Gets the number of jobs that nothing has started of.
+    pub fn pending(&self) -> Result<u32, Failure> {
+        let front = self.front();
+        let admitted = front.admit("host", "/queue/", Some("key"))?;
+        front.pending(&admitted)
+    }
+
+    /// Checks a key.
+    pub fn check_key(&self, key: &str) -> Result<(), Failure> {
+        self.front().admit("host", "/queue/", Some(key)).map(|_| ())
+    }
+
+    fn front(&self) -> Front {
+        self.running.as_ref().expect("the node runs").front()
+    }
+
+    fn block_on<T>(&self, future: impl Future<Output = T>) -> T {
+        self.runtime.as_ref().expect("the node runs").block_on(future)
+    }
+}
+
+/// A step of small tasks.
+pub fn step(count: u32) -> Step {
+    Step { count, size: SIZE, estimate_ms: 100, ..Step::default() }
+}
+
+/// Waits until something is so.
+pub fn wait(what: &str, mut is_so: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !is_so() {
+        assert!(Instant::now() < end, "no {what} in time");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
--- /dev/null
+++ b/crates/node/tests/faults.rs
@@ -0,0 +1,225 @@
+//! What a cell keeps to when parts of it fail. Each test is a fault that was
+//! met, or that the platform's operators name.
+
+mod common;
+
+use std::time::Duration;
+
+use base::Name;
+use common::{Cell, Node, step, wait};
+use googletest::prelude::*;
+use standin::cell::{store, targets};
+use work::{JobState, Step};
+
+fn target(number: u32) -> Name {
+    Name::from(format!("target-{number}"))
+}
+
+#[gtest]
+fn jobs_run_once_whoever_accepts_them() {
+    let cell = Cell::start(3, 4);
+    for (number, node) in cell.nodes.iter().enumerate() {
+        let second = Step { after: [0].into_iter().collect(), ..step(2) };
+        let gang = Step { gang: true, ..step(4) };
+        expect_that!(node.submit(&format!("batch-{number}"), "work:50", step(5)), ok(eq(&())));
+        let steps = vec![gang, second];
+        expect_that!(node.submit_steps(&format!("gang-{number}"), "work:50", steps), ok(eq(&())));
+        // A repeat is the same job.
+        expect_that!(node.submit(&format!("batch-{number}"), "work:50", step(5)), ok(eq(&())));
+    }
+    for number in 0..3 {
+        cell.wait_for((number + 1) % 3, &format!("batch-{number}"), JobState::Complete);
+        cell.wait_for(number, &format!("gang-{number}"), JobState::Complete);
+        expect_that!(cell.world.targets.starts(&format!("batch-{number}")), eq(5));
+    }
+    expect_that!(cell.world.targets.broken(), is_empty());
+}
+
+#[gtest]
+fn a_job_that_fails_too_often_has_failed_everywhere() {
+    let cell = Cell::start(2, 2);
+    expect_that!(cell.nodes[0].submit("job", targets::FAILING, step(1)), ok(eq(&())));
+    cell.wait_for(0, "job", JobState::Failed);
+    cell.wait_for(1, "job", JobState::Failed);
+    expect_that!(cell.world.targets.starts("job"), eq(3));
+}
+
+#[gtest]
+fn the_jobs_of_a_killed_leader_go_on_and_run_once() {
+    let mut cell = Cell::start(3, 4);
+    let (leader, follower) = (cell.leader(), cell.follower());
+    for number in 0..10 {
+        let id = format!("job-{number}");
+        expect_that!(cell.nodes[follower].submit(&id, "work:700", step(3)), ok(eq(&())));
+    }
+    wait("running jobs", || cell.world.targets.running("job-0") > 0);
+    cell.nodes[leader].kill();
+    // What is accepted needs no leader.
+    expect_that!(cell.nodes[follower].submit("late", "work:10", step(1)), ok(eq(&())));
+    for number in 0..10 {
+        cell.wait_for(follower, &format!("job-{number}"), JobState::Complete);
+    }
+    cell.wait_for(follower, "late", JobState::Complete);
+    expect_that!(cell.world.targets.broken(), is_empty());
+}
+
+#[gtest]
+fn a_leader_that_ends_hands_over_without_a_gap() {
+    let mut cell = Cell::start(3, 4);
+    let (leader, follower) = (cell.leader(), cell.follower());
+    expect_that!(cell.nodes[follower].submit("job", "work:300", step(8)), ok(eq(&())));
+    wait("a running job", || cell.world.targets.running("job") > 0);
+    cell.nodes[leader].stop();
+    expect_that!(cell.nodes[follower].submit("next", "work:10", step(1)), ok(eq(&())));
+    cell.wait_for(follower, "job", JobState::Complete);
+    cell.wait_for(follower, "next", JobState::Complete);
+    // Nothing was lost with the leader.
+    expect_that!(cell.world.targets.starts("job"), eq(8));
+    expect_that!(cell.world.targets.broken(), is_empty());
+}
+
+#[gtest]
+fn a_leader_that_the_store_fails_hands_over_to_one_that_it_serves() {
+    let cell = Cell::start(3, 4);
+    let (leader, follower) = (cell.leader(), cell.follower());
+    cell.world.store.fail(&cell.nodes[leader].name, store::Fault::Refusing);
+    wait("another leader", || cell.leader() != leader);
+    expect_that!(cell.nodes[follower].submit("job", "work:10", step(4)), ok(eq(&())));
+    cell.wait_for(follower, "job", JobState::Complete);
+    expect_that!(cell.world.targets.broken(), is_empty());
+}
+
+#[gtest]
+fn a_node_that_the_store_fails_has_the_leader_record_its_jobs() {
+    let cell = Cell::start(3, 4);
+    let follower = cell.follower();
+    cell.world.store.fail(&cell.nodes[follower].name, store::Fault::Silent);
+    expect_that!(cell.nodes[follower].submit("job", "work:10", step(2)), ok(eq(&())));
+    cell.wait_for(cell.leader(), "job", JobState::Complete);
+    expect_that!(cell.world.targets.starts("job"), eq(2));
+}
+
+#[gtest]
+fn lost_answers_of_the_store_neither_lose_nor_double_a_job() {
+    let cell = Cell::start(3, 4);
+    for node in &cell.nodes {
+        cell.world.store.fail(&node.name, store::Fault::LosingAnswers(2));
+    }
+    for number in 0..6 {
+        let id = format!("job-{number}");
+        expect_that!(cell.nodes[number % 3].submit(&id, "work:20", step(2)), ok(eq(&())));
+    }
+    for number in 0..6 {
+        let id = format!("job-{number}");
+        cell.wait_for(number % 3, &id, JobState::Complete);
+        expect_that!(cell.world.targets.starts(&id), eq(2));
+    }
+    expect_that!(cell.world.targets.broken(), is_empty());
+}
+
+#[gtest]
+fn a_dropped_history_hides_no_job_and_no_configuration() {
+    let cell = Cell::start(2, 2);
+    cell.world.configure(&[("other", "team")]);
+    cell.world.store.forget_history();
+    wait("the new key", || cell.nodes.iter().all(|node| node.check_key("other").is_ok()));
+    expect_that!(cell.nodes[0].check_key("key"), err(anything()));
+    cell.world.configure(&[("key", "team")]);
+    wait("the old key", || cell.nodes.iter().all(|node| node.check_key("key").is_ok()));
+    cell.world.store.forget_history();
+    expect_that!(cell.nodes[1].submit("job", "work:10", step(1)), ok(eq(&())));
+    cell.wait_for(0, "job", JobState::Complete);
+}
+
+#[gtest]
+fn a_node_without_the_store_takes_no_keys_after_some_seconds() {
+    let cell = Cell::start(3, 2);
+    let follower = cell.follower();
+    cell.world.store.fail(&cell.nodes[follower].name, store::Fault::Silent);
+    cell.world.configure(&[("other", "team")]);
+    wait("a refusal", || cell.nodes[follower].check_key("key").is_err());
+    cell.world.store.fail(&cell.nodes[follower].name, store::Fault::None);
+    wait("the new key", || cell.nodes[follower].check_key("other").is_ok());
+}
+
+#[gtest]
+fn starts_that_are_carried_out_late_run_nothing_twice() {
+    let cell = Cell::start(2, 3);
+    cell.world.targets.fail(&target(0), targets::Fault::Late(Duration::from_millis(2500)));
+    for number in 0..4 {
+        let id = format!("job-{number}");
+        expect_that!(cell.nodes[0].submit(&id, "work:300", step(6)), ok(eq(&())));
+    }
+    for number in 0..4 {
+        cell.wait_for(0, &format!("job-{number}"), JobState::Complete);
+    }
+    std::thread::sleep(Duration::from_millis(2600));
+    expect_that!(cell.world.targets.broken(), is_empty());
+}
+
+#[gtest]
+fn starts_whose_answers_are_lost_go_on() {
+    let cell = Cell::start(2, 1);
+    cell.world.targets.fail(&target(0), targets::Fault::Mute);
+    expect_that!(cell.nodes[0].submit("job", "work:1500", step(4)), ok(eq(&())));
+    cell.wait_for(0, "job", JobState::Complete);
+    expect_that!(cell.world.targets.starts("job"), eq(4));
+    expect_that!(cell.world.targets.broken(), is_empty());
+}
+
+#[gtest]
+fn the_runs_of_a_silent_target_start_elsewhere_when_they_have_surely_lapsed() {
+    let cell = Cell::start(2, 2);
+    expect_that!(cell.nodes[0].submit("job", "work:60000", step(4)), ok(eq(&())));
+    wait("a running job", || cell.world.targets.running("job") == 4);
+    let starts = cell.world.targets.starts("job");
+    cell.world.targets.fail(&target(0), targets::Fault::Silent);
+    cell.world.targets.fail(&target(1), targets::Fault::Silent);
+    std::thread::sleep(Duration::from_secs(2));
+    cell.world.targets.fail(&target(1), targets::Fault::None);
+    wait("the job elsewhere", || cell.world.targets.running("job") == 4);
+    wait("other runs", || {
+        cell.world.targets.starts("job") > starts || cell.world.targets.running("job") == 4
+    });
+    std::thread::sleep(Duration::from_secs(8));
+    wait("the job elsewhere", || cell.world.targets.running("job") == 4);
+    expect_that!(cell.world.targets.broken(), is_empty());
+}
+
+#[gtest]
+fn the_runs_of_a_target_that_starts_anew_start_again() {
+    let cell = Cell::start(2, 1);
+    expect_that!(cell.nodes[0].submit("job", "work:500", step(3)), ok(eq(&())));
+    wait("a running job", || cell.world.targets.running("job") == 3);
+    cell.world.targets.be_born_again(&target(0));
+    cell.wait_for(0, "job", JobState::Complete);
+    expect_that!(cell.world.targets.starts("job"), eq(6));
+    expect_that!(cell.world.targets.broken(), is_empty());
+}
+
+#[gtest]
+fn a_cancelled_job_is_gone_soon_and_stays_so() {
+    let cell = Cell::start(2, 1);
+    expect_that!(cell.nodes[0].submit("job", "work:60000", step(20)), ok(eq(&())));
+    wait("a running job", || cell.world.targets.running("job") == 8);
+    expect_that!(cell.nodes[1].cancel("job"), ok(eq(&true)));
+    expect_that!(cell.nodes[1].state("job"), ok(eq(&Some(JobState::Cancelled))));
+    wait("an empty target", || cell.world.targets.running("job") == 0);
+    std::thread::sleep(Duration::from_millis(500));
+    expect_that!(cell.world.targets.running("job"), eq(0));
+    expect_that!(cell.nodes[0].cancel("unknown"), ok(eq(&false)));
+    expect_that!(cell.nodes[0].state("unknown"), ok(eq(&None)));
+}
+
+#[gtest]
+fn a_node_that_starts_anew_takes_its_lead_back_at_once() {
+    let mut cell = Cell::start(1, 2);
+    expect_that!(cell.nodes[0].submit("job", "work:2000", step(4)), ok(eq(&())));
+    wait("a running job", || cell.world.targets.running("job") == 4);
+    cell.nodes[0].kill();
+    cell.nodes[0] = Node::start(&cell.world, "node-0");
+    cell.wait_for(0, "job", JobState::Complete);
+    // The runs went on meanwhile.
+    expect_that!(cell.world.targets.starts("job"), eq(4));
+    expect_that!(cell.world.targets.broken(), is_empty());
+}
--- a/crates/plan/src/listing.rs
+++ b/crates/plan/src/listing.rs
@@ -139,8 +139,12 @@
         };
         if let Some(known) = self.targets[id.0 as usize].runs.get_mut(task)
             && known.number == run
+            && known.settled.is_none()
         {
+            // Only the first answer counts: with later ones, a listing would
+            // never be asked for late enough.
             known.settled = Some(now);
+            self.actions.push(Action::Look(Name::from(target)));
         }
     }
 
@@ -247,6 +251,8 @@
         }
         account.runs.insert(seen.task.clone(), run);
         account.promised += size;
+        // An earlier placer may have granted a lease up to now.
+        account.granted = account.granted.max(Some(now));
         self.used.add(&spec.team, size);
         if !self.step_state(&seen.task.step).is_some_and(|state| state.is_open) {
             self.begin_adopted(&seen.task.step, now);
--- a/crates/plan/tests/board.rs
+++ b/crates/plan/tests/board.rs
@@ -322,3 +322,34 @@
     expect_that!(starts.len(), eq(1));
     expect_that!(&*starts[0].task.step.job, eq("running"));
 }
+
+#[gtest]
+fn a_stop_that_is_answered_again_settles_a_run_all_the_same() {
+    // Seen as LOST on mix days of both sites with late orders: each further
+    // answer put off the listing that would have shown that the run is gone.
+    let mut cell = Cell::new(1);
+    cell.accept("job", vec![step(1)]);
+    let starts = cell.decide_starts();
+    cell.answer_all(&starts, &StartAnswer::Unknown);
+    cell.list_nothing(&starts[0].target);
+    cell.stop_answered(&starts[0]);
+    let asked = cell.now + Duration::from_millis(100);
+    cell.advance(Duration::from_millis(600));
+    cell.stop_answered(&starts[0]);
+    cell.list_nothing_as_of(&starts[0].target, asked);
+    expect_that!(cell.decide_starts().len(), eq(1));
+}
+
+#[gtest]
+fn an_adopted_run_lapses_though_its_placer_never_granted_a_lease() {
+    let mut cell = Cell::new(2);
+    cell.accept("job", vec![step(1)]);
+    let starts = cell.decide_starts();
+    cell.answer_all(&starts, &StartAnswer::Started);
+    let mut next = cell.take_over_unheard();
+    next.list_running(&starts);
+    next.fall_silent(&starts[0].target);
+    next.advance(Duration::from_secs(7));
+    next.hear_others(&starts[0].target);
+    expect_that!(next.decide_starts().len(), eq(1));
+}
--- a/crates/plan/tests/common/mod.rs
+++ b/crates/plan/tests/common/mod.rs
@@ -159,8 +159,13 @@
 
     /// Has a target list that it runs nothing.
     pub fn list_nothing(&mut self, target: &str) {
+        self.list_nothing_as_of(target, self.now);
+    }
+
+    /// Has a target list that it ran nothing when it was asked.
+    pub fn list_nothing_as_of(&mut self, target: &str, asked: Duration) {
         let listing = Listing { born_unix_ms: self.life(target), ..Listing::default() };
-        self.board.listed(target, self.now, &listing, self.now);
+        self.board.listed(target, asked, &listing, self.now);
     }
 
     /// Has the targets list that they run this.
--- /dev/null
+++ b/crates/standin/src/cell/store.rs
@@ -0,0 +1,328 @@
+//! The key-value service with conditional changes of several keys.
+
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use futures::{FutureExt, future::BoxFuture};
+use platform::{
+    Changes, Commit, Committed, Entry, Error, Event, Lease, Page, Records, Result, Revision,
+};
+use tokio::{
+    sync::Notify,
+    time::{self, Instant},
+};
+
+/// Time for an answer.
+const LATENCY: Duration = Duration::from_millis(2);
+
+/// A `Fault` is how the service fails an instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// It doesn't.
+    #[default]
+    None,
+    /// It doesn't answer and does nothing.
+    Silent,
+    /// It refuses, and does nothing.
+    Refusing,
+    /// It makes changes and doesn't answer every so many of them.
+    LosingAnswers(u32),
+    /// It answers late by this time.
+    Slow(Duration),
+}
+
+/// A `Store` is the service.
+#[derive(Default)]
+pub struct Store {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+#[derive(Default)]
+struct State {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    history: Vec<Event>,
+    /// Revision up to which there is no history.
+    forgotten: u64,
+    leases: HashMap<u64, (Instant, Duration)>,
+    faults: HashMap<String, Fault>,
+    changes: u32,
+}
+
+struct Item {
+    value: Bytes,
+    revision: u64,
+    lease: Option<Lease>,
+}
+
+/// A `Client` is the service as one instance sees it.
+pub struct Client {
+    store: Arc<Store>,
+    instance: String,
+}
+
+impl Store {
+    /// Gets the service as an instance sees it.
+    pub fn client(self: &Arc<Self>, instance: &str) -> Client {
+        Client { store: Arc::clone(self), instance: instance.to_owned() }
+    }
+
+    /// Has the service fail an instance.
+    pub fn fail(&self, instance: &str, fault: Fault) {
+        self.lock().faults.insert(instance.to_owned(), fault);
+        self.changed.notify_waiters();
+    }
+
+    /// Writes a key, as others than the instances do.
+    pub fn put(&self, key: &str, value: Bytes) {
+        {
+            let mut state = self.lock();
+            state.revision += 1;
+            state.put(key, value, None);
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// Drops the history.
+    pub fn forget_history(&self) {
+        let mut state = self.lock();
+        state.forgotten = state.revision;
+        state.history.clear();
+        self.changed.notify_waiters();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        let mut state = self.state.lock().expect("no holder of the lock panics");
+        state.lapse();
+        state
+    }
+}
+
+impl State {
+    /// Writes a key at the current revision.
+    fn put(&mut self, key: &str, value: Bytes, lease: Option<Lease>) {
+        let revision = self.revision;
+        let entry =
+            Entry { key: key.to_owned(), value: value.clone(), revision: Revision(revision) };
+        self.items.insert(key.to_owned(), Item { value, revision, lease });
+        self.history.push(Event::Put(entry));
+    }
+
+    /// Removes a key at the current revision.
+    fn delete(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            let revision = Revision(self.revision);
+            self.history.push(Event::Deleted { key: key.to_owned(), revision });
+        }
+    }
+
+    fn lapse(&mut self) {
+        let now = Instant::now();
+        let lapsed: HashSet<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, (end, _))| *end <= now)
+            .map(|(lease, _)| *lease)
+            .collect();
+        for lease in lapsed {
+            self.end_lease(lease);
+        }
+    }
+
+    fn end_lease(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        self.revision += 1;
+        let is_tied = |item: &Item| item.lease == Some(Lease(lease));
+        let keys: Vec<String> =
+            self.items.iter().filter(|(_, i)| is_tied(i)).map(|(key, _)| key.clone()).collect();
+        for key in keys {
+            self.delete(&key);
+        }
+    }
+
+    fn entry(&self, key: &str) -> Option<Entry> {
+        self.items.get(key).map(|item| Entry {
+            key: key.to_owned(),
+            value: item.value.clone(),
+            revision: Revision(item.revision),
+        })
+    }
+
+    fn commit(&mut self, commit: Commit) -> Result<Committed> {
+        let is_as_expected = |(key, revision): &(String, Revision)| {
+            self.items.get(key).map_or(0, |item| item.revision) == revision.0
+        };
+        if !commit.expected.iter().all(is_as_expected) {
+            let existing = commit.expected.iter().filter_map(|(key, _)| self.entry(key));
+            return Ok(Committed::Conflict(existing.collect()));
+        }
+        let is_known = |lease: Lease| self.leases.contains_key(&lease.0);
+        if !commit.writes.iter().filter_map(|write| write.lease).all(is_known) {
+            return Err(Error::Lapsed);
+        }
+        self.revision += 1;
+        for write in commit.writes {
+            self.put(&write.key, write.value, write.lease);
+        }
+        for key in commit.removals {
+            self.delete(&key);
+        }
+        Ok(Committed::Done(Revision(self.revision)))
+    }
+
+    fn changes(&self, prefix: &str, after: u64) -> Result<Vec<Event>> {
+        if after < self.forgotten {
+            return Err(Error::Forgotten);
+        }
+        let is_asked = |event: &&Event| match event {
+            Event::Put(entry) => entry.revision.0 > after && entry.key.starts_with(prefix),
+            Event::Deleted { key, revision } => revision.0 > after && key.starts_with(prefix),
+            Event::Heartbeat => false,
+        };
+        Ok(self.history.iter().filter(is_asked).cloned().collect())
+    }
+}
+
+impl Client {
+    /// Waits as long as an answer takes; fails as the service fails the
+    /// instance before it does anything.
+    async fn arrive(&self) -> Result<()> {
+        time::sleep(LATENCY).await;
+        match self.fault() {
+            Fault::None | Fault::LosingAnswers(_) => Ok(()),
+            Fault::Refusing => Err(Error::NotRun { reason: "refused".to_owned() }),
+            Fault::Silent => {
+                time::sleep(Duration::from_millis(800)).await;
+                Err(Error::Unknown { reason: "no answer".to_owned() })
+            }
+            Fault::Slow(time) => {
+                time::sleep(time).await;
+                Ok(())
+            }
+        }
+    }
+
+    fn fault(&self) -> Fault {
+        self.store.lock().faults.get(&self.instance).copied().unwrap_or_default()
+    }
+
+    /// Loses the answer to a change, if it is its turn.
+    async fn answer<T>(&self, answer: Result<T>) -> Result<T> {
+        let Fault::LosingAnswers(every) = self.fault() else {
+            return answer;
+        };
+        let is_lost = {
+            let mut state = self.store.lock();
+            state.changes += 1;
+            state.changes.is_multiple_of(every)
+        };
+        if is_lost {
+            time::sleep(Duration::from_millis(300)).await;
+            return Err(Error::Unknown { reason: "the answer is lost".to_owned() });
+        }
+        answer
+    }
+}
+
+impl Records for Client {
+    fn get<'a>(&'a self, key: &'a str) -> BoxFuture<'a, Result<Option<Entry>>> {
+        async move {
+            self.arrive().await?;
+            Ok(self.store.lock().entry(key))
+        }
+        .boxed()
+    }
+
+    fn page<'a>(&'a self, prefix: &'a str, after: &'a str) -> BoxFuture<'a, Result<Page>> {
+        /// Entries of a page, few, so that there are several.
+        const ENTRIES: usize = 5;
+        async move {
+            self.arrive().await?;
+            let state = self.store.lock();
+            let keys = state.items.keys().filter(|key| key.starts_with(prefix));
+            let mut keys: Vec<&String> = keys.filter(|key| key.as_str() > after).collect();
+            let has_more = keys.len() > ENTRIES;
+            keys.truncate(ENTRIES);
+            let entries = keys.into_iter().filter_map(|key| state.entry(key)).collect();
+            Ok(Page { entries, has_more, revision: Revision(state.revision) })
+        }
+        .boxed()
+    }
+
+    fn commit(&self, commit: Commit) -> BoxFuture<'_, Result<Committed>> {
+        async move {
+            self.arrive().await?;
+            let answer = self.store.lock().commit(commit);
+            self.store.changed.notify_waiters();
+            self.answer(answer).await
+        }
+        .boxed()
+    }
+
+    fn changes<'a>(
+        &'a self,
+        prefix: &'a str,
+        after: Revision,
+        wait: Duration,
+    ) -> BoxFuture<'a, Result<Changes>> {
+        async move {
+            self.arrive().await?;
+            let end = Instant::now() + wait;
+            loop {
+                let changed = self.store.changed.notified();
+                {
+                    let state = self.store.lock();
+                    let events = state.changes(prefix, after.0)?;
+                    if !events.is_empty() || Instant::now() >= end {
+                        return Ok(Changes { events, revision: Revision(state.revision) });
+                    }
+                }
+                // Leases lapse without a notification.
+                let pause = time::sleep(Duration::from_millis(20));
+                tokio::select! {
+                    () = changed => self.arrive().await?,
+                    () = pause => {}
+                }
+            }
+        }
+        .boxed()
+    }
+
+    fn grant(&self, ttl: Duration) -> BoxFuture<'_, Result<(Lease, Duration)>> {
+        async move {
+            self.arrive().await?;
+            let mut state = self.store.lock();
+            state.revision += 1;
+            let lease = state.revision;
+            state.leases.insert(lease, (Instant::now() + ttl, ttl));
+            Ok((Lease(lease), ttl))
+        }
+        .boxed()
+    }
+
+    fn renew(&self, lease: Lease) -> BoxFuture<'_, Result<()>> {
+        async move {
+            self.arrive().await?;
+            let mut state = self.store.lock();
+            let (end, ttl) = state.leases.get_mut(&lease.0).ok_or(Error::Lapsed)?;
+            *end = Instant::now() + *ttl;
+            Ok(())
+        }
+        .boxed()
+    }
+
+    fn revoke(&self, lease: Lease) -> BoxFuture<'_, Result<()>> {
+        async move {
+            self.arrive().await?;
+            self.store.lock().end_lease(lease.0);
+            self.store.changed.notify_waiters();
+            Ok(())
+        }
+        .boxed()
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,7 +3,10 @@
 //!
 //! A [`World`] runs all of them in one process. Faults can be turned on, and an
 //! observer records what the targets did, without asking the scheduler.
+//!
+//! [`cell`] has the stand-ins for what a node meets, at the traits of its edges.
 
+pub mod cell;
 mod certificates;
 mod fault;
 mod fleet;
