Gangs go on through takeovers; slow, stuck and failing targets rest

Ruled out: the handing over of the lead (0.04 s between two leaders).

Tests: a_gang_that_runs_goes_on_through_a_takeover (failed before), three on targets.

--- a/crates/place/src/health.rs
+++ b/crates/place/src/health.rs
@@ -11,17 +11,31 @@
 use base::Name;
 use smallvec::SmallVec;
 
-/// Failures in a row after which a worker is suspected.
-const SUSPECT_AFTER: u32 = 5;
-
-/// Jobs that must be among those failures.
-const SUSPECT_JOBS: usize = 2;
-
-/// Time to the first probe of a suspected worker; doubled with each failure.
-const FIRST_PAUSE: Duration = Duration::from_secs(10);
+/// A `Caution` says when a worker is suspected, and for how long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Caution {
+    /// Failures in a row after which a worker is suspected.
+    pub failures: u32,
+    /// Jobs that must be among those failures.
+    pub jobs: usize,
+    /// Time to the first probe of a suspected worker; doubled with each
+    /// failure.
+    pub first_pause: Duration,
+    /// Longest time between probes.
+    pub longest_pause: Duration,
+}
 
-/// Longest time between probes.
-const LONGEST_PAUSE: Duration = Duration::from_secs(300);
+/// The default fits batch work of minutes.
+impl Default for Caution {
+    fn default() -> Self {
+        Self {
+            failures: 5,
+            jobs: 2,
+            first_pause: Duration::from_secs(10),
+            longest_pause: Duration::from_secs(300),
+        }
+    }
+}
 
 /// An `Outcome` is what became of an attempt, as far as the worker's health is
 /// concerned.
@@ -47,6 +61,7 @@
 /// A `Health` is the record of a worker's recent failures.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
+    caution: Caution,
     failures: u32,
     jobs: SmallVec<[Name; 2]>,
     pause: Option<Pause>,
@@ -59,13 +74,18 @@
 }
 
 impl Health {
+    /// Makes the record of a worker without failures.
+    pub fn new(caution: Caution) -> Self {
+        Self { caution, ..Self::default() }
+    }
+
     /// Records an outcome at time `now`; gets the change of standing, if any.
     pub fn record(&mut self, outcome: Outcome, job: &Name, now: Duration) -> Option<Shift> {
         match outcome {
             Outcome::NoRoom => None,
             Outcome::Succeeded => {
                 let suspected = self.is_suspected();
-                *self = Self::default();
+                *self = Self::new(self.caution);
                 suspected.then_some(Shift::Cleared)
             }
             Outcome::Failed => self.record_failure(job, now),
@@ -91,14 +111,15 @@
 
     fn record_failure(&mut self, job: &Name, now: Duration) -> Option<Shift> {
         self.failures = self.failures.saturating_add(1);
-        if self.jobs.len() < SUSPECT_JOBS && !self.jobs.contains(job) {
+        if self.jobs.len() < self.caution.jobs && !self.jobs.contains(job) {
             self.jobs.push(job.clone());
         }
-        if self.failures < SUSPECT_AFTER || self.jobs.len() < SUSPECT_JOBS {
+        if self.failures < self.caution.failures || self.jobs.len() < self.caution.jobs {
             return None;
         }
         let shift = self.pause.is_none().then_some(Shift::Suspected);
-        let length = self.pause.map_or(FIRST_PAUSE, |p| (p.length * 2).min(LONGEST_PAUSE));
+        let Caution { first_pause, longest_pause, .. } = self.caution;
+        let length = self.pause.map_or(first_pause, |p| (p.length * 2).min(longest_pause));
         self.pause = Some(Pause { length, until: now + length });
         shift
     }
--- a/crates/plan/src/board.rs
+++ b/crates/plan/src/board.rs
@@ -7,6 +7,7 @@
 };
 
 use base::Name;
+use place::Health;
 use quota::Order;
 use work::{Config, JobState, Progress, Spec, StepKey, TaskKey};
 
@@ -15,6 +16,7 @@
     job::{Job, Origin},
     listing::RunSeen,
     settings::Settings,
+    speed::Usual,
     step::TaskState,
     target::{Availability, Facts, Phase, Target, TargetId},
 };
@@ -57,6 +59,8 @@
     /// When unknown runs of earlier terms have surely lapsed.
     pub(crate) settled_at: Duration,
     pub(crate) pending: BTreeMap<Name, u32>,
+    /// How long runs take against their estimates, by queue.
+    pub(crate) usual: HashMap<Name, Usual>,
     /// Share of targets that are allowed, by queue, in thousandths.
     pub(crate) allowed_milli: HashMap<Name, u32>,
     /// Whether anything has changed since the last round.
@@ -383,7 +387,8 @@
 
     fn target_id(&mut self, name: &Name) -> TargetId {
         *self.ids.entry(name.clone()).or_insert_with(|| {
-            self.targets.push(Target::default());
+            let health = Health::new(self.settings.caution);
+            self.targets.push(Target { health, ..Target::default() });
             TargetId(self.targets.len() as u32 - 1)
         })
     }
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -171,6 +171,10 @@
             return;
         };
         let waiting = state.waiting.len() as u32;
+        if waiting == 0 {
+            // Its tasks were adopted.
+            return self.unqueue_step(key);
+        }
         if step.gang && state.has_runs() {
             // What is left of an earlier gang has to end first.
             return self.stop_members(key, now);
@@ -260,6 +264,10 @@
                 tasks = tasks.min(most.saturating_sub(there));
                 whole = whole.min(most);
             }
+            if target.health.is_suspected() {
+                // One task is the probe.
+                tasks = tasks.min(1);
+            }
             let free_ppm = (free - step.size).least_ppm(&target.facts.capacity);
             slots.push(Slot { target: id, tasks, whole, free_ppm });
         }
@@ -310,7 +318,10 @@
         let account = &mut self.targets[target.0 as usize];
         account.promised += step.size;
         account.granted = Some(now);
-        let entry = Run { number: run, size: step.size, phase: Phase::Starting, settled: None };
+        if account.health.is_suspected() {
+            account.health.start_probe(now);
+        }
+        let entry = Run::new(run, step.size, Phase::Starting);
         account.runs.insert(task.clone(), entry);
         let target = account.facts.id.clone();
         self.used.add(&spec.team, step.size);
--- a/crates/plan/src/listing.rs
+++ b/crates/plan/src/listing.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use base::Name;
+use place::Outcome;
 use work::{End, JobState, StepKey, TaskKey};
 
 use crate::{
@@ -103,6 +104,10 @@
         }
         match answer {
             StartAnswer::Started => {
+                self.targets[id.0 as usize].unanswered = 0;
+                let Some(known) = self.targets[id.0 as usize].runs.get_mut(task) else {
+                    return;
+                };
                 known.settled = Some(now);
                 if known.phase == Phase::Starting {
                     known.phase = Phase::Running;
@@ -125,8 +130,8 @@
             StartAnswer::Unknown => {
                 if known.phase == Phase::Starting {
                     known.phase = Phase::Unsure(now);
-                    let target = Name::from(target);
-                    self.actions.push(Action::Look(target));
+                    self.targets[id.0 as usize].pause(self.settings.unanswered_pause, now);
+                    self.actions.push(Action::Look(Name::from(target)));
                 }
             }
         }
@@ -225,6 +230,7 @@
             if let Some(checkpoint) = &seen.checkpoint {
                 self.save_checkpoint(&seen.task, checkpoint);
             }
+            self.watch_progress(id, seen, now);
             return;
         }
         if self.adopt_run(id, seen, now) {
@@ -233,6 +239,49 @@
         self.stop_run(id, &seen.task, seen.run, now);
     }
 
+    /// Learns from how a run advances; moves it elsewhere if it doesn't.
+    fn watch_progress(&mut self, id: TargetId, seen: &RunSeen, now: Duration) {
+        /// Time between samples of a run.
+        const SAMPLE_PERIOD: Duration = Duration::from_millis(700);
+        let Some(job) = self.jobs.get(&seen.task.step.job) else {
+            return;
+        };
+        let Some(step) = job.spec.steps.get(usize::from(seen.task.step.step)) else {
+            return;
+        };
+        if step.long_running || step.estimate_ms == 0 {
+            return;
+        }
+        // The members of a gang advance together, as the slowest does.
+        let is_telling = !step.gang;
+        let target = &mut self.targets[id.0 as usize];
+        let Some(run) = target.runs.get_mut(&seen.task) else {
+            return;
+        };
+        let (percent, since) = *run.progress.get_or_insert((seen.percent, now));
+        if percent != seen.percent {
+            run.progress = Some((seen.percent, now));
+        } else if now.saturating_sub(since) > self.settings.stuck_after
+            && run.phase == Phase::Running
+            && (is_telling || percent > 0)
+        {
+            let number = run.number;
+            target.health.record(Outcome::Failed, &seen.task.step.job, now);
+            return self.stop_run(id, &seen.task, number, now);
+        }
+        let (percent, sampled) = *run.sampled.get_or_insert((seen.percent, now));
+        let time = now.saturating_sub(sampled);
+        if !is_telling || time < SAMPLE_PERIOD {
+            return;
+        }
+        run.sampled = Some((seen.percent, now));
+        // Less than a hundredth is rounded away.
+        let advance = f64::from(seen.percent.saturating_sub(percent)).max(0.5);
+        let ratio = time.as_millis() as f64 * 100.0 / advance / f64::from(step.estimate_ms);
+        let usual = self.usual.entry(job.spec.queue.clone()).or_default();
+        target.speed.learn(ratio, usual, now);
+    }
+
     /// Takes over a run of an earlier placer; `false` if it is not wanted.
     pub(crate) fn adopt_run(&mut self, id: TargetId, seen: &RunSeen, now: Duration) -> bool {
         let Some(job) = self.jobs.get(&seen.task.step.job) else {
@@ -244,7 +293,7 @@
         };
         let size = step.size;
         // What runs takes room, wanted or not.
-        let run = Run { number: seen.run, size, phase: Phase::Running, settled: Some(now) };
+        let run = Run { settled: Some(now), ..Run::new(seen.run, size, Phase::Running) };
         let account = &mut self.targets[id.0 as usize];
         if account.runs.contains_key(&seen.task) {
             return false;
@@ -349,6 +398,7 @@
         let Some(step) = spec.steps.get(usize::from(key.step.step)) else {
             return;
         };
+        self.note_health(id, &key.step.job, end, now);
         if end == End::Done && self.step_state(&key.step).is_none() {
             self.begin_adopted(&key.step, now);
         }
@@ -377,6 +427,16 @@
         if step.gang { self.leave_gang(&key.step, key.index, now) } else { self.release(key) }
     }
 
+    /// Learns from an end whether a target fails what it starts.
+    fn note_health(&mut self, id: TargetId, job: &Name, end: End, now: Duration) {
+        let outcome = match end {
+            End::Done => Outcome::Succeeded,
+            End::Failed => Outcome::Failed,
+            End::Stopped | End::Lapsed | End::Broken | End::Alone => return,
+        };
+        self.targets[id.0 as usize].health.record(outcome, job, now);
+    }
+
     fn release(&mut self, key: &TaskKey) {
         if let Some(state) = self.step_state_mut(&key.step) {
             state.release(key.index);
--- a/crates/plan/src/settings.rs
+++ b/crates/plan/src/settings.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use place::Caution;
+
 /// A `Settings` is the times and bounds that decisions keep to.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -14,6 +16,12 @@
     /// How long before its end a ticket is no longer used: the time to send a
     /// start to the farthest target.
     pub ticket_margin: Duration,
+    /// When a target is suspected that fails what it starts.
+    pub caution: Caution,
+    /// Pause after a start that wasn't answered; doubled with each further one.
+    pub unanswered_pause: Duration,
+    /// Time without progress after which a run is moved elsewhere.
+    pub stuck_after: Duration,
     /// Time after which an unanswered stop is sent again.
     pub stop_again: Duration,
     /// How long a finished job is known.
@@ -42,6 +50,14 @@
             clock_drift_milli: 20,
             silence: Duration::from_millis(2500),
             ticket_margin: Duration::from_millis(150),
+            caution: Caution {
+                failures: 3,
+                jobs: 2,
+                first_pause: Duration::from_secs(3),
+                longest_pause: Duration::from_secs(30),
+            },
+            unanswered_pause: Duration::from_millis(300),
+            stuck_after: Duration::from_millis(3500),
             stop_again: Duration::from_millis(500),
             keep_ended: Duration::from_secs(150),
             runs_per_term: 1000,
--- a/crates/plan/src/target.rs
+++ b/crates/plan/src/target.rs
@@ -3,9 +3,12 @@
 use std::{collections::HashMap, time::Duration};
 
 use base::{Name, Resources};
+use place::Health;
 use smallvec::SmallVec;
 use work::{Step, TaskKey};
 
+use crate::speed::Speed;
+
 /// A `TargetId` is the position of a target on its board.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TargetId(pub(crate) u32);
@@ -65,6 +68,17 @@
     /// When it was settled whether the run is there: a listing that was asked
     /// for later and lacks it means that it isn't.
     pub(crate) settled: Option<Duration>,
+    /// How much of the work was done when it was listed last, in hundredths,
+    /// and since when it has been that much.
+    pub(crate) progress: Option<(u32, Duration)>,
+    /// When its advance was looked at last.
+    pub(crate) sampled: Option<(u32, Duration)>,
+}
+
+impl Run {
+    pub(crate) fn new(number: u32, size: Resources, phase: Phase) -> Self {
+        Self { number, size, phase, settled: None, progress: None, sampled: None }
+    }
 }
 
 /// A `Target` is one target with what may be running on it.
@@ -83,6 +97,12 @@
     pub(crate) seen: u64,
     /// Highest end that is recorded.
     pub(crate) recorded: u64,
+    pub(crate) health: Health,
+    pub(crate) speed: Speed,
+    /// Starts in a row that weren't answered.
+    pub(crate) unanswered: u32,
+    /// Until when it gets no work after those.
+    pub(crate) paused_until: Duration,
 }
 
 impl Target {
@@ -102,5 +122,16 @@
     pub(crate) fn is_open(&self, now: Duration, silence: Duration) -> bool {
         self.facts.availability == Availability::Ready
             && self.heard.is_some_and(|heard| now.saturating_sub(heard) < silence)
+            && now >= self.paused_until
+            && (!self.health.is_suspected() || self.health.is_probe_due(now))
+            && !self.speed.is_slow(now)
+    }
+
+    /// Notes that a start wasn't answered.
+    pub(crate) fn pause(&mut self, first: Duration, now: Duration) {
+        /// Doublings of the pause.
+        const MOST_DOUBLINGS: u32 = 5;
+        self.paused_until = now + first * (1 << self.unanswered.min(MOST_DOUBLINGS));
+        self.unanswered += 1;
     }
 }
--- a/crates/plan/tests/board.rs
+++ b/crates/plan/tests/board.rs
@@ -353,3 +353,72 @@
     next.hear_others(&starts[0].target);
     expect_that!(next.decide_starts().len(), eq(1));
 }
+
+#[gtest]
+fn a_target_whose_tasks_advance_slowly_gets_no_more_of_them() {
+    let mut cell = Cell::new(2);
+    cell.accept("job", vec![step(12)]);
+    let starts = cell.decide_starts();
+    cell.answer_all(&starts, &StartAnswer::Started);
+    let slow = starts[0].target.clone();
+    for tenth in 1..8 {
+        cell.advance(Duration::from_millis(750));
+        // Estimated at one second: the others take that, these eight times it.
+        cell.list_progress(&starts, |target| if *target == slow { tenth * 9 } else { tenth * 75 });
+    }
+    cell.accept("next", vec![step(4)]);
+    let next = cell.decide_starts();
+    expect_that!(next.iter().filter(|start| start.target == slow).count(), eq(0));
+}
+
+#[gtest]
+fn a_run_that_stands_still_is_moved_elsewhere() {
+    let mut cell = Cell::new(2);
+    cell.accept("job", vec![step(2)]);
+    let starts = cell.decide_starts();
+    cell.answer_all(&starts, &StartAnswer::Started);
+    for _ in 0..6 {
+        cell.advance(Duration::from_millis(750));
+        cell.list_progress(&starts, |_| 40);
+    }
+    expect_that!(cell.stops().len(), ge(2));
+}
+
+#[gtest]
+fn a_target_that_fails_what_it_starts_gets_little_more() {
+    let mut cell = Cell::new(2);
+    for number in 0..3 {
+        cell.accept(&format!("job-{number}"), vec![step(1)]);
+    }
+    let starts = cell.decide_starts();
+    cell.answer_all(&starts, &StartAnswer::Started);
+    let failing = starts[0].target.clone();
+    for start in starts.iter().filter(|start| start.target == failing) {
+        cell.end(start, End::Failed);
+    }
+    cell.accept("next", vec![step(3)]);
+    let next = cell.decide_starts();
+    expect_that!(next.iter().filter(|start| start.target == failing).count(), eq(0));
+    cell.advance(Duration::from_secs(4));
+    cell.list_nothing(&failing);
+    cell.accept("probe", vec![step(8)]);
+    let next = cell.decide_starts();
+    expect_that!(next.iter().filter(|start| start.target == failing).count(), le(1));
+}
+
+#[gtest]
+fn a_gang_that_runs_goes_on_through_a_takeover() {
+    // Seen on trouble-1 of anpgc-sched: each takeover stopped all gangs.
+    let mut cell = Cell::new(2);
+    cell.accept("gang", vec![Step { gang: true, ..step(3) }]);
+    let starts = cell.decide_starts();
+    cell.answer_all(&starts, &StartAnswer::Started);
+    let mut next = cell.take_over_unheard();
+    next.list_running(&starts);
+    next.hear_others(&starts[0].target);
+    expect_that!(next.decide_starts(), is_empty());
+    expect_that!(next.stops(), is_empty());
+    next.end(&starts[1], End::Done);
+    next.record();
+    expect_that!(next.state("gang"), eq(JobState::Complete));
+}
--- a/crates/plan/tests/common/mod.rs
+++ b/crates/plan/tests/common/mod.rs
@@ -170,12 +170,37 @@
 
     /// Has the targets list that they run this.
     pub fn list_running(&mut self, starts: &[Start]) {
-        for start in starts {
-            let seen =
-                RunSeen { task: start.task.clone(), run: start.run, checkpoint: None, percent: 0 };
-            let born_unix_ms = self.life(&start.target);
-            let listing = Listing { born_unix_ms, running: vec![seen], ended: Vec::new() };
-            self.board.listed(&start.target, self.now, &listing, self.now);
+        for target in self.targets.clone() {
+            let on_target: Vec<&Start> = starts.iter().filter(|s| s.target == target).collect();
+            if on_target.is_empty() {
+                continue;
+            }
+            let seen = |start: &&Start| RunSeen {
+                task: start.task.clone(),
+                run: start.run,
+                checkpoint: None,
+                percent: 0,
+            };
+            let running = on_target.iter().map(seen).collect();
+            let born_unix_ms = self.life(&target);
+            let listing = Listing { born_unix_ms, running, ended: Vec::new() };
+            self.board.listed(&target, self.now, &listing, self.now);
+        }
+    }
+
+    /// Has the targets list how far their runs are, in hundredths.
+    pub fn list_progress(&mut self, starts: &[Start], percent: impl Fn(&Name) -> u32) {
+        for target in self.targets.clone() {
+            let on_target = starts.iter().filter(|start| start.target == target);
+            let running = on_target.map(|start| RunSeen {
+                task: start.task.clone(),
+                run: start.run,
+                checkpoint: None,
+                percent: percent(&target).min(99),
+            });
+            let born_unix_ms = self.life(&target);
+            let listing = Listing { born_unix_ms, running: running.collect(), ended: Vec::new() };
+            self.board.listed(&target, self.now, &listing, self.now);
         }
     }
 
