Teams' weights in the order; fills beside nothing that they would harm

Tests: a_team_that_sends_more_than_it_is_owed_waits_for_the_others, what_fills_is_never_beside_what_it_would_harm.

--- a/crates/plan/src/board.rs
+++ b/crates/plan/src/board.rs
@@ -16,6 +16,7 @@
     job::{Job, Origin},
     listing::RunSeen,
     settings::Settings,
+    share::Bucket,
     speed::Usual,
     step::TaskState,
     target::{Availability, Facts, Phase, Target, TargetId},
@@ -59,6 +60,8 @@
     /// When unknown runs of earlier terms have surely lapsed.
     pub(crate) settled_at: Duration,
     pub(crate) pending: BTreeMap<Name, u32>,
+    /// What each team is owed at the moment.
+    buckets: HashMap<Name, Bucket>,
     /// How long runs take against their estimates, by queue.
     pub(crate) usual: HashMap<Name, Usual>,
     /// Share of targets that are allowed, by queue, in thousandths.
@@ -131,6 +134,13 @@
             return;
         }
         let mut job = Job::new(Arc::new(spec), origin, progress);
+        if origin == Origin::Own
+            && let Some(team) = self.config.teams.get(&job.spec.team)
+        {
+            let bucket = self.buckets.entry(job.spec.team.clone());
+            let bucket = bucket.or_insert_with(|| Bucket::new(team.weight, now));
+            job.entitlement = bucket.take(team.weight, now);
+        }
         if !job.state.is_final() {
             self.changes.push((id.clone(), job.state));
         }
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -257,7 +257,7 @@
             }
             let kept = round.kept.get(&id).copied().unwrap_or_default();
             let free = target.free() - kept;
-            let mut tasks = free.times(&step.size);
+            let mut tasks = if target.takes_beside(step) { free.times(&step.size) } else { 0 };
             let mut whole = target.facts.capacity.times(&step.size);
             if let Some(most) = step.most_per_target {
                 let there = state.map_or(0, |state| state.count_on(id));
@@ -321,7 +321,7 @@
         if account.health.is_suspected() {
             account.health.start_probe(now);
         }
-        let entry = Run::new(run, step.size, Phase::Starting);
+        let entry = Run::new(run, step, Phase::Starting);
         account.runs.insert(task.clone(), entry);
         let target = account.facts.id.clone();
         self.used.add(&spec.team, step.size);
--- a/crates/plan/src/job.rs
+++ b/crates/plan/src/job.rs
@@ -4,7 +4,7 @@
 
 use work::{JobState, Progress, Spec, StepProgress};
 
-use crate::step::StepState;
+use crate::{share::Entitlement, step::StepState};
 
 /// An `Origin` says who accepted a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -20,6 +20,7 @@
 pub(crate) struct Job {
     pub(crate) spec: Arc<Spec>,
     pub(crate) origin: Origin,
+    pub(crate) entitlement: Entitlement,
     pub(crate) state: JobState,
     /// The occurrences that have begun and aren't done.
     pub(crate) occurrences: BTreeMap<u32, Vec<StepState>>,
@@ -34,6 +35,7 @@
         let mut job = Self {
             spec,
             origin,
+            entitlement: Entitlement::default(),
             state: progress.map_or(JobState::Queued, |progress| progress.state),
             occurrences: BTreeMap::new(),
             next: 0,
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -19,6 +19,7 @@
 mod listing;
 mod rank;
 mod settings;
+mod share;
 mod speed;
 mod step;
 mod target;
--- a/crates/plan/src/listing.rs
+++ b/crates/plan/src/listing.rs
@@ -293,7 +293,7 @@
         };
         let size = step.size;
         // What runs takes room, wanted or not.
-        let run = Run { settled: Some(now), ..Run::new(seen.run, size, Phase::Running) };
+        let run = Run { settled: Some(now), ..Run::new(seen.run, step, Phase::Running) };
         let account = &mut self.targets[id.0 as usize];
         if account.runs.contains_key(&seen.task) {
             return false;
--- a/crates/plan/src/rank.rs
+++ b/crates/plan/src/rank.rs
@@ -3,13 +3,13 @@
 //! It answers a cell that is full, as after an outage or in a burst: then not
 //! all jobs can meet their objective, and serving them in the order of their
 //! arrival makes all of them late. So what can still meet its objective goes
-//! first, the most urgent queue before the others and the job whose latest
+//! first, of that what its team is owed, the most urgent queue before the others and the job whose latest
 //! start is nearest before others of its queue. What can only be late comes
 //! after that, and at the end what is later than counts.
 
 use work::{Policy, Spec, Step, StepKey};
 
-use crate::board::Board;
+use crate::{board::Board, share::Entitlement};
 
 /// A job that takes more than this many times its objective is too late to be
 /// of use.
@@ -30,6 +30,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
     timeliness: Timeliness,
+    entitlement: Entitlement,
     priority: u32,
     latest_start_ms: u64,
     key: StepKey,
@@ -47,7 +48,8 @@
     }
 
     fn rank(&self, key: &StepKey, unix_ms: u64) -> Option<Rank> {
-        let spec = &self.jobs.get(&key.job)?.spec;
+        let job = self.jobs.get(&key.job)?;
+        let spec = &job.spec;
         let policy = self.config.policy(&spec.queue, &spec.policy);
         let since_ms = spec.accepted_unix_ms.max(spec.due_unix_ms(key.occurrence));
         let objective_ms = objective_ms(spec, policy);
@@ -61,7 +63,13 @@
         } else {
             Timeliness::Useless
         };
-        Some(Rank { timeliness, priority: policy.priority, latest_start_ms, key: key.clone() })
+        Some(Rank {
+            timeliness,
+            entitlement: job.entitlement,
+            priority: policy.priority,
+            latest_start_ms,
+            key: key.clone(),
+        })
     }
 }
 
--- a/crates/plan/src/target.rs
+++ b/crates/plan/src/target.rs
@@ -59,11 +59,38 @@
     Stopping(Duration),
 }
 
+/// A `Company` says what a run can be beside.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Company {
+    /// Anything.
+    Any,
+    /// It has users whose response times fills would harm.
+    NoFills,
+    /// It fills, and would harm those.
+    Fills,
+}
+
+impl Company {
+    pub(crate) fn of(step: &Step) -> Self {
+        match (step.fills, step.goal_ms) {
+            (true, _) => Self::Fills,
+            (false, Some(_)) => Self::NoFills,
+            (false, None) => Self::Any,
+        }
+    }
+
+    /// Tells whether runs of both may be on one target.
+    pub(crate) fn suits(self, other: Self) -> bool {
+        !matches!((self, other), (Self::NoFills, Self::Fills) | (Self::Fills, Self::NoFills))
+    }
+}
+
 /// A `Run` is what may be running on a target.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
     pub(crate) number: u32,
     pub(crate) size: Resources,
+    pub(crate) company: Company,
     pub(crate) phase: Phase,
     /// When it was settled whether the run is there: a listing that was asked
     /// for later and lacks it means that it isn't.
@@ -76,8 +103,9 @@
 }
 
 impl Run {
-    pub(crate) fn new(number: u32, size: Resources, phase: Phase) -> Self {
-        Self { number, size, phase, settled: None, progress: None, sampled: None }
+    pub(crate) fn new(number: u32, step: &Step, phase: Phase) -> Self {
+        let (size, company) = (step.size, Company::of(step));
+        Self { number, size, company, phase, settled: None, progress: None, sampled: None }
     }
 }
 
@@ -111,6 +139,12 @@
         self.facts.capacity - self.promised
     }
 
+    /// Tells whether a step's tasks may run beside what is on the target.
+    pub(crate) fn takes_beside(&self, step: &Step) -> bool {
+        let company = Company::of(step);
+        company == Company::Any || self.runs.values().all(|run| run.company.suits(company))
+    }
+
     /// Tells whether the target could run tasks of a step if it were empty.
     pub(crate) fn suits(&self, service: &Name, step: &Step) -> bool {
         self.facts.service == *service
--- a/crates/plan/tests/board.rs
+++ b/crates/plan/tests/board.rs
@@ -422,3 +422,32 @@
     next.record();
     expect_that!(next.state("gang"), eq(JobState::Complete));
 }
+
+#[gtest]
+fn a_team_that_sends_more_than_it_is_owed_waits_for_the_others() {
+    let mut cell = Cell::new(1);
+    cell.weigh_team(1);
+    // The first two are owed: two seconds of its weight.
+    for number in 0..12 {
+        cell.accept(&format!("flood-{number}"), vec![step(2)]);
+    }
+    cell.accept_of_other("other", vec![step(2)]);
+    let starts = cell.decide_starts();
+    let other = starts.iter().filter(|start| &*start.task.step.job == "other").count();
+    expect_that!(starts.len(), eq(8));
+    expect_that!(other, eq(2));
+}
+
+#[gtest]
+fn what_fills_is_never_beside_what_it_would_harm() {
+    let mut cell = Cell::new(2);
+    cell.accept("serving", vec![Step { goal_ms: Some(50), long_running: true, ..step(2) }]);
+    let serving = cell.decide_starts();
+    cell.answer_all(&serving, &StartAnswer::Started);
+    cell.accept("filling", vec![Step { fills: true, ..step(16) }]);
+    let filling = cell.decide_starts();
+    expect_that!(filling.len(), eq(8));
+    for start in &filling {
+        expect_that!(start.target, not(eq(&serving[0].target)));
+    }
+}
--- a/crates/work/src/spec.rs
+++ b/crates/work/src/spec.rs
@@ -69,6 +69,11 @@
     pub checkpoints: bool,
     /// Whether the tasks run until the job is cancelled.
     pub long_running: bool,
+    /// The time below which the tail of the response times of the tasks' own
+    /// users must stay, in milliseconds.
+    pub goal_ms: Option<u32>,
+    /// Whether the tasks only use what others leave.
+    pub fills: bool,
 }
 
 impl Spec {
