The lead goes to the strongest machine; rounds paced; targets without room skipped

Cause: on the firm's grown site the placer sat on a machine of 0.12 to 0.3 of a core, saturated: each waiting step looked at all 350 targets in each round.

--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -70,6 +70,8 @@
     Hello {
         /// Name of the sending instance.
         instance: Name,
+        /// Processor time that it may use, in thousandths of a core.
+        strength_milli: u32,
     },
     /// The answer to [`Down::Advise`].
     Advised {
@@ -111,6 +113,8 @@
 pub(crate) struct Joined {
     /// Name of the instance.
     pub(crate) instance: Name,
+    /// Processor time that it may use, in thousandths of a core.
+    pub(crate) strength_milli: u32,
     /// Where frames for it go.
     pub(crate) down: mpsc::UnboundedSender<Down>,
     /// Where its frames come from.
@@ -156,7 +160,8 @@
     let (down, downs) = mpsc::unbounded_channel();
     let instance = Name::from(ctx.settings.name.as_str());
     // The receiver lives in the exchange below.
-    let _ = up.send(Up::Hello { instance });
+    let strength_milli = ctx.settings.strength_milli();
+    let _ = up.send(Up::Hello { instance, strength_milli });
     let _open = ctx.uplink.open(up.clone());
     tokio::select! {
         why = exchange(socket, ups, Up::Pulse, down) => why,
@@ -182,16 +187,18 @@
         let mut socket = tokio_tungstenite::accept_async(stream).await.ok()?;
         let hello = socket.next().await?.ok()?;
         match decode(&hello) {
-            Some(Up::Hello { instance }) => Some((socket, instance)),
+            Some(Up::Hello { instance, strength_milli }) => {
+                Some((socket, instance, strength_milli))
+            }
             _ => None,
         }
     };
-    let Ok(Some((socket, instance))) = time::timeout(SILENCE, open).await else {
+    let Ok(Some((socket, instance, strength_milli))) = time::timeout(SILENCE, open).await else {
         return;
     };
     let (down, downs) = mpsc::unbounded_channel();
     let (up, ups) = mpsc::unbounded_channel();
-    if joined.send(Joined { instance: instance.clone(), down, up: ups }).is_err() {
+    if joined.send(Joined { instance: instance.clone(), strength_milli, down, up: ups }).is_err() {
         return;
     }
     let why = exchange(socket, downs, Down::Pulse, up).await;
--- a/crates/node/src/placer/advice.rs
+++ b/crates/node/src/placer/advice.rs
@@ -23,6 +23,7 @@
 #[derive(Debug)]
 pub(crate) struct Helper {
     pub(crate) down: mpsc::UnboundedSender<Down>,
+    strength_milli: u32,
     backlog_us: u64,
     waiting: usize,
     /// Long requests under way.
@@ -44,8 +45,25 @@
     }
 
     /// Adds an instance.
-    pub(crate) fn join(&mut self, instance: Name, down: mpsc::UnboundedSender<Down>) {
-        self.helpers.insert(instance, Helper { down, backlog_us: 0, waiting: 0, long: 0 });
+    pub(crate) fn join(
+        &mut self,
+        instance: Name,
+        strength_milli: u32,
+        down: mpsc::UnboundedSender<Down>,
+    ) {
+        let helper = Helper { down, strength_milli, backlog_us: 0, waiting: 0, long: 0 };
+        self.helpers.insert(instance, helper);
+    }
+
+    /// Gets the strongest instance if it is much stronger than one with
+    /// `strength_milli`.
+    pub(crate) fn much_stronger(&self, strength_milli: u32) -> Option<&Name> {
+        /// What the strength has to be against the other, in thousandths;
+        /// handing over has its price.
+        const MUCH_MILLI: u32 = 1400;
+        let strongest = self.helpers.iter().max_by_key(|(_, helper)| helper.strength_milli)?;
+        let (name, helper) = strongest;
+        (helper.strength_milli * 1000 > strength_milli * MUCH_MILLI).then_some(name)
     }
 
     /// Removes an instance; gets what it was asked for and won't answer.
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -28,7 +28,11 @@
 };
 
 /// Time between rounds in which nothing happens.
-const TICK: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(25);
+
+/// From the beginning of a round of decisions to the next, in times of what the
+/// round takes; what is left is for orders and answers.
+const PAUSE_FACTOR: u32 = 6;
 
 /// Time between tellings of the numbers of jobs that wait.
 const PENDING_PERIOD: Duration = Duration::from_millis(700);
@@ -79,6 +83,8 @@
     helpers: Helpers,
     /// Requests for advice that no instance can take yet.
     unasked: Vec<Ask>,
+    /// When the next round of decisions may begin.
+    decide_at: Duration,
     /// When it began to look for a successor.
     doubted_at: Option<Instant>,
     /// The node that is ready to lead.
@@ -156,6 +162,7 @@
             recorded_at: Duration::ZERO,
             helpers: Helpers::default(),
             unasked: Vec::new(),
+            decide_at: Duration::ZERO,
             doubted_at: None,
             successor: None,
             events,
@@ -175,7 +182,8 @@
             let _open = ctx.uplink.open(up.clone());
             helper::serve(&ctx, downs, up).await;
         });
-        self.join(Joined { instance, down, up: ups });
+        let strength_milli = self.ctx.settings.strength_milli();
+        self.join(Joined { instance, strength_milli, down, up: ups });
     }
 
     /// Takes in what happens; gets why it ended.
@@ -208,9 +216,10 @@
                 return Ending::Stopped;
             }
             let is_doubtful = self.lead.is_doubtful(clock::now());
-            if has_found_none || (is_doubtful && self.doubted_at.is_none()) {
+            let has_cause = is_doubtful || ctx.is_stopping();
+            if has_cause && (has_found_none || self.doubted_at.is_none()) {
                 self.look_for_successor();
-            } else if !is_doubtful && !ctx.is_stopping() {
+            } else if has_found_none {
                 self.doubted_at = None;
             }
             self.step();
@@ -225,6 +234,7 @@
             if held_at.elapsed() >= HELD_PERIOD {
                 held_at = Instant::now();
                 self.update_held();
+                self.prefer_stronger();
             }
             while self.tasks.try_join_next().is_some() {}
         }
@@ -233,8 +243,11 @@
     /// Decides, and does what follows.
     fn step(&mut self) {
         let now = clock::now();
-        if self.lead.is_valid(now) {
+        if self.lead.is_valid(now) && now >= self.decide_at {
             self.board.decide(now, clock::unix_ms());
+            // Under load the rounds share what happens between them.
+            let took = clock::now().saturating_sub(now);
+            self.decide_at = now + took * PAUSE_FACTOR;
         }
         for ask in std::mem::take(&mut self.unasked) {
             self.ask(ask);
@@ -448,11 +461,11 @@
     }
 
     fn join(&mut self, joined: Joined) {
-        let Joined { instance, down, mut up } = joined;
+        let Joined { instance, strength_milli, down, mut up } = joined;
         // A closed link is noticed where its frames are received.
         let _ = down.send(Down::States(self.board.states()));
         let _ = down.send(Down::Pending(self.board.pending()));
-        self.helpers.join(instance.clone(), down);
+        self.helpers.join(instance.clone(), strength_milli, down);
         self.board.set_advisors(self.helpers.len());
         let events = self.events.clone();
         self.tasks.spawn(async move {
@@ -536,6 +549,16 @@
         self.helpers.tell(&Down::Doubt);
     }
 
+    /// Hands over to a node that is much stronger, if there is one.
+    fn prefer_stronger(&mut self) {
+        let own = self.ctx.settings.strength_milli();
+        let stronger = self.helpers.much_stronger(own).cloned();
+        if let Some(stronger) = stronger.filter(|_| self.doubted_at.is_none()) {
+            self.doubted_at = Some(Instant::now());
+            tell(self.helpers.down(&stronger), Down::Doubt);
+        }
+    }
+
     /// Stops, and has the successor take the lead.
     async fn hand_over(&mut self, events: &mut mpsc::UnboundedReceiver<Event>) -> Ending {
         let down = self.successor.take().and_then(|successor| self.helpers.down(&successor));
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -26,6 +26,8 @@
     /// Address of the service that knows which targets may run a step; empty
     /// if there is none.
     pub advice: String,
+    /// What the instance may use.
+    pub limits: Limits,
     /// Bounds that the platform's operators set.
     pub bounds: Bounds,
     /// Times of the lead.
@@ -34,6 +36,23 @@
     pub log: Log,
 }
 
+/// What an instance may use.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Limits {
+    /// Share of a core.
+    pub cpu_share: f64,
+    /// Cores; more than one where they are faster.
+    pub cores: f64,
+}
+
+/// The default is one core.
+impl Default for Limits {
+    fn default() -> Self {
+        Self { cpu_share: 1.0, cores: 1.0 }
+    }
+}
+
 /// Bounds that the platform's operators set.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
@@ -100,6 +119,12 @@
 }
 
 impl Settings {
+    /// Gets the processor time that the instance may use, in thousandths of a
+    /// core.
+    pub(crate) fn strength_milli(&self) -> u32 {
+        (self.limits.cpu_share * self.limits.cores * 1000.0) as u32
+    }
+
     /// Gets the time since the last confirmed configuration after which keys
     /// are refused.
     pub(crate) fn key_patience(&self) -> Duration {
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -15,10 +15,12 @@
 
 /// A `Round` is what one round of decisions keeps for steps that come first in
 /// its order.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Round {
+    /// The targets that get work.
+    open: Vec<TargetId>,
     /// Room that is kept, by target.
-    pub(crate) kept: HashMap<TargetId, Resources>,
+    kept: Vec<Resources>,
     /// What may run of each team though it isn't known where.
     unknown: HashMap<Name, Resources>,
 }
@@ -35,7 +37,7 @@
         for slot in slots {
             let tasks = slot.tasks.min(left);
             if tasks > 0 {
-                *self.kept.entry(slot.target).or_default() += step.size * tasks;
+                self.kept[slot.target.0 as usize] += step.size * tasks;
                 left -= tasks;
             }
         }
@@ -62,7 +64,13 @@
         if !std::mem::take(&mut self.is_changed) {
             return;
         }
-        let mut round = Round::default();
+        let silence = self.settings.silence;
+        let numbered = (0..).map(TargetId).zip(&self.targets);
+        let mut round = Round {
+            open: numbered.filter(|(_, t)| t.is_open(now, silence)).map(|(id, _)| id).collect(),
+            kept: vec![Resources::ZERO; self.targets.len()],
+            unknown: HashMap::new(),
+        };
         if !self.is_settled(now) {
             round.unknown = self.unknown_runs();
         }
@@ -186,7 +194,7 @@
         }
         let service = self.config.policy(&spec.queue, &spec.policy).service.clone();
         let needs_advice = self.config.policy(&spec.queue, &spec.policy).advice.is_some();
-        let mut slots = self.slots(key, step, &service, round, now);
+        let mut slots = self.slots(key, step, &service, round);
         if needs_advice {
             self.ask_for_step(key, &spec, &slots, wanted, round, now);
             slots.retain(|slot| self.has_ticket(key, slot.target, now));
@@ -234,19 +242,14 @@
 
     /// Gets the targets that suit a step, with or without room, if it isn't
     /// known that they are not allowed to run it.
-    fn slots(
-        &self,
-        key: &StepKey,
-        step: &Step,
-        service: &Name,
-        round: &Round,
-        now: Duration,
-    ) -> Vec<Slot> {
+    fn slots(&self, key: &StepKey, step: &Step, service: &Name, round: &Round) -> Vec<Slot> {
         let state = self.step_state(key);
         let mut slots = Vec::new();
-        for (index, target) in self.targets.iter().enumerate() {
-            let id = TargetId(index as u32);
-            if !target.suits(service, step) || !target.is_open(now, self.settings.silence) {
+        for &id in &round.open {
+            let target = &self.targets[id.0 as usize];
+            let free = target.free() - round.kept[id.0 as usize];
+            // Gangs also ask about targets without room.
+            if (!step.gang && !step.size.fits(&free)) || !target.suits(service, step) {
                 continue;
             }
             let is_refused = state
@@ -255,8 +258,6 @@
             if is_refused {
                 continue;
             }
-            let kept = round.kept.get(&id).copied().unwrap_or_default();
-            let free = target.free() - kept;
             let mut tasks = if target.takes_beside(step) { free.times(&step.size) } else { 0 };
             let mut whole = target.facts.capacity.times(&step.size);
             if let Some(most) = step.most_per_target {
