--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -7,7 +7,7 @@
 
 use base::{Failure, Name, Result, clock, emit};
 use tokio::time;
-use work::{Config, JobState, Policy, Schedule, Spec, Step};
+use work::{Config, JobState, Policy, Progress, Schedule, Spec, Step};
 
 use crate::{context::Context, keys, writes};
 
@@ -144,8 +144,11 @@
     /// # Errors
     /// Fails if the cancellation surely isn't or may not be recorded.
     pub async fn cancel(&self, id: &Name, time_left: Duration) -> Result<bool> {
-        if self.ctx.states.get(id).is_none() && !self.is_recorded(id, time_left).await? {
-            return Ok(false);
+        match self.state(id, time_left).await? {
+            None => return Ok(false),
+            // There is nothing left to cancel.
+            Some(state) if state.is_final() => return Ok(true),
+            Some(_) => {}
         }
         match writes::cancel(&self.ctx, id, self.time_to_write(time_left)).await {
             Ok(()) => {
@@ -168,11 +171,11 @@
         if let Some(state) = self.ctx.states.get(id) {
             return Ok(Some(state));
         }
-        if !self.is_recorded(id, time_left).await? {
-            return Ok(None);
+        let recorded = self.recorded_state(id, time_left).await?;
+        if let Some(state) = recorded {
+            self.ctx.states.merge([(id.clone(), state)], clock::now());
         }
-        self.ctx.states.merge([(id.clone(), JobState::Queued)], clock::now());
-        Ok(Some(JobState::Queued))
+        Ok(recorded)
     }
 
     /// Gets the number of jobs of a queue that nothing has started of.
@@ -194,19 +197,29 @@
             "version" => self.ctx.configs.current().version);
     }
 
-    async fn is_recorded(&self, id: &str, time_left: Duration) -> Result<bool> {
-        let key = keys::job(id);
+    /// Reads the state of a job that this instance hasn't been told of.
+    async fn recorded_state(&self, id: &str, time_left: Duration) -> Result<Option<JobState>> {
+        let (job, progress) = (keys::job(id), keys::progress(id));
+        let records = &self.ctx.edges.records;
+        // One after the other: the job is removed with the record of its end.
         let read = async {
             loop {
-                match self.ctx.edges.records.get(&key).await {
-                    Ok(entry) => return entry.is_some(),
-                    Err(_) => time::sleep(RESEND_PAUSE).await,
+                let found = async { Ok((records.get(&job).await?, records.get(&progress).await?)) };
+                match found.await {
+                    Ok(found) => return found,
+                    Err::<_, platform::Error>(_) => time::sleep(RESEND_PAUSE).await,
                 }
             }
         };
-        time::timeout(time_left.saturating_sub(ANSWER_TIME), read)
+        let (job, progress) = time::timeout(time_left.saturating_sub(ANSWER_TIME), read)
             .await
-            .map_err(|_| Failure::busy(RETRY_AFTER, "the key-value service does not answer"))
+            .map_err(|_| Failure::busy(RETRY_AFTER, "the key-value service does not answer"))?;
+        let progress = progress.and_then(|entry| work::decode::<Progress>(&entry.value).ok());
+        Ok(match (job, progress) {
+            (_, Some(progress)) => Some(progress.state),
+            (Some(_), None) => Some(JobState::Queued),
+            (None, None) => None,
+        })
     }
 
     fn time_to_write(&self, time_left: Duration) -> Duration {
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -51,6 +51,13 @@
 /// Time within which a node that is ready to lead is told to.
 const SUCCESSION_TIME: Duration = Duration::from_millis(1500);
 
+/// How long weak instances leave a free lead to the others.
+const HEAD_START: Duration = Duration::from_millis(250);
+
+/// Pause of an instance that has given up the lead because it couldn't read
+/// what is recorded.
+const UNFIT_PAUSE: Duration = Duration::from_secs(5);
+
 /// A `Lead` is the right to give orders.
 #[derive(Debug)]
 pub(crate) struct Lead {
@@ -86,6 +93,8 @@
     HandedOver,
     /// The process is to end.
     Stopped,
+    /// What is recorded could not be read in time.
+    Unfit,
 }
 
 impl Lead {
@@ -141,7 +150,8 @@
     let page = records.page(keys::LEAD, "").await?;
     let Some(entry) = page.entries.into_iter().next() else {
         note_leader(ctx, None);
-        time::sleep(jitter(TAKE_JITTER)).await;
+        let head_start = if ctx.settings.is_weak() { HEAD_START } else { Duration::ZERO };
+        time::sleep(head_start + jitter(TAKE_JITTER)).await;
         return take(ctx, Revision::ABSENT).await;
     };
     let Ok(leader) = work::decode::<Leader>(&entry.value) else {
@@ -270,12 +280,16 @@
         Ending::HandedOver => {
             emit!(ctx.log, info, LeadGiven; "term" => lead.term, "to" => "a successor");
         }
-        Ending::Stopped => {
+        Ending::Stopped | Ending::Unfit => {
             // The others need not wait for the lease to lapse.
             let ended = ctx.edges.records.revoke(lead.lease).await;
-            emit!(ctx.log, info, LeadGiven; "term" => lead.term, "ended" => ?ended);
+            emit!(ctx.log, info, LeadGiven; "term" => lead.term, "why" => ?ending,
+                "ended" => ?ended);
         }
     }
+    if ending == Ending::Unfit {
+        time::sleep(UNFIT_PAUSE).await;
+    }
 }
 
 /// Renews the lease until it has lapsed; gets why. A renewal doesn't wait for
--- a/crates/node/src/placer/read.rs
+++ b/crates/node/src/placer/read.rs
@@ -4,7 +4,7 @@
 
 use base::{Name, emit};
 use platform::{Entry, Error, Records, Revision};
-use work::{Progress, Spec};
+use work::{JobState, Progress, Spec};
 
 use crate::{
     context::Context,
@@ -16,6 +16,8 @@
 pub(crate) struct Recorded {
     pub(crate) jobs: Vec<(Name, Spec, Option<Progress>)>,
     pub(crate) cancelled: Vec<Name>,
+    /// Jobs of which only their final states are kept.
+    pub(crate) ended: Vec<(Name, JobState)>,
     /// Targets that runs may be on.
     pub(crate) held: HashSet<Name>,
     /// Revision of the record of those.
@@ -54,6 +56,8 @@
             None => {}
         }
     }
+    // What is left has no job any more.
+    recorded.ended = progress.into_iter().map(|(id, progress)| (id, progress.state)).collect();
     if let Some(entry) = held? {
         recorded.held_revision = entry.revision;
         recorded.held = decode::<Vec<Name>>(ctx, &entry).unwrap_or_default().into_iter().collect();
--- a/crates/node/src/placer/record.rs
+++ b/crates/node/src/placer/record.rs
@@ -7,6 +7,7 @@
 use plan::Batch;
 use platform::{Commit, Committed, Error, Write};
 use tokio::sync::mpsc;
+use work::Progress;
 
 use crate::{context::Context, keys, lead::Lead, placer::event::Event};
 
@@ -29,13 +30,7 @@
     batch: Batch,
     events: mpsc::UnboundedSender<Event>,
 ) {
-    for chunk in batch.records.chunks(ENTRIES) {
-        let writes = chunk.iter().map(|(id, progress)| Write {
-            key: keys::progress(id),
-            value: Bytes::from(work::encode(progress)),
-            lease: None,
-        });
-        let commit = Commit { writes: writes.collect(), ..Commit::default() };
+    for commit in commits(&batch.records) {
         match write(&ctx, &lead, commit).await {
             Ok(()) => {}
             Err(Unwritten::Lost) => {
@@ -53,6 +48,29 @@
     let _ = events.send(Event::Recorded(batch));
 }
 
+/// Gets the changes that record progress. Of a job that has ended only that is
+/// kept, so that a takeover reads little.
+fn commits(records: &[(Name, Progress)]) -> Vec<Commit> {
+    let mut commits = vec![Commit::default()];
+    for (id, progress) in records {
+        let removals = match progress.state.is_final() {
+            true => vec![keys::job(id), keys::cancellation(id)],
+            false => Vec::new(),
+        };
+        let last = commits.last().map_or(0, |last| last.writes.len() + last.removals.len());
+        if last + removals.len() + 1 > ENTRIES {
+            commits.push(Commit::default());
+        }
+        if let Some(commit) = commits.last_mut() {
+            let value = Bytes::from(work::encode(progress));
+            commit.writes.push(Write { key: keys::progress(id), value, lease: None });
+            commit.removals.extend(removals);
+        }
+    }
+    commits.retain(|commit| !commit.writes.is_empty());
+    commits
+}
+
 /// Records the targets that runs may be on.
 pub(crate) async fn record_held(
     ctx: Arc<Context>,
@@ -76,11 +94,8 @@
 
 /// Removes what is recorded of jobs that ended long ago.
 pub(crate) async fn forget(ctx: Arc<Context>, lead: Arc<Lead>, jobs: Vec<Name>) {
-    /// Keys of each job.
-    const KEYS: usize = 3;
-    for chunk in jobs.chunks(ENTRIES / KEYS) {
-        let keys = |id: &Name| [keys::job(id), keys::cancellation(id), keys::progress(id)];
-        let removals = chunk.iter().flat_map(keys).collect();
+    for chunk in jobs.chunks(ENTRIES) {
+        let removals = chunk.iter().map(|id| keys::progress(id)).collect();
         // What is left is removed in the next term.
         let _ = write(&ctx, &lead, Commit { removals, ..Commit::default() }).await;
     }
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -54,6 +54,9 @@
 /// makes ends late by one answer only.
 const MOST_RECORDING: u32 = 6;
 
+/// Time for the read at the beginning of a term; another instance may do better.
+const READ_TIME: Duration = Duration::from_secs(6);
+
 /// Pause after a failed read at the beginning of a term.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -102,9 +105,12 @@
             Ok(recorded) => break recorded,
             Err(error) => {
                 emit!(ctx.log, warn, StoreFailed; "request" => "read of jobs", "error" => %error);
-                time::sleep(RETRY_PAUSE).await;
             }
         }
+        if clock::now().saturating_sub(began) > READ_TIME {
+            return Ending::Unfit;
+        }
+        time::sleep(RETRY_PAUSE).await;
     };
     let now = clock::now();
     emit!(ctx.log, info, JobsRead; "jobs" => recorded.jobs.len(),
@@ -136,6 +142,9 @@
         for (id, spec, progress) in recorded.jobs {
             board.inherit(&id, spec, progress.as_ref(), now);
         }
+        for (id, state) in recorded.ended {
+            board.inherit_ended(&id, state, now);
+        }
         for (target, runs) in &lead.silent {
             board.adopt_silent(target, runs, now);
         }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -44,12 +44,14 @@
     pub cpu_share: f64,
     /// Cores; more than one where they are faster.
     pub cores: f64,
+    /// Rate of the link, in megabits a second.
+    pub link_mbps: f64,
 }
 
-/// The default is one core.
+/// The default is one core and a gigabit.
 impl Default for Limits {
     fn default() -> Self {
-        Self { cpu_share: 1.0, cores: 1.0 }
+        Self { cpu_share: 1.0, cores: 1.0, link_mbps: 1000.0 }
     }
 }
 
@@ -119,10 +121,21 @@
 }
 
 impl Settings {
-    /// Gets the processor time that the instance may use, in thousandths of a
-    /// core.
+    /// Gets how fit the instance is to lead, in thousandths of a core that it
+    /// may use; a slow link counts for a part of one.
     pub(crate) fn strength_milli(&self) -> u32 {
-        (self.limits.cpu_share * self.limits.cores * 1000.0) as u32
+        /// Megabits a second that go with a thousandth of a core: a takeover
+        /// reads some megabytes, which may take a second.
+        const MILLI_PER_MBPS: f64 = 5.0;
+        let processor = self.limits.cpu_share * self.limits.cores * 1000.0;
+        processor.min(self.limits.link_mbps * MILLI_PER_MBPS) as u32
+    }
+
+    /// Tells whether stronger instances are to take a free lead first.
+    pub(crate) fn is_weak(&self) -> bool {
+        /// A placer of 600 starts a second takes 0.2 of a core.
+        const STRONG_MILLI: u32 = 200;
+        self.strength_milli() < STRONG_MILLI
     }
 
     /// Gets the time since the last confirmed configuration after which keys
--- a/crates/node/src/writes.rs
+++ b/crates/node/src/writes.rs
@@ -66,7 +66,8 @@
     let key = keys::job(id);
     let value = Bytes::from(work::encode(spec));
     Commit {
-        expected: vec![(key.clone(), Revision::ABSENT)],
+        // Of a job that has ended only its progress is there.
+        expected: vec![(key.clone(), Revision::ABSENT), (keys::progress(id), Revision::ABSENT)],
         writes: vec![Write { key, value, lease: None }],
         removals: Vec::new(),
     }
--- a/crates/node/tests/faults.rs
+++ b/crates/node/tests/faults.rs
@@ -223,3 +223,23 @@
     expect_that!(cell.world.targets.starts("job"), eq(4));
     expect_that!(cell.world.targets.broken(), is_empty());
 }
+
+#[gtest]
+fn a_job_that_has_ended_stays_so_through_takeovers() {
+    let mut cell = Cell::start(3, 2);
+    let (leader, follower) = (cell.leader(), cell.follower());
+    expect_that!(cell.nodes[follower].submit("job", "work:10", step(2)), ok(eq(&())));
+    expect_that!(cell.nodes[follower].submit("failing", targets::FAILING, step(1)), ok(eq(&())));
+    cell.wait_for(follower, "job", JobState::Complete);
+    cell.wait_for(follower, "failing", JobState::Failed);
+    cell.nodes[leader].kill();
+    let name = cell.nodes[leader].name.clone();
+    cell.nodes[leader] = Node::start(&cell.world, &name);
+    let anew = &cell.nodes[leader];
+    wait("a configuration", || anew.check_key("key").is_ok());
+    // A repeat is the same job, though only its end is kept.
+    expect_that!(anew.submit("job", "work:10", step(2)), ok(eq(&())));
+    wait("its end", || anew.state("job") == Ok(Some(JobState::Complete)));
+    expect_that!(anew.state("failing"), ok(eq(&Some(JobState::Failed))));
+    expect_that!(cell.world.targets.starts("job"), eq(2));
+}
--- a/crates/plan/src/board.rs
+++ b/crates/plan/src/board.rs
@@ -122,6 +122,14 @@
         self.add_job(id, spec, Origin::Inherited, progress, now);
     }
 
+    /// Takes in a job that had ended before the placer's term.
+    pub fn inherit_ended(&mut self, id: &Name, state: JobState, now: Duration) {
+        if state.is_final() {
+            let progress = Progress { state, ..Progress::default() };
+            self.add_job(id, Spec::default(), Origin::Inherited, Some(&progress), now);
+        }
+    }
+
     fn add_job(
         &mut self,
         id: &Name,
