Late work goes first while much of the cell is free

Ruled out: advice (28 requests in 2 s of 86 that are possible), the team's limit.

Test: a_gang_that_is_late_finds_room_beside_a_stream_of_small_tasks, which failed before.

--- a/crates/plan/src/rank.rs
+++ b/crates/plan/src/rank.rs
@@ -5,8 +5,11 @@
 //! arrival makes all of them late. So what can still meet its objective goes
 //! first, of that what its team is owed, the most urgent queue before the others and the job whose latest
 //! start is nearest before others of its queue. What can only be late comes
-//! after that, and at the end what is later than counts.
+//! after that, and at the end what is later than counts. But while much of the
+//! cell is free, what has waited too long goes first, so that it isn't starved:
+//! large gangs would never find their room beside a stream of small tasks.
 
+use base::Resources;
 use work::{Policy, Spec, Step, StepKey};
 
 use crate::{board::Board, share::Entitlement};
@@ -18,6 +21,8 @@
 /// A `Timeliness` is what a step that starts now makes of its job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Timeliness {
+    /// It is late, and there is room for all.
+    Starved,
     /// The job can meet its objective.
     InTime,
     /// It can only be late.
@@ -40,13 +45,36 @@
     /// Gets the steps with tasks that wait, in the order of decisions, as many
     /// as one round looks at.
     pub(crate) fn ordered_steps(&self, unix_ms: u64) -> Vec<StepKey> {
+        let has_spare = self.has_spare();
         let mut ranks: Vec<Rank> =
             self.ready.iter().filter_map(|key| self.rank(key, unix_ms)).collect();
+        if has_spare {
+            for rank in ranks.iter_mut().filter(|rank| rank.timeliness != Timeliness::InTime) {
+                *rank = Rank {
+                    timeliness: Timeliness::Starved,
+                    entitlement: Entitlement::Owed,
+                    priority: 0,
+                    ..rank.clone()
+                };
+            }
+        }
         ranks.sort_unstable();
         ranks.truncate(self.settings.steps_per_round);
         ranks.into_iter().map(|rank| rank.key).collect()
     }
 
+    /// Tells whether much of the cell is free.
+    fn has_spare(&self) -> bool {
+        /// Part of the capacity that is in use at most, in thousandths.
+        const SPARE_BELOW_MILLI: u64 = 600;
+        let ready = self.targets.iter().filter(|target| target.heard.is_some());
+        let (used, whole) = ready.fold((0, 0), |(used, whole), target| {
+            let cpu = |size: Resources| u64::from(size.cpu_milli);
+            (used + cpu(target.promised), whole + cpu(target.facts.capacity))
+        });
+        used * 1000 < whole * SPARE_BELOW_MILLI
+    }
+
     fn rank(&self, key: &StepKey, unix_ms: u64) -> Option<Rank> {
         let job = self.jobs.get(&key.job)?;
         let spec = &job.spec;
--- a/crates/plan/tests/board.rs
+++ b/crates/plan/tests/board.rs
@@ -469,3 +469,31 @@
     }
     expect_that!(cell.stops(), is_empty());
 }
+
+#[gtest]
+fn a_gang_that_is_late_finds_room_beside_a_stream_of_small_tasks() {
+    // Seen as LOST on fresh-83b2 of anpgc-sched-grown: a gang waited 55 s.
+    let mut cell = Cell::new(2);
+    cell.accept("filler", vec![step(9)]);
+    let mut running = cell.decide_starts();
+    cell.answer_all(&running, &StartAnswer::Started);
+    let whole = Step { gang: true, size: common::small_step().size * 8, ..step(1) };
+    cell.accept("gang", vec![whole]);
+    expect_that!(cell.decide_starts(), is_empty());
+    cell.advance(Duration::from_secs(30));
+    cell.hear_running(&running);
+    // The stream takes each gap that it finds, but the gang's target empties.
+    for number in 0..12 {
+        if let Some(start) = running.pop() {
+            cell.end(&start, End::Done);
+        }
+        cell.accept(&format!("small-{number}"), vec![step(1)]);
+        let starts = cell.decide_starts();
+        cell.answer_all(&starts, &StartAnswer::Started);
+        if starts.iter().any(|start| &*start.task.step.job == "gang") {
+            return;
+        }
+        running.splice(0..0, starts);
+    }
+    fail!("the gang did not start").expect("it has to");
+}
--- a/crates/plan/tests/common/mod.rs
+++ b/crates/plan/tests/common/mod.rs
@@ -203,6 +203,11 @@
         }
     }
 
+    /// Has all targets answer, with what they run.
+    pub fn hear_running(&mut self, starts: &[Start]) {
+        self.list_progress(starts, |_| 99);
+    }
+
     /// Has the targets list how far their runs are, in hundredths.
     pub fn list_progress(&mut self, starts: &[Start], percent: impl Fn(&Name) -> u32) {
         for target in self.targets.clone() {
