--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -14,8 +14,8 @@
 };
 
 use crate::{
-    configs::Configs, edge::Edges, link::Succession, settings::Settings, states::States,
-    uplink::Uplink,
+    configs::Configs, edge::Edges, link::Succession, metrics::Metrics, settings::Settings,
+    states::States, uplink::Uplink,
 };
 
 /// A `Leader` is who leads the cell, as the key-value service has it.
@@ -43,6 +43,7 @@
     pub(crate) links: TcpListener,
     /// Its address, `host:port`.
     pub(crate) links_address: Name,
+    pub(crate) metrics: Metrics,
     pub(crate) configs: Configs,
     pub(crate) states: States,
     pub(crate) uplink: Uplink,
@@ -79,6 +80,7 @@
             edges,
             links,
             links_address,
+            metrics: Metrics::default(),
             configs: Configs::default(),
             states: States::default(),
             uplink: Uplink::default(),
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -9,7 +9,7 @@
 use tokio::time;
 use work::{Config, JobState, Policy, Progress, Schedule, Spec, Step};
 
-use crate::{context::Context, keys, writes};
+use crate::{context::Context, keys, metrics::Metrics, writes};
 
 /// Time after which a request that was refused for now may be repeated.
 const RETRY_AFTER: Duration = Duration::from_millis(1000);
@@ -66,6 +66,12 @@
         let _ = self.ctx.closing.subscribe().wait_for(|closing| *closing).await;
     }
 
+    /// Gets the counters and times of this instance, in the OpenMetrics text
+    /// format.
+    pub fn metrics(&self) -> String {
+        self.ctx.metrics.text()
+    }
+
     /// Finds the queue of a request and checks the key.
     ///
     /// # Errors
@@ -126,7 +132,10 @@
         if let Some(fault) = spec.fault() {
             return Err(Failure::fix(fault));
         }
+        let began = clock::now();
         let outcome = writes::submit(&self.ctx, id, &spec, self.time_to_write(time_left)).await;
+        Metrics::observe(&self.ctx.metrics.write_time, clock::now().saturating_sub(began));
+        Metrics::count(&self.ctx.metrics.requests, "submit", outcome_of(&outcome));
         let tasks: u32 = spec.steps.iter().map(|step| step.count).sum();
         match &outcome {
             Ok(()) => {
@@ -150,7 +159,9 @@
             Some(state) if state.is_final() => return Ok(true),
             Some(_) => {}
         }
-        match writes::cancel(&self.ctx, id, self.time_to_write(time_left)).await {
+        let outcome = writes::cancel(&self.ctx, id, self.time_to_write(time_left)).await;
+        Metrics::count(&self.ctx.metrics.requests, "cancel", outcome_of(&outcome));
+        match outcome {
             Ok(()) => {
                 emit!(self.ctx.log, info, JobCancelled; "job" => %id);
                 self.ctx.states.merge([(id.clone(), JobState::Cancelled)], clock::now());
@@ -192,6 +203,7 @@
 
     /// Logs a request that was refused before it had an id.
     pub fn log_refused(&self, host: &str, path: &str, failure: &Failure) {
+        Metrics::count(&self.ctx.metrics.requests, "any", "refused");
         emit!(self.ctx.log, info, RequestRefused; "host" => host, "path" => path,
             "why" => &failure.reason, "verdict" => %failure.verdict,
             "version" => self.ctx.configs.current().version);
@@ -236,3 +248,11 @@
         }
     }
 }
+
+fn outcome_of(outcome: &Result<()>) -> &'static str {
+    match outcome {
+        Ok(()) => "done",
+        Err(failure) if failure.is_not_run() => "refused",
+        Err(_) => "unknown",
+    }
+}
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -270,11 +270,13 @@
 async fn lead_on(ctx: &Arc<Context>, lead: Arc<Lead>, leader: Leader) {
     emit!(ctx.log, info, LeadTaken; "term" => lead.term);
     note_leader(ctx, Some(leader));
+    ctx.metrics.leads.set(1);
     let ending = tokio::select! {
         ending = placer::run(Arc::clone(ctx), Arc::clone(&lead)) => ending,
         why = renew(ctx, &lead) => Ending::Lost(why),
     };
     note_leader(ctx, None);
+    ctx.metrics.leads.set(0);
     match ending {
         Ending::Lost(why) => emit!(ctx.log, warn, LeadLost; "term" => lead.term, "why" => why),
         Ending::HandedOver => {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -17,6 +17,7 @@
 mod lead;
 mod link;
 mod log;
+mod metrics;
 mod placer;
 mod run;
 pub mod settings;
--- /dev/null
+++ b/crates/node/src/metrics.rs
@@ -0,0 +1,104 @@
+//! Counters and times of a node.
+
+use std::time::Duration;
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::Registry,
+};
+
+/// Bounds of the times, in seconds: from an answer of the key-value service to
+/// a job that waits too long.
+const BOUNDS_S: [f64; 11] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0];
+
+/// A `Kind` is what a request or an order was, and what became of it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct Kind {
+    /// What it was.
+    pub(crate) kind: &'static str,
+    /// What became of it.
+    pub(crate) outcome: &'static str,
+}
+
+/// A `Metrics` is the counters and times of a node.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Requests of clients.
+    pub(crate) requests: Family<Kind, Counter>,
+    /// Orders to targets.
+    pub(crate) orders: Family<Kind, Counter>,
+    /// Requests for advice.
+    pub(crate) advice: Family<Kind, Counter>,
+    /// Takeovers of the lead.
+    pub(crate) takeovers: Counter,
+    /// Whether this node leads.
+    pub(crate) leads: Gauge,
+    /// Time to record what a client asks for.
+    pub(crate) write_time: Histogram,
+    /// Time for the answer to a start.
+    pub(crate) start_time: Histogram,
+    /// Time to record progress.
+    pub(crate) record_time: Histogram,
+    /// Time of a round of decisions.
+    pub(crate) round_time: Histogram,
+    /// Time to read what is recorded when a term begins.
+    pub(crate) read_time: Histogram,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let histogram = || Histogram::new(BOUNDS_S);
+        let mut metrics = Self {
+            registry: Registry::with_prefix("skylarkspan_node"),
+            requests: Family::default(),
+            orders: Family::default(),
+            advice: Family::default(),
+            takeovers: Counter::default(),
+            leads: Gauge::default(),
+            write_time: histogram(),
+            start_time: histogram(),
+            record_time: histogram(),
+            round_time: histogram(),
+            read_time: histogram(),
+        };
+        let registry = &mut metrics.registry;
+        registry.register("requests", "Requests of clients", metrics.requests.clone());
+        registry.register("orders", "Orders to targets", metrics.orders.clone());
+        registry.register("advice", "Requests for advice", metrics.advice.clone());
+        registry.register("takeovers", "Takeovers of the lead", metrics.takeovers.clone());
+        registry.register("leads", "Whether this node leads", metrics.leads.clone());
+        let times = [
+            ("write", "Time to record what a client asks for", &metrics.write_time),
+            ("start", "Time for the answer to a start", &metrics.start_time),
+            ("record", "Time to record progress", &metrics.record_time),
+            ("round", "Time of a round of decisions", &metrics.round_time),
+            ("read", "Time to read what is recorded", &metrics.read_time),
+        ];
+        for (name, help, histogram) in times {
+            registry.register(format!("{name}_seconds"), help, histogram.clone());
+        }
+        metrics
+    }
+}
+
+impl Metrics {
+    /// Gets all of it in the OpenMetrics text format.
+    pub(crate) fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string can't fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+
+    /// Counts one.
+    pub(crate) fn count(family: &Family<Kind, Counter>, kind: &'static str, outcome: &'static str) {
+        family.get_or_create(&Kind { kind, outcome }).inc();
+    }
+
+    /// Takes in a time.
+    pub(crate) fn observe(histogram: &Histogram, time: Duration) {
+        histogram.observe(time.as_secs_f64());
+    }
+}
--- a/crates/node/src/placer/advice.rs
+++ b/crates/node/src/placer/advice.rs
@@ -87,6 +87,18 @@
         self.helpers.get(instance).map(|helper| helper.down.clone())
     }
 
+    /// Gets the other instances that are about as strong as the strongest.
+    pub(crate) fn strong(&self, own: &str) -> Vec<Name> {
+        /// What the strength has to be against the strongest, in thousandths.
+        const ABOUT_MILLI: u32 = 700;
+        let others = || self.helpers.iter().filter(|(name, _)| &***name != own);
+        let most = others().map(|(_, helper)| helper.strength_milli).max().unwrap_or(0);
+        others()
+            .filter(|(_, helper)| helper.strength_milli * 1000 >= most * ABOUT_MILLI)
+            .map(|(name, _)| name.clone())
+            .collect()
+    }
+
     /// Sends a frame to all instances.
     pub(crate) fn tell(&self, down: &Down) {
         for helper in self.helpers.values() {
--- a/crates/node/src/placer/order.rs
+++ b/crates/node/src/placer/order.rs
@@ -10,6 +10,7 @@
     context::Context,
     edge::{self, Unanswered},
     lead::Lead,
+    metrics::Metrics,
     placer::{event::Event, hold::Holder},
 };
 
@@ -43,6 +44,7 @@
             };
             let (answer, clock_ms) =
                 ctx.edges.orders.start(&holder.target, &order, ANSWER_TIME).await;
+            Metrics::observe(&ctx.metrics.start_time, clock::now().saturating_sub(now));
             if let Some(clock_ms) = clock_ms {
                 holder.note_clock(clock_ms, clock::now());
             }
@@ -50,6 +52,12 @@
         }
     };
     let step = &task.step;
+    let outcome = match &answer {
+        StartAnswer::Started => "started",
+        StartAnswer::Refused(_) => "refused",
+        StartAnswer::Unknown => "unknown",
+    };
+    Metrics::count(&ctx.metrics.orders, "start", outcome);
     match &answer {
         StartAnswer::Started => {
             emit!(ctx.log, info, StartSent; "job" => %step.job, "occurrence" => step.occurrence,
@@ -84,6 +92,8 @@
         return;
     }
     let answer = ctx.edges.orders.stop(&holder.target, &task, run, lead.term, ANSWER_TIME).await;
+    let outcome = if answer.is_ok() { "answered" } else { "unknown" };
+    Metrics::count(&ctx.metrics.orders, "stop", outcome);
     emit!(ctx.log, info, StopSent; "job" => %task.step.job, "step" => task.step.step,
         "task" => task.index, "run" => run, "target" => %target,
         "answered" => answer.is_ok());
--- a/crates/node/src/placer/record.rs
+++ b/crates/node/src/placer/record.rs
@@ -2,13 +2,13 @@
 
 use std::sync::Arc;
 
-use base::{Name, emit};
+use base::{Name, clock, emit};
 use bytes::Bytes;
 use plan::{Batch, Need, Record};
 use platform::{Commit, Committed, Error, Write};
 use tokio::sync::mpsc;
 
-use crate::{context::Context, keys, lead::Lead, placer::event::Event};
+use crate::{context::Context, keys, lead::Lead, metrics::Metrics, placer::event::Event};
 
 /// Entries of one change beside the condition on the lead; the key-value
 /// service takes 32.
@@ -29,6 +29,7 @@
     batch: Batch,
     events: mpsc::UnboundedSender<Event>,
 ) {
+    let began = clock::now();
     for commit in commits(&batch.records) {
         match write(&ctx, &lead, commit).await {
             Ok(()) => {}
@@ -44,6 +45,7 @@
             }
         }
     }
+    Metrics::observe(&ctx.metrics.record_time, clock::now().saturating_sub(began));
     let _ = events.send(Event::Recorded(batch));
 }
 
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -20,6 +20,7 @@
     helper,
     lead::{Ending, Lead},
     link::{self, Down, Joined, Succession, Up},
+    metrics::Metrics,
     placer::{
         advice::Helpers, event::Event, follow, hold, hold::Holder, order, read, read::Recorded,
         record,
@@ -61,7 +62,7 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
 /// Time for a node to make ready to lead.
-const SUCCESSOR_TIME: Duration = Duration::from_millis(1000);
+const SUCCESSOR_TIME: Duration = Duration::from_millis(700);
 
 /// Time for the last frame to be sent.
 const FAREWELL_TIME: Duration = Duration::from_millis(20);
@@ -90,6 +91,8 @@
     decide_at: Duration,
     /// When it began to look for a successor.
     doubted_at: Option<Instant>,
+    /// Whether all nodes were asked before the process ends.
+    has_asked_all: bool,
     /// The node that is ready to lead.
     successor: Option<Name>,
     events: mpsc::UnboundedSender<Event>,
@@ -116,6 +119,8 @@
     emit!(ctx.log, info, JobsRead; "jobs" => recorded.jobs.len(),
         "cancelled" => recorded.cancelled.len(), "held" => recorded.held.len(),
         "ms" => now.saturating_sub(began).as_millis() as u64);
+    Metrics::observe(&ctx.metrics.read_time, now.saturating_sub(began));
+    ctx.metrics.takeovers.inc();
     let (sender, mut events) = mpsc::unbounded_channel();
     let mut placer = Placer::new(ctx, lead, recorded, sender, now);
     placer.serve(&mut events).await
@@ -173,6 +178,7 @@
             unasked: Vec::new(),
             decide_at: Duration::ZERO,
             doubted_at: None,
+            has_asked_all: false,
             successor: None,
             events,
             tasks,
@@ -221,8 +227,11 @@
             }
             let has_found_none = self.doubted_at.is_some_and(|at| at.elapsed() >= SUCCESSOR_TIME);
             if ctx.is_stopping() && has_found_none {
-                self.wind_down(events).await;
-                return Ending::Stopped;
+                if self.has_asked_all {
+                    self.wind_down(events).await;
+                    return Ending::Stopped;
+                }
+                self.has_asked_all = true;
             }
             let is_doubtful = self.lead.is_doubtful(clock::now());
             let has_cause = is_doubtful || ctx.is_stopping();
@@ -256,6 +265,7 @@
             self.board.decide(now, clock::unix_ms());
             // Under load the rounds share what happens between them.
             let took = clock::now().saturating_sub(now);
+            Metrics::observe(&self.ctx.metrics.round_time, took);
             self.decide_at = now + took * PAUSE_FACTOR;
         }
         for ask in std::mem::take(&mut self.unasked) {
@@ -457,11 +467,13 @@
         let allowed = match allowed {
             Ok(allowed) => allowed,
             Err(why) => {
+                Metrics::count(&self.ctx.metrics.advice, "step", "failed");
                 emit!(self.ctx.log, warn, AdviceFailed; "job" => %asked.step.job,
                     "step" => asked.step.step, "by" => %instance, "why" => why);
                 return self.board.advised(&asked.step, &asked.targets, None, now);
             }
         };
+        Metrics::count(&self.ctx.metrics.advice, "step", "given");
         emit!(self.ctx.log, info, AdviceAsked; "job" => %asked.step.job,
             "step" => asked.step.step, "asked" => asked.targets.len(),
             "allowed" => allowed.len(), "by" => %instance);
@@ -552,10 +564,15 @@
         }
     }
 
-    /// Asks the nodes which of them can lead.
+    /// Asks the nodes which of them can lead: first the strong ones, then all.
     fn look_for_successor(&mut self) {
-        self.doubted_at = Some(Instant::now());
-        self.helpers.tell(&Down::Doubt);
+        let is_first = self.doubted_at.replace(Instant::now()).is_none();
+        if !is_first {
+            return self.helpers.tell(&Down::Doubt);
+        }
+        for instance in self.helpers.strong(&self.ctx.settings.name) {
+            tell(self.helpers.down(&instance), Down::Doubt);
+        }
     }
 
     /// Hands over to a node that is much stronger, if there is one.
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -19,6 +19,8 @@
     pub clients: String,
     /// Address of the port that tells whether the instance is ready.
     pub readiness: String,
+    /// Address of the port that tells counters and times; empty for none.
+    pub metrics: String,
     /// Address of the port towards other instances.
     pub links: String,
     /// Address of the key-value service.
