--- /dev/null
+++ b/crates/node/src/placer/fronts.rs
@@ -0,0 +1,131 @@
+//! What the nodes and the leader tell each other.
+
+use std::{sync::Arc, time::Duration};
+
+use base::{Name, emit};
+use plan::Ask;
+use tokio::{sync::mpsc, time};
+
+use crate::{
+    helper,
+    link::{Down, Joined, Up},
+    metrics::Metrics,
+    placer::{
+        event::Event,
+        run::{Placer, tell},
+    },
+    writes,
+};
+
+impl Placer {
+    /// Has this instance's own node serve as the others do.
+    pub(super) fn join_own_node(&mut self) {
+        let (down, downs) = mpsc::unbounded_channel();
+        let (up, ups) = mpsc::unbounded_channel();
+        let instance = Name::from(self.ctx.settings.name.as_str());
+        let ctx = Arc::clone(&self.ctx);
+        self.tasks.spawn(async move {
+            let _open = ctx.uplink.open(up.clone());
+            helper::serve(&ctx, downs, up).await;
+        });
+        let strength_milli = self.ctx.settings.strength_milli();
+        self.join(Joined { instance, strength_milli, down, up: ups });
+    }
+
+    pub(super) fn ask(&mut self, ask: Ask) {
+        match self.helpers.ask(ask) {
+            Ok((number, timeout)) => {
+                let events = self.events.clone();
+                self.tasks.spawn(async move {
+                    time::sleep(timeout).await;
+                    let _ = events.send(Event::Unadvised(number));
+                });
+            }
+            Err(ask) => self.unasked.push(ask),
+        }
+    }
+
+    pub(super) fn hear(&mut self, instance: &Name, up: Up, now: Duration) {
+        match up {
+            Up::Hello { .. } | Up::Pulse => {}
+            Up::CanLead => {
+                if self.doubted_at.is_some() && **instance != *self.ctx.settings.name {
+                    self.successor = Some(instance.clone());
+                }
+            }
+            Up::Accepted(id, spec) => self.board.accept(&id, *spec, now),
+            Up::Cancelled(id) => self.board.cancel(&id, now),
+            Up::Submit { number, id, spec } => {
+                let (ctx, down) = (Arc::clone(&self.ctx), self.helpers.down(instance));
+                let events = self.events.clone();
+                self.tasks.spawn(async move {
+                    let outcome = writes::submit_here(&ctx, &id, &spec).await;
+                    if outcome.is_ok() {
+                        let _ = events.send(Event::Accepted(id, spec));
+                    }
+                    tell(down, Down::Written { number, outcome });
+                });
+            }
+            Up::Cancel { number, id } => {
+                let (ctx, down) = (Arc::clone(&self.ctx), self.helpers.down(instance));
+                let events = self.events.clone();
+                self.tasks.spawn(async move {
+                    let outcome = writes::cancel_here(&ctx, &id).await;
+                    if outcome.is_ok() {
+                        let _ = events.send(Event::Cancelled(id));
+                    }
+                    tell(down, Down::Written { number, outcome });
+                });
+            }
+            Up::Advised { number, allowed, valid_ms } => {
+                self.take_advice(instance, number, allowed, valid_ms, now);
+            }
+        }
+    }
+
+    pub(super) fn take_advice(
+        &mut self,
+        instance: &Name,
+        number: u64,
+        allowed: Result<Vec<(Name, Name)>, String>,
+        valid_ms: Option<u64>,
+        now: Duration,
+    ) {
+        let Some(asked) = self.helpers.answered(number) else {
+            return;
+        };
+        let allowed = match allowed {
+            Ok(allowed) => allowed,
+            Err(why) => {
+                Metrics::count(&self.ctx.metrics.advice, "step", "failed");
+                emit!(self.ctx.log, warn, AdviceFailed; "job" => %asked.step.job,
+                    "step" => asked.step.step, "by" => %instance, "why" => why);
+                return self.board.advised(&asked.step, &asked.targets, None, now);
+            }
+        };
+        Metrics::count(&self.ctx.metrics.advice, "step", "given");
+        emit!(self.ctx.log, info, AdviceAsked; "job" => %asked.step.job,
+            "step" => asked.step.step, "asked" => asked.targets.len(),
+            "allowed" => allowed.len(), "by" => %instance);
+        let valid = Duration::from_millis(valid_ms.unwrap_or(0));
+        self.board.advised(&asked.step, &asked.targets, Some(allowed), now + valid);
+    }
+
+    pub(super) fn join(&mut self, joined: Joined) {
+        let Joined { instance, strength_milli, down, mut up } = joined;
+        // A closed link is noticed where its frames are received.
+        let _ = down.send(Down::States(self.board.states()));
+        let _ = down.send(Down::Pending(self.board.pending()));
+        self.helpers.join(instance.clone(), strength_milli, down);
+        self.board.set_advisors(self.helpers.len());
+        let events = self.events.clone();
+        self.tasks.spawn(async move {
+            while let Some(frame) = up.recv().await {
+                if events.send(Event::Up(instance.clone(), frame)).is_err() {
+                    return;
+                }
+            }
+            let _ = events.send(Event::Left(instance));
+        });
+    }
+}
--- a/crates/node/src/placer/mod.rs
+++ b/crates/node/src/placer/mod.rs
@@ -3,15 +3,19 @@
 //! [`run`] reads what is recorded, then takes in what happens in one loop.
 //! The tasks beside it follow the key-value service ([`follow`]), hold the
 //! targets ([`hold`]), carry orders ([`order`]), ask for advice ([`advice`])
-//! and record progress ([`record`]). They end with it.
+//! and record progress ([`record`]). They end with it. What the loop does is in
+//! [`run`], [`fronts`], [`targets`] and [`succession`].
 
 mod advice;
 mod event;
 mod follow;
+mod fronts;
 mod hold;
 mod order;
 mod read;
 mod record;
 mod run;
+mod succession;
+mod targets;
 
 pub(crate) use run::run;
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -16,16 +16,14 @@
 
 use crate::{
     context::Context,
-    edge::{Listed, Target},
-    helper,
+    edge::Listed,
     lead::{Ending, Lead},
-    link::{self, Down, Joined, Succession, Up},
+    link::{self, Down, Joined},
     metrics::Metrics,
     placer::{
         advice::Helpers, event::Event, follow, hold, hold::Holder, order, read, read::Recorded,
         record,
     },
-    writes,
 };
 
 /// Time between rounds in which nothing happens.
@@ -64,39 +62,33 @@
 /// Time for a node to make ready to lead.
 const SUCCESSOR_TIME: Duration = Duration::from_millis(700);
 
-/// Time for the last frame to be sent.
-const FAREWELL_TIME: Duration = Duration::from_millis(20);
-
-/// Time for the last record when the process is to end.
-const LAST_RECORD_TIME: Duration = Duration::from_millis(800);
-
 /// A `Placer` is the one owner of a cell's account.
-struct Placer {
-    ctx: Arc<Context>,
-    lead: Arc<Lead>,
-    board: Board,
-    lease: Duration,
-    holders: HashMap<Name, Arc<Holder>>,
-    listed: Listed,
+pub(super) struct Placer {
+    pub(super) ctx: Arc<Context>,
+    pub(super) lead: Arc<Lead>,
+    pub(super) board: Board,
+    pub(super) lease: Duration,
+    pub(super) holders: HashMap<Name, Arc<Holder>>,
+    pub(super) listed: Listed,
     /// Targets that are recorded as holding runs.
-    held: HashSet<Name>,
-    is_recording_held: bool,
+    pub(super) held: HashSet<Name>,
+    pub(super) is_recording_held: bool,
     /// Records under way.
-    recording: u32,
-    recorded_at: Duration,
-    helpers: Helpers,
+    pub(super) recording: u32,
+    pub(super) recorded_at: Duration,
+    pub(super) helpers: Helpers,
     /// Requests for advice that no instance can take yet.
-    unasked: Vec<Ask>,
+    pub(super) unasked: Vec<Ask>,
     /// When the next round of decisions may begin.
-    decide_at: Duration,
+    pub(super) decide_at: Duration,
     /// When it began to look for a successor.
-    doubted_at: Option<Instant>,
+    pub(super) doubted_at: Option<Instant>,
     /// Whether all nodes were asked before the process ends.
-    has_asked_all: bool,
+    pub(super) has_asked_all: bool,
     /// The node that is ready to lead.
-    successor: Option<Name>,
-    events: mpsc::UnboundedSender<Event>,
-    tasks: JoinSet<()>,
+    pub(super) successor: Option<Name>,
+    pub(super) events: mpsc::UnboundedSender<Event>,
+    pub(super) tasks: JoinSet<()>,
 }
 
 /// Places the jobs of the cell until the lead is lost or the process ends;
@@ -187,20 +179,6 @@
         placer
     }
 
-    /// Has this instance's own node serve as the others do.
-    fn join_own_node(&mut self) {
-        let (down, downs) = mpsc::unbounded_channel();
-        let (up, ups) = mpsc::unbounded_channel();
-        let instance = Name::from(self.ctx.settings.name.as_str());
-        let ctx = Arc::clone(&self.ctx);
-        self.tasks.spawn(async move {
-            let _open = ctx.uplink.open(up.clone());
-            helper::serve(&ctx, downs, up).await;
-        });
-        let strength_milli = self.ctx.settings.strength_milli();
-        self.join(Joined { instance, strength_milli, down, up: ups });
-    }
-
     /// Takes in what happens; gets why it ended.
     async fn serve(&mut self, events: &mut mpsc::UnboundedReceiver<Event>) -> Ending {
         let mut tick = time::interval(TICK);
@@ -322,21 +300,8 @@
         }
     }
 
-    fn ask(&mut self, ask: Ask) {
-        match self.helpers.ask(ask) {
-            Ok((number, timeout)) => {
-                let events = self.events.clone();
-                self.tasks.spawn(async move {
-                    time::sleep(timeout).await;
-                    let _ = events.send(Event::Unadvised(number));
-                });
-            }
-            Err(ask) => self.unasked.push(ask),
-        }
-    }
-
     /// Takes in one event; gets how the placer has to end, if it has.
-    fn take(&mut self, event: Event) -> Option<Ending> {
+    pub(super) fn take(&mut self, event: Event) -> Option<Ending> {
         let now = clock::now();
         match event {
             Event::Accepted(id, spec) => self.board.accept(&id, *spec, now),
@@ -415,147 +380,6 @@
         }
     }
 
-    fn hear(&mut self, instance: &Name, up: Up, now: Duration) {
-        match up {
-            Up::Hello { .. } | Up::Pulse => {}
-            Up::CanLead => {
-                if self.doubted_at.is_some() && **instance != *self.ctx.settings.name {
-                    self.successor = Some(instance.clone());
-                }
-            }
-            Up::Accepted(id, spec) => self.board.accept(&id, *spec, now),
-            Up::Cancelled(id) => self.board.cancel(&id, now),
-            Up::Submit { number, id, spec } => {
-                let (ctx, down) = (Arc::clone(&self.ctx), self.helpers.down(instance));
-                let events = self.events.clone();
-                self.tasks.spawn(async move {
-                    let outcome = writes::submit_here(&ctx, &id, &spec).await;
-                    if outcome.is_ok() {
-                        let _ = events.send(Event::Accepted(id, spec));
-                    }
-                    tell(down, Down::Written { number, outcome });
-                });
-            }
-            Up::Cancel { number, id } => {
-                let (ctx, down) = (Arc::clone(&self.ctx), self.helpers.down(instance));
-                let events = self.events.clone();
-                self.tasks.spawn(async move {
-                    let outcome = writes::cancel_here(&ctx, &id).await;
-                    if outcome.is_ok() {
-                        let _ = events.send(Event::Cancelled(id));
-                    }
-                    tell(down, Down::Written { number, outcome });
-                });
-            }
-            Up::Advised { number, allowed, valid_ms } => {
-                self.take_advice(instance, number, allowed, valid_ms, now);
-            }
-        }
-    }
-
-    fn take_advice(
-        &mut self,
-        instance: &Name,
-        number: u64,
-        allowed: Result<Vec<(Name, Name)>, String>,
-        valid_ms: Option<u64>,
-        now: Duration,
-    ) {
-        let Some(asked) = self.helpers.answered(number) else {
-            return;
-        };
-        let allowed = match allowed {
-            Ok(allowed) => allowed,
-            Err(why) => {
-                Metrics::count(&self.ctx.metrics.advice, "step", "failed");
-                emit!(self.ctx.log, warn, AdviceFailed; "job" => %asked.step.job,
-                    "step" => asked.step.step, "by" => %instance, "why" => why);
-                return self.board.advised(&asked.step, &asked.targets, None, now);
-            }
-        };
-        Metrics::count(&self.ctx.metrics.advice, "step", "given");
-        emit!(self.ctx.log, info, AdviceAsked; "job" => %asked.step.job,
-            "step" => asked.step.step, "asked" => asked.targets.len(),
-            "allowed" => allowed.len(), "by" => %instance);
-        let valid = Duration::from_millis(valid_ms.unwrap_or(0));
-        self.board.advised(&asked.step, &asked.targets, Some(allowed), now + valid);
-    }
-
-    fn join(&mut self, joined: Joined) {
-        let Joined { instance, strength_milli, down, mut up } = joined;
-        // A closed link is noticed where its frames are received.
-        let _ = down.send(Down::States(self.board.states()));
-        let _ = down.send(Down::Pending(self.board.pending()));
-        self.helpers.join(instance.clone(), strength_milli, down);
-        self.board.set_advisors(self.helpers.len());
-        let events = self.events.clone();
-        self.tasks.spawn(async move {
-            while let Some(frame) = up.recv().await {
-                if events.send(Event::Up(instance.clone(), frame)).is_err() {
-                    return;
-                }
-            }
-            let _ = events.send(Event::Left(instance));
-        });
-    }
-
-    /// Begins to hold the targets that are listed, once it is recorded that
-    /// runs may be on them.
-    fn hold_targets(&mut self) {
-        let is_new = |name: &&Name| !self.held.contains(*name);
-        if self.listed.keys().any(|name| is_new(&name)) {
-            self.record_held();
-        }
-        for (name, (_, address)) in &self.listed {
-            let is_known = self.holders.get(name).is_some_and(|h| h.target.address == *address);
-            if is_known || !self.held.contains(name) {
-                continue;
-            }
-            emit!(self.ctx.log, info, TargetListed; "target" => %name, "address" => %address);
-            let target = Target { id: name.clone(), address: address.clone() };
-            let holder = Arc::new(Holder::new(target));
-            if let Some(earlier) = self.holders.insert(name.clone(), Arc::clone(&holder)) {
-                earlier.end();
-            }
-            let (ctx, lead) = (Arc::clone(&self.ctx), Arc::clone(&self.lead));
-            let events = self.events.clone();
-            self.tasks.spawn(hold::hold(ctx, lead, holder, self.lease, events));
-        }
-    }
-
-    /// Records anew which targets runs may be on, if that has changed: the next
-    /// placer is not to wait for targets that are gone for certain.
-    fn update_held(&mut self) {
-        let held = self.board.held_targets(clock::now());
-        let is_missing = self.listed.keys().any(|name| !self.held.contains(name));
-        if is_missing || self.held.iter().any(|name| !held.contains(name)) {
-            self.record_held();
-        }
-    }
-
-    fn record_held(&mut self) {
-        if self.is_recording_held {
-            return;
-        }
-        self.is_recording_held = true;
-        let held = self.board.held_targets(clock::now());
-        // From here on those that are left out get no work, also if they are
-        // listed again, until they are recorded again.
-        self.held.retain(|name| held.contains(name));
-        let board = &mut self.board;
-        self.holders.retain(|name, holder| {
-            let is_kept = held.contains(name);
-            if !is_kept {
-                holder.end();
-                board.silent(name);
-            }
-            is_kept
-        });
-        let held = held.into_iter().collect();
-        let (ctx, lead) = (Arc::clone(&self.ctx), Arc::clone(&self.lead));
-        self.tasks.spawn(record::record_held(ctx, lead, held, self.events.clone()));
-    }
-
     fn forget_expired(&mut self) {
         let expired = self.board.take_expired(clock::now());
         if !expired.is_empty() {
@@ -563,65 +387,10 @@
             self.tasks.spawn(record::forget(ctx, lead, expired));
         }
     }
-
-    /// Asks the nodes which of them can lead: first the strong ones, then all.
-    fn look_for_successor(&mut self) {
-        let is_first = self.doubted_at.replace(Instant::now()).is_none();
-        if !is_first {
-            return self.helpers.tell(&Down::Doubt);
-        }
-        for instance in self.helpers.strong(&self.ctx.settings.name) {
-            tell(self.helpers.down(&instance), Down::Doubt);
-        }
-    }
-
-    /// Hands over to a node that is much stronger, if there is one.
-    fn prefer_stronger(&mut self) {
-        let own = self.ctx.settings.strength_milli();
-        let stronger = self.helpers.much_stronger(own).cloned();
-        if let Some(stronger) = stronger.filter(|_| self.doubted_at.is_none()) {
-            self.doubted_at = Some(Instant::now());
-            tell(self.helpers.down(&stronger), Down::Doubt);
-        }
-    }
-
-    /// Stops, and has the successor take the lead.
-    async fn hand_over(&mut self, events: &mut mpsc::UnboundedReceiver<Event>) -> Ending {
-        let down = self.successor.take().and_then(|successor| self.helpers.down(&successor));
-        if !self.lead.is_doubtful(clock::now()) {
-            self.wind_down(events).await;
-        }
-        self.lead.end();
-        let silent = self.board.silent_targets();
-        tell(down, Down::Succeed(Succession { revision: self.lead.revision.0, silent }));
-        // The frame is sent before the links are closed.
-        time::sleep(FAREWELL_TIME).await;
-        Ending::HandedOver
-    }
-
-    /// Records what isn't yet, before another instance takes over.
-    async fn wind_down(&mut self, events: &mut mpsc::UnboundedReceiver<Event>) {
-        let finish = async {
-            while self.recording > 0 {
-                match events.recv().await {
-                    Some(event) => {
-                        self.take(event);
-                    }
-                    None => return,
-                }
-            }
-            if let Some(batch) = self.board.take_batch() {
-                let (ctx, lead) = (Arc::clone(&self.ctx), Arc::clone(&self.lead));
-                record::record(ctx, lead, batch, self.events.clone()).await;
-            }
-        };
-        // What can't be recorded in time is listed by the targets again.
-        let _ = time::timeout(LAST_RECORD_TIME, finish).await;
-    }
 }
 
 /// Sends a frame to an instance if it still has a link.
-fn tell(down: Option<mpsc::UnboundedSender<Down>>, frame: Down) {
+pub(super) fn tell(down: Option<mpsc::UnboundedSender<Down>>, frame: Down) {
     if let Some(down) = down {
         // A closed link is noticed where its frames are received.
         let _ = down.send(frame);
--- a/crates/plan/src/board.rs
+++ b/crates/plan/src/board.rs
@@ -13,8 +13,8 @@
 
 use crate::{
     action::{Action, Stop},
+    batch::Pending,
     job::{Job, Origin},
-    listing::RunSeen,
     settings::Settings,
     share::Bucket,
     speed::Usual,
@@ -47,10 +47,10 @@
     /// Jobs whose progress isn't recorded.
     pub(crate) unrecorded: HashSet<Name>,
     /// Jobs whose progress is being recorded.
-    recording: HashSet<Name>,
+    pub(crate) recording: HashSet<Name>,
     /// The batches under way, the oldest first, and whether each is recorded.
-    batches: VecDeque<Pending>,
-    last_batch: u64,
+    pub(crate) batches: VecDeque<Pending>,
+    pub(crate) last_batch: u64,
     /// Jobs in a final state, which is told once it is recorded.
     pub(crate) unannounced: HashSet<Name>,
     /// First number that runs of inherited jobs may have.
@@ -72,50 +72,6 @@
     pub(crate) is_changed: bool,
 }
 
-/// A `Batch` is what is recorded in one go.
-#[derive(Debug)]
-pub struct Batch {
-    /// What is recorded of each job.
-    pub records: Vec<Record>,
-    number: u64,
-}
-
-/// A `Record` is what is recorded of a job.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Record {
-    /// Id of the job.
-    pub id: Name,
-    /// Its progress.
-    pub progress: Progress,
-    /// Whether the job itself is still needed.
-    pub need: Need,
-}
-
-/// A `Need` says whether a job is needed beside its progress.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Need {
-    /// It isn't done, or runs of it still take room.
-    Needed,
-    /// It has ended, and so have all its runs.
-    Needless,
-}
-
-/// A `Pending` is a batch under way.
-#[derive(Debug)]
-struct Pending {
-    number: u64,
-    /// The life of each target and its highest end that was taken in before.
-    seen: Vec<(u64, u64)>,
-    outcome: Option<Outcome>,
-}
-
-/// An `Outcome` is what became of a batch.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Outcome {
-    Recorded,
-    Failed,
-}
-
 impl Board {
     /// Makes the board of a placer.
     ///
@@ -306,82 +262,6 @@
         self.pending.iter().map(|(queue, count)| (queue.clone(), *count)).collect()
     }
 
-    /// Gets what has changed and has to be recorded; `None` if nothing has, or
-    /// only what is of jobs that are being recorded. Several batches may be
-    /// under way at a time, each job in one of them.
-    pub fn take_batch(&mut self) -> Option<Batch> {
-        let seen: Vec<(u64, u64)> =
-            self.targets.iter().map(|target| (target.life, target.seen)).collect();
-        let is_covered = self.batches.back().is_some_and(|batch| batch.seen == seen)
-            || self.targets.iter().all(|target| target.seen <= target.recorded);
-        let (held, ids): (HashSet<Name>, HashSet<Name>) =
-            self.unrecorded.drain().partition(|id| self.recording.contains(id));
-        self.unrecorded = held;
-        // An end may be forgotten only when all that it has changed is recorded.
-        if ids.is_empty() && (is_covered || !self.unrecorded.is_empty()) {
-            return None;
-        }
-        let records: Vec<Record> = ids
-            .into_iter()
-            .filter_map(|id| {
-                let job = self.jobs.get(&id)?;
-                let is_needless = job.state.is_final() && job.runs == 0;
-                let need = if is_needless { Need::Needless } else { Need::Needed };
-                Some(Record { id, progress: job.progress(), need })
-            })
-            .collect();
-        self.last_batch += 1;
-        let number = self.last_batch;
-        self.recording.extend(records.iter().map(|record| record.id.clone()));
-        let covered = if self.unrecorded.is_empty() { seen } else { Vec::new() };
-        self.batches.push_back(Pending { number, seen: covered, outcome: None });
-        Some(Batch { records, number })
-    }
-
-    /// Takes note that a batch is recorded: final states may be told, and once
-    /// the batches before it are recorded too, targets may forget its ends.
-    pub fn recorded(&mut self, batch: Batch) {
-        for Record { id, progress, .. } in batch.records {
-            self.recording.remove(&id);
-            if progress.state.is_final() && self.unannounced.remove(&id) {
-                self.changes.push((id, progress.state));
-            }
-        }
-        self.settle_batch(batch.number, Outcome::Recorded);
-    }
-
-    /// Takes note that a batch could not be recorded.
-    pub fn not_recorded(&mut self, batch: Batch) {
-        for Record { id, .. } in batch.records {
-            self.recording.remove(&id);
-            self.unrecorded.insert(id);
-        }
-        self.settle_batch(batch.number, Outcome::Failed);
-    }
-
-    fn settle_batch(&mut self, number: u64, outcome: Outcome) {
-        if let Some(batch) = self.batches.iter_mut().find(|batch| batch.number == number) {
-            batch.outcome = Some(outcome);
-        }
-        if outcome == Outcome::Failed {
-            // What it held goes into a later batch, which covers these ends.
-            for batch in &mut self.batches {
-                batch.seen.clear();
-            }
-        }
-        while self.batches.front().is_some_and(|batch| batch.outcome.is_some()) {
-            let Some(batch) = self.batches.pop_front() else {
-                return;
-            };
-            for (target, (life, seen)) in self.targets.iter_mut().zip(batch.seen) {
-                // The ends of a later life have numbers of their own.
-                if target.life == life {
-                    target.recorded = target.recorded.max(seen);
-                }
-            }
-        }
-    }
-
     /// Gets the jobs that ended long ago, and forgets them.
     pub fn take_expired(&mut self, now: Duration) -> Vec<Name> {
         let mut expired = Vec::new();
@@ -396,38 +276,7 @@
         expired
     }
 
-    /// Gets the targets that don't answer, with all that may run on them, as far
-    /// as all their ends are recorded.
-    pub fn silent_targets(&self) -> Vec<(Name, Vec<(TaskKey, u32)>)> {
-        let known = |target: &&Target| {
-            target.heard.is_none()
-                && target.seen == target.recorded
-                && !self.unclaimed.contains(&target.facts.id)
-        };
-        let runs = |target: &Target| {
-            target.runs.iter().map(|(task, run)| (task.clone(), run.number)).collect()
-        };
-        let silent = self.targets.iter().filter(known);
-        silent.map(|target| (target.facts.id.clone(), runs(target))).collect()
-    }
-
-    /// Takes over what the placer before knew of a target that didn't answer it.
-    /// Runs of it count until the target answers or its lease has surely lapsed.
-    pub fn adopt_silent(&mut self, target: &Name, runs: &[(TaskKey, u32)], now: Duration) {
-        self.unclaimed.remove(target);
-        let id = self.target_id(target);
-        let account = &mut self.targets[id.0 as usize];
-        account.facts.id = target.clone();
-        account.facts.availability = Availability::Unlisted;
-        account.granted = Some(now);
-        for (task, run) in runs {
-            let seen = RunSeen { task: task.clone(), run: *run, checkpoint: None, percent: 0 };
-            // A run that isn't wanted is stopped once the target answers.
-            let _ = self.adopt_run(id, &seen, now);
-        }
-    }
-
-    fn target_id(&mut self, name: &Name) -> TargetId {
+    pub(crate) fn target_id(&mut self, name: &Name) -> TargetId {
         *self.ids.entry(name.clone()).or_insert_with(|| {
             let health = Health::new(self.settings.caution);
             self.targets.push(Target { health, ..Target::default() });
--- /dev/null
+++ b/crates/plan/src/ends.rs
@@ -0,0 +1,196 @@
+//! Ends of runs, and what follows from them.
+
+use std::{sync::Arc, time::Duration};
+
+use base::Name;
+use place::Outcome;
+use work::{End, JobState, StepKey, TaskKey};
+
+use crate::{
+    board::Board,
+    step::TaskState,
+    target::{Phase, TargetId},
+};
+
+impl Board {
+    /// Takes in that runs of a target whose lease has lapsed are gone.
+    pub(crate) fn end_lapsed_runs(&mut self, now: Duration) {
+        let lapse_after = self.settings.lapse_after();
+        for index in 0..self.targets.len() {
+            let target = &self.targets[index];
+            let has_lapsed =
+                target.granted.is_some_and(|granted| now.saturating_sub(granted) > lapse_after);
+            if !has_lapsed || target.runs.is_empty() {
+                continue;
+            }
+            let gone: Vec<_> =
+                target.runs.iter().map(|(task, run)| (task.clone(), run.number)).collect();
+            for (task, run) in gone {
+                self.end_run(TargetId(index as u32), &task, run, End::Lapsed, None, now);
+            }
+        }
+    }
+
+    /// Takes in the end of a run.
+    pub(crate) fn end_run(
+        &mut self,
+        id: TargetId,
+        key: &TaskKey,
+        run: u32,
+        end: End,
+        checkpoint: Option<Name>,
+        now: Duration,
+    ) {
+        self.is_changed = true;
+        let team = self.jobs.get(&key.step.job).map(|job| job.spec.team.clone());
+        let account = &mut self.targets[id.0 as usize];
+        if account.runs.get(key).is_some_and(|known| known.number == run)
+            && let Some(known) = account.runs.remove(key)
+        {
+            account.promised -= known.size;
+            if let Some(team) = &team {
+                self.used.remove(team, known.size);
+            }
+            if let Some(job) = self.jobs.get_mut(&key.step.job) {
+                job.runs -= 1;
+                if job.runs == 0 && job.state.is_final() {
+                    // The job itself need no longer be kept.
+                    self.unrecorded.insert(key.step.job.clone());
+                }
+            }
+        }
+        if let Some(checkpoint) = &checkpoint {
+            self.save_checkpoint(key, checkpoint);
+        }
+        let Some(job) = self.jobs.get(&key.step.job) else {
+            return;
+        };
+        let spec = Arc::clone(&job.spec);
+        let Some(step) = spec.steps.get(usize::from(key.step.step)) else {
+            return;
+        };
+        self.note_health(id, &key.step.job, end, now);
+        if end == End::Done && self.step_state(&key.step).is_none() {
+            self.begin_adopted(&key.step, now);
+        }
+        let most_attempts = self.config.policy(&spec.queue, &spec.policy).most_attempts;
+        let Some(state) = self.step_state_mut(&key.step) else {
+            return;
+        };
+        let Some(task) = state.tasks.get_mut(key.index as usize) else {
+            return;
+        };
+        let is_current = task.state == TaskState::Assigned { target: id, run };
+        if end == End::Done && !step.long_running {
+            return self.finish_tasks(key, step.gang, now);
+        }
+        let counts = end == End::Failed && !step.long_running;
+        if counts && task.state != TaskState::Done {
+            let has_failed = state.fail(key.index, run, step) >= most_attempts;
+            self.unrecorded.insert(key.step.job.clone());
+            if has_failed {
+                return self.end_job(&key.step.job, JobState::Failed, now);
+            }
+        }
+        if !is_current {
+            return;
+        }
+        if step.gang { self.leave_gang(&key.step, key.index, now) } else { self.release(key) }
+    }
+
+    /// Learns from an end whether a target fails what it starts.
+    fn note_health(&mut self, id: TargetId, job: &Name, end: End, now: Duration) {
+        let outcome = match end {
+            End::Done => Outcome::Succeeded,
+            End::Failed => Outcome::Failed,
+            End::Stopped | End::Lapsed | End::Broken | End::Alone => return,
+        };
+        self.targets[id.0 as usize].health.record(outcome, job, now);
+    }
+
+    fn release(&mut self, key: &TaskKey) {
+        if let Some(state) = self.step_state_mut(&key.step) {
+            state.release(key.index);
+        }
+        self.queue_step(&key.step);
+    }
+
+    /// Takes a member out of a gang; the gang starts anew as a whole once none
+    /// of it runs.
+    fn leave_gang(&mut self, key: &StepKey, index: u32, now: Duration) {
+        let Some(state) = self.step_state_mut(key) else {
+            return;
+        };
+        state.release(index);
+        // All members resume where one of them did.
+        let checkpoint = state.tasks[index as usize].checkpoint.clone();
+        if checkpoint.is_some() {
+            for task in &mut state.tasks {
+                task.checkpoint.clone_from(&checkpoint);
+            }
+        }
+        self.stop_members(key, now);
+        if self.step_state(key).is_some_and(|state| !state.has_runs()) {
+            self.queue_step(key);
+        }
+    }
+
+    /// Stops all members of a gang that may be running.
+    pub(crate) fn stop_members(&mut self, key: &StepKey, now: Duration) {
+        let Some(state) = self.step_state(key) else {
+            return;
+        };
+        let members: Vec<_> = (0..)
+            .zip(&state.tasks)
+            .filter_map(|(index, task)| match task.state {
+                TaskState::Assigned { target, run } => Some((index, target, run)),
+                TaskState::Waiting | TaskState::Done => None,
+            })
+            .collect();
+        for (index, target, run) in members {
+            let task = TaskKey { step: key.clone(), index };
+            let is_told = self.targets[target.0 as usize]
+                .runs
+                .get(&task)
+                .is_some_and(|run| matches!(run.phase, Phase::Stopping(_)));
+            if !is_told {
+                self.stop_run(target, &task, run, now);
+            }
+        }
+    }
+
+    /// Marks a task as done, or all tasks of a gang.
+    fn finish_tasks(&mut self, key: &TaskKey, is_gang: bool, now: Duration) {
+        let Some(state) = self.step_state_mut(&key.step) else {
+            return;
+        };
+        if is_gang {
+            for index in 0..state.tasks.len() as u32 {
+                state.finish(index);
+            }
+        } else {
+            let other = state.tasks[key.index as usize].state;
+            state.finish(key.index);
+            // Another run of the task has become needless.
+            if let TaskState::Assigned { target, run } = other
+                && self.targets[target.0 as usize].runs.contains_key(key)
+            {
+                self.stop_run(target, key, run, now);
+            }
+        }
+        self.unrecorded.insert(key.step.job.clone());
+        let Some(state) = self.step_state(&key.step) else {
+            return;
+        };
+        let (is_done, is_waiting) = (state.is_done(), !state.waiting.is_empty());
+        if !is_waiting {
+            self.unqueue_step(&key.step);
+        }
+        if is_done {
+            self.open_steps(&key.step.job, key.step.occurrence, now);
+        }
+        if self.jobs.get(&key.step.job).is_some_and(|job| job.is_done()) {
+            self.end_job(&key.step.job, JobState::Complete, now);
+        }
+    }
+}
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -12,11 +12,15 @@
 //! lapsed for certain.
 
 mod action;
+mod adopt;
 mod ask;
+mod batch;
 mod board;
 mod decide;
+mod ends;
 mod job;
 mod listing;
+mod progress;
 mod rank;
 mod settings;
 mod share;
@@ -25,7 +29,8 @@
 mod target;
 
 pub use action::{Action, Ask, AskLength, Start, Stop};
-pub use board::{Batch, Board, Need, Record};
+pub use batch::{Batch, Need, Record};
+pub use board::Board;
 pub use listing::{Listing, Refusal, RunEnd, RunSeen, StartAnswer};
 pub use settings::Settings;
 pub use target::{Availability, Facts, TargetId};
--- /dev/null
+++ b/crates/plan/src/progress.rs
@@ -0,0 +1,60 @@
+//! How runs advance.
+
+use std::time::Duration;
+
+use place::Outcome;
+
+use crate::{
+    board::Board,
+    listing::RunSeen,
+    target::{Phase, TargetId},
+};
+
+impl Board {
+    /// Learns from how a run advances; moves it elsewhere if it doesn't.
+    pub(crate) fn watch_progress(&mut self, id: TargetId, seen: &RunSeen, now: Duration) {
+        /// Hundredths at which a run has done its part; the members of a gang
+        /// wait for one another there.
+        const ALL_DONE: u32 = 99;
+        /// Time between samples of a run.
+        const SAMPLE_PERIOD: Duration = Duration::from_millis(700);
+        let Some(job) = self.jobs.get(&seen.task.step.job) else {
+            return;
+        };
+        let Some(step) = job.spec.steps.get(usize::from(seen.task.step.step)) else {
+            return;
+        };
+        if step.long_running || step.estimate_ms == 0 {
+            return;
+        }
+        // The members of a gang advance together, as the slowest does.
+        let is_telling = !step.gang;
+        let target = &mut self.targets[id.0 as usize];
+        let Some(run) = target.runs.get_mut(&seen.task) else {
+            return;
+        };
+        let (percent, since) = *run.progress.get_or_insert((seen.percent, now));
+        if percent != seen.percent {
+            run.progress = Some((seen.percent, now));
+        } else if now.saturating_sub(since) > self.settings.stuck_after
+            && run.phase == Phase::Running
+            && (is_telling || percent > 0)
+            && percent < ALL_DONE
+        {
+            let number = run.number;
+            target.health.record(Outcome::Failed, &seen.task.step.job, now);
+            return self.stop_run(id, &seen.task, number, now);
+        }
+        let (percent, sampled) = *run.sampled.get_or_insert((seen.percent, now));
+        let time = now.saturating_sub(sampled);
+        if !is_telling || time < SAMPLE_PERIOD {
+            return;
+        }
+        run.sampled = Some((seen.percent, now));
+        // Less than a hundredth is rounded away.
+        let advance = f64::from(seen.percent.saturating_sub(percent)).max(0.5);
+        let ratio = time.as_millis() as f64 * 100.0 / advance / f64::from(step.estimate_ms);
+        let usual = self.usual.entry(job.spec.queue.clone()).or_default();
+        target.speed.learn(ratio, usual, now);
+    }
+}
