--- a/crates/node/src/writes.rs
+++ b/crates/node/src/writes.rs
@@ -54,12 +54,25 @@
 
 /// Records a job for another instance.
 pub(crate) async fn submit_here(ctx: &Context, id: &Name, spec: &Spec) -> Result<()> {
-    once(ctx, job(id, spec), ANSWER_TIME).await
+    once_here(ctx, job(id, spec)).await
 }
 
 /// Records a cancellation for another instance.
 pub(crate) async fn cancel_here(ctx: &Context, id: &Name) -> Result<()> {
-    once(ctx, cancellation(id), ANSWER_TIME).await
+    once_here(ctx, cancellation(id)).await
+}
+
+/// Makes a change for another instance, unless the last one failed: then that
+/// instance is told at once that nothing was done.
+async fn once_here(ctx: &Context, commit: Commit) -> Result<()> {
+    if ctx.is_store_suspect.load(Ordering::Relaxed) {
+        return Err(Failure::busy(RETRY_AFTER, "the key-value service fails the leader too"));
+    }
+    let outcome = once(ctx, commit, ANSWER_TIME).await;
+    if outcome.is_err() {
+        ctx.is_store_suspect.store(true, Ordering::Relaxed);
+    }
+    outcome
 }
 
 fn job(id: &str, spec: &Spec) -> Commit {
--- a/crates/node/tests/faults.rs
+++ b/crates/node/tests/faults.rs
@@ -243,3 +243,32 @@
     expect_that!(anew.state("failing"), ok(eq(&Some(JobState::Failed))));
     expect_that!(cell.world.targets.starts("job"), eq(2));
 }
+
+#[gtest]
+fn while_the_store_is_down_for_all_jobs_are_refused_as_not_run() {
+    // Seen on the day store-down: 199 answers that the outcome is unknown.
+    let cell = Cell::start(3, 2);
+    for node in &cell.nodes {
+        cell.world.store.fail(&node.name, store::Fault::Silent);
+    }
+    let follower = cell.follower();
+    std::thread::scope(|scope| {
+        // The first one finds out, at the node and at its leader.
+        scope.spawn(|| cell.nodes[follower].submit("first", "work:10", step(1)));
+        std::thread::sleep(Duration::from_millis(1300));
+        for number in 0..4 {
+            let begun = std::time::Instant::now();
+            let answer = cell.nodes[follower].submit(&format!("job-{number}"), "work:10", step(1));
+            expect_that!(answer.is_err_and(|failure| failure.is_not_run()), eq(true));
+            expect_that!(begun.elapsed(), lt(Duration::from_millis(300)));
+        }
+    });
+    for node in &cell.nodes {
+        cell.world.store.fail(&node.name, store::Fault::None);
+    }
+    wait("acceptance", || cell.nodes[follower].submit("late", "work:10", step(1)).is_ok());
+    cell.wait_for(follower, "late", JobState::Complete);
+    for number in 0..4 {
+        expect_that!(cell.world.targets.starts(&format!("job-{number}")), eq(0));
+    }
+}
