--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod clock;
 mod event;
+mod level;
 mod load;
 mod name;
 mod timer;
@@ -13,6 +14,7 @@
 mod verdict;
 
 pub use event::Event;
+pub use level::Level;
 pub use load::Load;
 pub use name::Name;
 pub use timer::{Ticks, Timer};
--- a/crates/daemon/src/process/log.rs
+++ b/crates/daemon/src/process/log.rs
@@ -4,7 +4,7 @@
 
 use slog::{Drain, Logger, o};
 
-use crate::process::settings::{Form, Level, Log};
+use crate::process::settings::{Form, Log};
 
 /// Lines that may wait for the writer; further ones are dropped and counted.
 const WAITING_LINES: usize = 16_384;
@@ -12,12 +12,6 @@
 /// Makes the logger of the process. It writes to standard error; dropping the
 /// guard writes out what still waits.
 pub(crate) fn logger(settings: &Log, instance: &str) -> (Logger, slog_async::AsyncGuard) {
-    let level = match settings.level {
-        Level::Error => slog::Level::Error,
-        Level::Warning => slog::Level::Warning,
-        Level::Info => slog::Level::Info,
-        Level::Debug => slog::Level::Debug,
-    };
     let (drain, guard) = match settings.form {
         Form::Json => {
             let drain = Mutex::new(slog_json::Json::default(std::io::stderr())).fuse();
@@ -29,6 +23,6 @@
             slog_async::Async::new(drain).chan_size(WAITING_LINES).build_with_guard()
         }
     };
-    let drain = slog::LevelFilter::new(drain, level).fuse();
+    let drain = slog::LevelFilter::new(drain, settings.level.into()).fuse();
     (Logger::root(drain, o!("instance" => instance.to_owned())), guard)
 }
--- a/crates/daemon/src/process/mod.rs
+++ b/crates/daemon/src/process/mod.rs
@@ -10,13 +10,14 @@
 mod settings;
 mod tls;
 
+pub use base::Level;
 pub use check::Fault;
 pub use context::{Context, Members, RunnerHandle};
 pub use membership::Member;
 pub use metrics::{CallLabels, Counters, Metrics, Outcome};
 pub use observed::Observed;
 pub use run::run;
-pub use settings::{Decisions, Form, Level, Settings, TlsMode};
+pub use settings::{Decisions, Form, Settings, TlsMode};
 pub use tls::{Acceptor, Dialer, Io};
 
 pub(crate) use membership::{MEMBER_PREFIX, keep_membership};
--- a/crates/daemon/src/process/settings.rs
+++ b/crates/daemon/src/process/settings.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, path::Path, time::Duration};
 
+use base::Level;
 use quota::Digest;
 use serde::{Deserialize, Serialize};
 
@@ -143,21 +144,6 @@
     Human,
 }
 
-/// A `Level` is how much is logged.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Level {
-    /// Only failures.
-    Error,
-    /// Failures and what may lead to them.
-    Warning,
-    /// Decisions too.
-    #[default]
-    Info,
-    /// Everything.
-    Debug,
-}
-
 /// Membership among the instances.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(default)]
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use base::Level;
 use serde::{Deserialize, Serialize};
 
 /// A `Settings` is everything a node is told when it starts. Keys that it
@@ -107,21 +108,6 @@
     pub level: Level,
 }
 
-/// A `Level` is the lowest level that is written to the log.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Level {
-    /// Errors only.
-    Error,
-    /// Also what somebody should look at.
-    Warning,
-    /// Also each decision.
-    #[default]
-    Info,
-    /// Also what helps to debug.
-    Debug,
-}
-
 impl Settings {
     /// Gets how fit the instance is to lead, in thousandths of a core that it
     /// may use; a slow link counts for a part of one.
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -80,7 +80,7 @@
         let settings = Settings {
             name: name.to_owned(),
             links: "127.0.0.1:0".to_owned(),
-            log: node::settings::Log { level: node::settings::Level::Error },
+            log: node::settings::Log { level: base::Level::Error },
             ..Settings::default()
         };
         let edges = world.edges(name);
--- a/crates/plan/src/ends.rs
+++ b/crates/plan/src/ends.rs
@@ -4,7 +4,7 @@
 
 use base::Name;
 use place::Outcome;
-use work::{End, JobState, StepKey, TaskKey};
+use work::{End, JobState, Step, StepKey, TaskKey};
 
 use crate::{
     board::Board,
@@ -82,7 +82,7 @@
         };
         let is_current = task.state == TaskState::Assigned { target: id, run };
         if end == End::Done && !step.long_running {
-            return self.finish_tasks(key, step.gang, now);
+            return self.finish(key, step, now);
         }
         let counts = end == End::Failed && !step.long_running;
         if counts && task.state != TaskState::Done {
@@ -160,11 +160,11 @@
     }
 
     /// Marks a task as done, or all tasks of a gang.
-    fn finish_tasks(&mut self, key: &TaskKey, is_gang: bool, now: Duration) {
+    fn finish(&mut self, key: &TaskKey, step: &Step, now: Duration) {
         let Some(state) = self.step_state_mut(&key.step) else {
             return;
         };
-        if is_gang {
+        if step.gang {
             for index in 0..state.tasks.len() as u32 {
                 state.finish(index);
             }
