--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -73,6 +73,8 @@
     /// Targets that are recorded as holding runs.
     pub(super) held: HashSet<Name>,
     pub(super) is_recording_held: bool,
+    /// Whether the last record of those failed or is under way.
+    pub(super) is_held_unrecorded: bool,
     /// Records under way.
     pub(super) recording: u32,
     pub(super) recorded_at: Duration,
@@ -164,6 +166,7 @@
             listed: Listed::new(),
             held: recorded.held,
             is_recording_held: false,
+            is_held_unrecorded: false,
             recording: 0,
             recorded_at: Duration::ZERO,
             helpers: Helpers::default(),
@@ -316,6 +319,7 @@
                 self.is_recording_held = false;
                 // What could not be recorded is tried again after a while.
                 if let Some(held) = held {
+                    self.is_held_unrecorded = false;
                     self.held = held.into_iter().collect();
                     self.hold_targets();
                 }
--- a/crates/node/src/placer/targets.rs
+++ b/crates/node/src/placer/targets.rs
@@ -39,7 +39,10 @@
     pub(super) fn update_held(&mut self) {
         let held = self.board.held_targets(clock::now());
         let is_missing = self.listed.keys().any(|name| !self.held.contains(name));
-        if is_missing || self.held.iter().any(|name| !held.contains(name)) {
+        if is_missing
+            || self.is_held_unrecorded
+            || self.held.iter().any(|name| !held.contains(name))
+        {
             self.record_held();
         }
     }
@@ -49,6 +52,7 @@
             return;
         }
         self.is_recording_held = true;
+        self.is_held_unrecorded = true;
         let held = self.board.held_targets(clock::now());
         // From here on those that are left out get no work, also if they are
         // listed again, until they are recorded again.
--- a/crates/node/tests/faults.rs
+++ b/crates/node/tests/faults.rs
@@ -272,3 +272,23 @@
         expect_that!(cell.world.targets.starts(&format!("job-{number}")), eq(0));
     }
 }
+
+#[gtest]
+fn a_target_that_went_while_the_store_failed_holds_up_no_later_takeover() {
+    // Seen on trouble-3 with a single machine: the failed record that the target
+    // is gone was not tried again, and each takeover waited a lease for it.
+    let mut cell = Cell::start(2, 3);
+    let (leader, follower) = (cell.leader(), cell.follower());
+    let name = cell.nodes[leader].name.clone();
+    cell.world.store.fail(&name, store::Fault::RefusingChanges);
+    cell.world.remove_target(&target(2));
+    std::thread::sleep(Duration::from_millis(1200));
+    cell.world.store.fail(&name, store::Fault::None);
+    std::thread::sleep(Duration::from_millis(1500));
+    expect_that!(cell.leader(), eq(leader));
+    cell.nodes[leader].kill();
+    let begun = std::time::Instant::now();
+    expect_that!(cell.nodes[follower].submit("job", "work:10", step(2)), ok(eq(&())));
+    cell.wait_for(follower, "job", JobState::Complete);
+    expect_that!(begun.elapsed(), lt(Duration::from_secs(5)));
+}
--- a/crates/standin/src/cell/store.rs
+++ b/crates/standin/src/cell/store.rs
@@ -29,6 +29,8 @@
     Silent,
     /// It refuses, and does nothing.
     Refusing,
+    /// It refuses changes, and nothing else.
+    RefusingChanges,
     /// It makes changes and doesn't answer every so many of them.
     LosingAnswers(u32),
     /// It answers late by this time.
@@ -88,6 +90,16 @@
         self.changed.notify_waiters();
     }
 
+    /// Removes a key, as others than the instances do.
+    pub fn remove(&self, key: &str) {
+        {
+            let mut state = self.lock();
+            state.revision += 1;
+            state.delete(key);
+        }
+        self.changed.notify_waiters();
+    }
+
     /// Drops the history.
     pub fn forget_history(&self) {
         let mut state = self.lock();
@@ -194,7 +206,7 @@
     async fn arrive(&self) -> Result<()> {
         time::sleep(LATENCY).await;
         match self.fault() {
-            Fault::None | Fault::LosingAnswers(_) => Ok(()),
+            Fault::None | Fault::LosingAnswers(_) | Fault::RefusingChanges => Ok(()),
             Fault::Refusing => Err(Error::NotRun { reason: "refused".to_owned() }),
             Fault::Silent => {
                 time::sleep(Duration::from_millis(800)).await;
@@ -257,6 +269,9 @@
     fn commit(&self, commit: Commit) -> BoxFuture<'_, Result<Committed>> {
         async move {
             self.arrive().await?;
+            if self.fault() == Fault::RefusingChanges {
+                return Err(Error::NotRun { reason: "refused".to_owned() });
+            }
             let answer = self.store.lock().commit(commit);
             self.store.changed.notify_waiters();
             self.answer(answer).await
--- a/crates/standin/src/cell/world.rs
+++ b/crates/standin/src/cell/world.rs
@@ -74,6 +74,12 @@
         world
     }
 
+    /// Has a target be gone for good.
+    pub fn remove_target(&self, id: &Name) {
+        self.targets.fail(id, crate::cell::targets::Fault::Silent);
+        self.store.remove(&format!("{TARGET_PREFIX}{id}"));
+    }
+
     /// Puts a new configuration in force, with these keys of teams.
     pub fn configure(&self, keys: &[(&str, &str)]) {
         let mut configs = self.known.configs.lock().expect("no holder of the lock panics");
