--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -201,7 +201,7 @@
         }
     }
 
-    /// Logs a request that was refused before it had an id.
+    /// Logs and counts a request that was refused before it had an id.
     pub fn log_refused(&self, host: &str, path: &str, failure: &Failure) {
         Metrics::count(&self.ctx.metrics.requests, "any", "refused");
         emit!(self.ctx.log, info, RequestRefused; "host" => host, "path" => path,
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -271,7 +271,7 @@
             if is_refused {
                 continue;
             }
-            let mut tasks = if target.takes_beside(step) { free.times(&step.size) } else { 0 };
+            let mut tasks = if target.may_share_with(step) { free.times(&step.size) } else { 0 };
             let mut whole = target.facts.capacity.times(&step.size);
             if let Some(most) = step.most_per_target {
                 let there = state.map_or(0, |state| state.count_on(id));
--- a/crates/plan/src/target.rs
+++ b/crates/plan/src/target.rs
@@ -59,9 +59,9 @@
     Stopping(Duration),
 }
 
-/// A `Company` says what a run can be beside.
+/// A `Sharing` says with which runs a run may share a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Company {
+pub(crate) enum Sharing {
     /// Anything.
     Any,
     /// It has users whose response times fills would harm.
@@ -70,7 +70,7 @@
     Fills,
 }
 
-impl Company {
+impl Sharing {
     pub(crate) fn of(step: &Step) -> Self {
         match (step.fills, step.goal_ms) {
             (true, _) => Self::Fills,
@@ -90,7 +90,7 @@
 pub(crate) struct Run {
     pub(crate) number: u32,
     pub(crate) size: Resources,
-    pub(crate) company: Company,
+    pub(crate) sharing: Sharing,
     pub(crate) phase: Phase,
     /// When it was settled whether the run is there: a listing that was asked
     /// for later and lacks it means that it isn't.
@@ -104,8 +104,8 @@
 
 impl Run {
     pub(crate) fn new(number: u32, step: &Step, phase: Phase) -> Self {
-        let (size, company) = (step.size, Company::of(step));
-        Self { number, size, company, phase, settled: None, progress: None, sampled: None }
+        let (size, sharing) = (step.size, Sharing::of(step));
+        Self { number, size, sharing, phase, settled: None, progress: None, sampled: None }
     }
 }
 
@@ -142,9 +142,9 @@
     }
 
     /// Tells whether a step's tasks may run beside what is on the target.
-    pub(crate) fn takes_beside(&self, step: &Step) -> bool {
-        let company = Company::of(step);
-        company == Company::Any || self.runs.values().all(|run| run.company.suits(company))
+    pub(crate) fn may_share_with(&self, step: &Step) -> bool {
+        let sharing = Sharing::of(step);
+        sharing == Sharing::Any || self.runs.values().all(|run| run.sharing.suits(sharing))
     }
 
     /// Tells whether the target could run tasks of a step if it were empty.
