One way to count a run

Starting and adopting a run wrote the account of its target, team and job in two places; both now call Board::count_run, and a step's policy is looked up once.

--- a/crates/plan/src/adopt.rs
+++ b/crates/plan/src/adopt.rs
@@ -53,21 +53,13 @@
         let Some(step) = spec.steps.get(usize::from(seen.task.step.step)) else {
             return false;
         };
-        let size = step.size;
-        // What runs takes room, wanted or not.
-        let run = Run { settled: Some(now), ..Run::new(seen.run, step, Phase::Running) };
-        let account = &mut self.targets[id.0 as usize];
-        if account.runs.contains_key(&seen.task) {
+        if self.targets[id.0 as usize].runs.contains_key(&seen.task) {
             return false;
         }
-        account.runs.insert(seen.task.clone(), run);
-        account.promised += size;
-        // An earlier placer may have granted a lease up to now.
-        account.granted = account.granted.max(Some(now));
-        self.used.add(&spec.team, size);
-        if let Some(job) = self.jobs.get_mut(&seen.task.step.job) {
-            job.runs += 1;
-        }
+        // What runs takes room, wanted or not. An earlier placer may have granted
+        // a lease up to now.
+        let run = Run { settled: Some(now), ..Run::new(seen.run, step, Phase::Running) };
+        self.count_run(id, &seen.task, &spec.team, run, now);
         if !self.step_state(&seen.task.step).is_some_and(|state| state.is_open) {
             self.begin_adopted(&seen.task.step, now);
         }
--- a/crates/plan/src/board.rs
+++ b/crates/plan/src/board.rs
@@ -19,7 +19,7 @@
     share::Bucket,
     speed::Usual,
     step::TaskState,
-    target::{Availability, Facts, Phase, Target, TargetId},
+    target::{Availability, Facts, Phase, Run, Target, TargetId},
 };
 
 /// A `Board` is the exact account of a cell.
@@ -184,6 +184,26 @@
         }
     }
 
+    /// Counts a run against its target, its team and its job, from a time at
+    /// which its target may have been granted a lease.
+    pub(crate) fn count_run(
+        &mut self,
+        id: TargetId,
+        task: &TaskKey,
+        team: &Name,
+        run: Run,
+        now: Duration,
+    ) {
+        self.used.add(team, run.size);
+        if let Some(job) = self.jobs.get_mut(&task.step.job) {
+            job.runs += 1;
+        }
+        let account = &mut self.targets[id.0 as usize];
+        account.promised += run.size;
+        account.granted = account.granted.max(Some(now));
+        account.runs.insert(task.clone(), run);
+    }
+
     /// Tells a run to stop. It counts until its end is certain.
     pub(crate) fn stop_run(&mut self, target: TargetId, task: &TaskKey, run: u32, now: Duration) {
         let target = &mut self.targets[target.0 as usize];
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -205,8 +205,8 @@
         if wanted == 0 || allowed < wanted {
             return;
         }
-        let service = self.config.policy(&spec.queue, &spec.policy).service.clone();
-        let needs_advice = self.config.policy(&spec.queue, &spec.policy).advice.is_some();
+        let policy = self.config.policy(&spec.queue, &spec.policy);
+        let (service, needs_advice) = (policy.service.clone(), policy.advice.is_some());
         let mut slots = self.slots(key, step, &service, round);
         if needs_advice {
             self.ask_for_step(key, &spec, &slots, wanted, round, now);
@@ -330,18 +330,12 @@
         let checkpoint = task.checkpoint.clone();
         let task = TaskKey { step: key.clone(), index };
         let account = &mut self.targets[target.0 as usize];
-        account.promised += step.size;
-        account.granted = Some(now);
         if account.health.is_suspected() {
             account.health.start_probe(now);
         }
         let entry = Run::new(run, step, Phase::Starting);
-        account.runs.insert(task.clone(), entry);
-        let target = account.facts.id.clone();
-        self.used.add(&spec.team, step.size);
-        if let Some(job) = self.jobs.get_mut(&key.job) {
-            job.runs += 1;
-        }
+        self.count_run(target, &task, &spec.team, entry, now);
+        let target = self.targets[target.0 as usize].facts.id.clone();
         self.note_started(&key.job);
         let payload = spec.payload.clone();
         self.actions.push(Action::Start(Start { target, task, run, payload, checkpoint, ticket }));
