The list of targets is looked at four times a second

Change: 250 ms between looks; the whole list is read each 6 s; the placer is told only when more than heartbeats changed.

Ruled out: serializable reads, which cost a tenth; they may be seconds old, and a leaving target has to be known within drainMs.

Test: heartbeats_of_targets_cost_no_request_each, seen failing with 300 requests of at most 15.

--- a/crates/node/src/placer/follow.rs
+++ b/crates/node/src/placer/follow.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use base::{Name, emit};
+use base::{Name, clock, emit};
 use platform::{Error, Event as Change, Revision};
 use tokio::{sync::mpsc, time};
 use work::Spec;
@@ -27,9 +27,14 @@
 /// Number of those.
 const FIRST_LOOKS: u32 = 10;
 
+/// Least time between looks at the changes of the list of targets. Their
+/// heartbeats change it all the time; that one of them leaves has to be known
+/// within `drainMs`, 2.5 s at the least.
+const TARGETS_PAUSE: Duration = Duration::from_millis(250);
+
 /// Time between reads of the whole list of targets, in case that a watch
 /// misses a change.
-const REREAD_EVERY: u32 = 8;
+const REREAD_PERIOD: Duration = Duration::from_secs(6);
 
 /// Pause after a failed request.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
@@ -127,16 +132,22 @@
         note_target(ctx, &mut targets, prefix, Change::Put(entry));
     }
     let _ = events.send(Event::Targets(targets.clone()));
-    for _ in 0..REREAD_EVERY {
+    let read_at = clock::now();
+    while clock::now().saturating_sub(read_at) < REREAD_PERIOD {
         let changes = ctx.edges.records.changes(prefix, revision, WATCH_WAIT).await?;
         revision = changes.revision;
         if changes.events.is_empty() {
             continue;
         }
+        let mut changed = targets.clone();
         for change in changes.events {
-            note_target(ctx, &mut targets, prefix, change);
+            note_target(ctx, &mut changed, prefix, change);
+        }
+        if changed != targets {
+            targets = changed;
+            let _ = events.send(Event::Targets(targets.clone()));
         }
-        let _ = events.send(Event::Targets(targets.clone()));
+        time::sleep(TARGETS_PAUSE).await;
     }
     Ok(())
 }
--- a/crates/node/tests/faults.rs
+++ b/crates/node/tests/faults.rs
@@ -307,3 +307,23 @@
     cell.wait_for(follower, "job", JobState::Complete);
     expect_that!(begun.elapsed(), lt(Duration::from_secs(5)));
 }
+
+#[gtest]
+fn heartbeats_of_targets_cost_no_request_each() {
+    /// Looks at the list a second: a leaving target gets no start 2.5 s after
+    /// it has said so, of which a look may take a tenth.
+    const MOST_LOOKS_A_SECOND: u32 = 5;
+    const SECONDS: u32 = 3;
+    let cell = Cell::start(2, 4);
+    let before = cell.world.target_looks();
+    for beat in 0..SECONDS * 100 {
+        cell.world.beat(beat as usize % 4);
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let looks = cell.world.target_looks() - before;
+    expect_that!(looks, le(SECONDS * MOST_LOOKS_A_SECOND));
+    // A change is noticed all the same.
+    cell.world.remove_target(&target(0));
+    expect_that!(cell.nodes[0].submit("job", "work:10", step(24)), ok(eq(&())));
+    cell.wait_for(1, "job", JobState::Complete);
+}
--- a/crates/standin/src/cell/store.rs
+++ b/crates/standin/src/cell/store.rs
@@ -54,6 +54,8 @@
     leases: HashMap<u64, (Instant, Duration)>,
     faults: HashMap<String, Fault>,
     changes: u32,
+    /// Requests for changes, by prefix.
+    looks: HashMap<String, u32>,
 }
 
 struct Item {
@@ -100,6 +102,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Counts the requests for the changes of what begins with a prefix.
+    pub fn looks(&self, prefix: &str) -> u32 {
+        self.lock().looks.get(prefix).copied().unwrap_or_default()
+    }
+
     /// Drops the history.
     pub fn forget_history(&self) {
         let mut state = self.lock();
@@ -286,6 +293,7 @@
         wait: Duration,
     ) -> BoxFuture<'a, Result<Changes>> {
         async move {
+            *self.store.lock().looks.entry(prefix.to_owned()).or_default() += 1;
             self.arrive().await?;
             let end = Instant::now() + wait;
             loop {
--- a/crates/standin/src/cell/world.rs
+++ b/crates/standin/src/cell/world.rs
@@ -74,6 +74,22 @@
         world
     }
 
+    /// Has a target say of itself what it said before, as it does for its
+    /// heartbeat.
+    pub fn beat(&self, number: usize) {
+        let id = {
+            let known = self.known.facts.lock().expect("no holder of the lock panics");
+            known[number].id.clone()
+        };
+        let value = Bytes::from(number.to_string());
+        self.store.put(&format!("{TARGET_PREFIX}{id}"), value);
+    }
+
+    /// Counts the looks of all instances at the changes of the list of targets.
+    pub fn target_looks(&self) -> u32 {
+        self.store.looks(TARGET_PREFIX)
+    }
+
     /// Has a target be gone for good.
     pub fn remove_target(&self, id: &Name) {
         self.targets.fail(id, crate::cell::targets::Fault::Silent);
