Queues refuse what can't be done in time

All jobs were accepted and waited without bound.

Change: (1) the placer tells the fronts each 0.7 s which queues have more work waiting than can be done while it is of use (room or advice, by priority), and a front refuses their new jobs at once with the time after which they would be taken. A job that is recorded already is accepted still; timed and lasting jobs are never refused. (2) Where no instance makes short requests alone, a long one goes out when no short one waits.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -88,6 +88,7 @@
     LeadGiven = 504, "lead of the cell given up";
     LeaderChanged = 505, "leader of the cell changed";
     JobsRead = 510, "jobs read from the store";
+    QueueRefuses = 511, "queue takes no new jobs for now";
     RequestRefused = 520, "request refused";
     RequestUnknown = 521, "outcome of a request is unknown";
     StartSent = 530, "start sent";
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -20,8 +20,8 @@
 /// Time that is left for the answer to reach the client.
 const ANSWER_TIME: Duration = Duration::from_millis(250);
 
-/// Oldest numbers of waiting jobs that are told.
-const PENDING_AGE: Duration = Duration::from_millis(2500);
+/// Age up to which what the leader has told of the queues holds.
+const QUEUES_AGE: Duration = Duration::from_millis(2500);
 
 /// A `Front` serves the requests of clients.
 #[derive(Clone)]
@@ -132,6 +132,14 @@
         if let Some(fault) = spec.fault() {
             return Err(Failure::fix(fault));
         }
+        if let Some(after) = self.refusal(&spec)
+            && !self.is_repeat(id, time_left).await
+        {
+            let failure = Failure::busy(after, "the queue has more work than can be done in time");
+            Metrics::count(&self.ctx.metrics.requests, "submit", "refused");
+            self.log_failure("submit", id, &failure);
+            return Err(failure);
+        }
         let began = clock::now();
         let outcome = writes::submit(&self.ctx, id, &spec, self.time_to_write(time_left)).await;
         Metrics::observe(&self.ctx.metrics.write_time, clock::now().saturating_sub(began));
@@ -196,7 +204,7 @@
     pub fn pending(&self, admitted: &Admitted) -> Result<u32> {
         let now = clock::now();
         match self.ctx.states.pending(&admitted.queue) {
-            Some((count, at)) if now.saturating_sub(at) < PENDING_AGE => Ok(count),
+            Some((count, at)) if now.saturating_sub(at) < QUEUES_AGE => Ok(count),
             Some(_) | None => Err(Failure::busy(RETRY_AFTER, "the leader does not answer")),
         }
     }
@@ -209,6 +217,22 @@
             "version" => self.ctx.configs.current().version);
     }
 
+    /// Gets the time after which a queue takes a job that it doesn't for now.
+    fn refusal(&self, spec: &Spec) -> Option<Duration> {
+        // What runs at set times, or for good, doesn't wait for what waits now.
+        if spec.schedule.is_some() || spec.steps.iter().any(|step| step.long_running) {
+            return None;
+        }
+        let (after, told_at) = self.ctx.states.refusal(&spec.queue)?;
+        let age = clock::now().saturating_sub(told_at);
+        (age < QUEUES_AGE).then_some(after)
+    }
+
+    /// Tells whether a job is recorded already, or may be.
+    async fn is_repeat(&self, id: &Name, time_left: Duration) -> bool {
+        !matches!(self.state(id, time_left).await, Ok(None))
+    }
+
     /// Reads the state of a job that this instance hasn't been told of.
     async fn recorded_state(&self, id: &str, time_left: Duration) -> Result<Option<JobState>> {
         let (job, progress) = (keys::job(id), keys::progress(id));
--- a/crates/node/src/helper.rs
+++ b/crates/node/src/helper.rs
@@ -20,7 +20,7 @@
     while let Some(down) = downs.recv().await {
         match down {
             Down::States(states) => ctx.states.merge(states, clock::now()),
-            Down::Pending(pending) => ctx.states.set_pending(pending, clock::now()),
+            Down::Queues(queues) => ctx.states.set_queues(queues, clock::now()),
             Down::Pulse => {}
             Down::Doubt => ctx.doubted.notify_one(),
             Down::Succeed(succession) => {
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -25,8 +25,8 @@
 pub(crate) enum Down {
     /// States of jobs that have changed, or of all when the link opens.
     States(Vec<(Name, JobState)>),
-    /// Numbers of jobs that nothing has started of, by queue.
-    Pending(Vec<(Name, u32)>),
+    /// How the queues are.
+    Queues(Queues),
     /// A request to ask which targets may run a step.
     Advise {
         /// Number of the request.
@@ -54,6 +54,16 @@
     Pulse,
 }
 
+/// A `Queues` is how the queues are.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Queues {
+    /// Numbers of jobs that nothing has started of, by queue.
+    pub(crate) pending: Vec<(Name, u32)>,
+    /// The queues that take no new jobs for now, with the time after which each
+    /// would, in milliseconds.
+    pub(crate) refusing: Vec<(Name, u64)>,
+}
+
 /// A `Succession` is what the next leader has to know.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Succession {
--- a/crates/node/src/placer/fronts.rs
+++ b/crates/node/src/placer/fronts.rs
@@ -2,13 +2,13 @@
 
 use std::{sync::Arc, time::Duration};
 
-use base::{Name, emit};
+use base::{Name, clock, emit};
 use plan::Ask;
 use tokio::{sync::mpsc, time};
 
 use crate::{
     helper,
-    link::{Down, Joined, Up},
+    link::{Down, Joined, Queues, Up},
     metrics::Metrics,
     placer::{
         event::Event,
@@ -111,11 +111,18 @@
         self.board.advised(&asked.step, &asked.targets, Some(allowed), now + valid);
     }
 
+    /// Gets how the queues are.
+    pub(super) fn queues(&self) -> Queues {
+        let refusing = self.board.refusals(clock::now()).into_iter();
+        let in_ms = |(queue, after): (Name, Duration)| (queue, after.as_millis() as u64);
+        Queues { pending: self.board.pending(), refusing: refusing.map(in_ms).collect() }
+    }
+
     pub(super) fn join(&mut self, joined: Joined) {
         let Joined { instance, strength_milli, down, mut up } = joined;
         // A closed link is noticed where its frames are received.
         let _ = down.send(Down::States(self.board.states()));
-        let _ = down.send(Down::Pending(self.board.pending()));
+        let _ = down.send(Down::Queues(self.queues()));
         self.helpers.join(instance.clone(), strength_milli, down);
         self.board.set_advisors(self.helpers.len());
         let events = self.events.clone();
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -33,8 +33,8 @@
 /// round takes; what is left is for orders and answers.
 const PAUSE_FACTOR: u32 = 6;
 
-/// Time between tellings of the numbers of jobs that wait.
-const PENDING_PERIOD: Duration = Duration::from_millis(700);
+/// Time between tellings of how the queues are.
+const QUEUES_PERIOD: Duration = Duration::from_millis(700);
 
 /// Time between looks for jobs that ended long ago.
 const EXPIRY_PERIOD: Duration = Duration::from_secs(5);
@@ -186,7 +186,7 @@
     async fn serve(&mut self, events: &mut mpsc::UnboundedReceiver<Event>) -> Ending {
         let mut tick = time::interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut pending_at = Instant::now();
+        let mut queues_at = Instant::now();
         let mut expiry_at = Instant::now();
         let mut held_at = Instant::now();
         let ctx = Arc::clone(&self.ctx);
@@ -222,9 +222,9 @@
                 self.doubted_at = None;
             }
             self.step();
-            if pending_at.elapsed() >= PENDING_PERIOD {
-                pending_at = Instant::now();
-                self.helpers.tell(&Down::Pending(self.board.pending()));
+            if queues_at.elapsed() >= QUEUES_PERIOD {
+                queues_at = Instant::now();
+                self.tell_queues();
             }
             if expiry_at.elapsed() >= EXPIRY_PERIOD {
                 expiry_at = Instant::now();
@@ -384,6 +384,15 @@
         }
     }
 
+    fn tell_queues(&mut self) {
+        let queues = self.queues();
+        for (queue, after_ms) in &queues.refusing {
+            emit!(self.ctx.log, warn, QueueRefuses; "queue" => %queue, "after_ms" => after_ms,
+                "term" => self.lead.term);
+        }
+        self.helpers.tell(&Down::Queues(queues));
+    }
+
     fn forget_expired(&mut self) {
         let expired = self.board.take_expired(clock::now());
         if !expired.is_empty() {
--- a/crates/node/src/states.rs
+++ b/crates/node/src/states.rs
@@ -9,6 +9,8 @@
 use base::Name;
 use work::JobState;
 
+use crate::link::Queues;
+
 /// Time after which a finished job is no longer kept; longer than the leader
 /// keeps it, so that a request finds it at the same time everywhere.
 const KEEP: Duration = Duration::from_secs(200);
@@ -27,7 +29,8 @@
 struct Table {
     jobs: HashMap<Name, (JobState, Duration)>,
     pending: HashMap<Name, u32>,
-    pending_at: Option<Duration>,
+    refusing: HashMap<Name, Duration>,
+    queues_at: Option<Duration>,
     sweep_at: usize,
 }
 
@@ -52,21 +55,30 @@
         }
     }
 
-    /// Takes in the numbers of jobs that nothing has started of, by queue.
-    pub(crate) fn set_pending(&self, pending: Vec<(Name, u32)>, now: Duration) {
+    /// Takes in how the queues are.
+    pub(crate) fn set_queues(&self, queues: Queues, now: Duration) {
         let mut table = self.lock();
-        table.pending = pending.into_iter().collect();
-        table.pending_at = Some(now);
+        let after = |(queue, after_ms)| (queue, Duration::from_millis(after_ms));
+        table.pending = queues.pending.into_iter().collect();
+        table.refusing = queues.refusing.into_iter().map(after).collect();
+        table.queues_at = Some(now);
     }
 
     /// Gets the number of jobs of a queue that nothing has started of, with the
     /// time at which it was told.
     pub(crate) fn pending(&self, queue: &str) -> Option<(u32, Duration)> {
         let table = self.lock();
-        let at = table.pending_at?;
+        let at = table.queues_at?;
         Some((table.pending.get(queue).copied().unwrap_or(0), at))
     }
 
+    /// Gets the time after which a queue takes new jobs again, with the time at
+    /// which that was told; `None` if it takes them.
+    pub(crate) fn refusal(&self, queue: &str) -> Option<(Duration, Duration)> {
+        let table = self.lock();
+        Some((*table.refusing.get(queue)?, table.queues_at?))
+    }
+
     fn lock(&self) -> MutexGuard<'_, Table> {
         self.table.lock().expect("no holder of the lock panics")
     }
--- a/crates/node/tests/faults.rs
+++ b/crates/node/tests/faults.rs
@@ -327,3 +327,29 @@
     expect_that!(cell.nodes[0].submit("job", "work:10", step(24)), ok(eq(&())));
     cell.wait_for(1, "job", JobState::Complete);
 }
+
+#[gtest]
+fn a_queue_with_more_work_than_can_be_done_in_time_says_when_to_come_back() {
+    /// Longest time until instances refuse: the leader knows all instances
+    /// after three seconds, and tells them of the queues each 0.7 s.
+    const TOLD_WITHIN: Duration = Duration::from_millis(4200);
+    let cell = Cell::start(2, 1);
+    // Eight of them run at a time.
+    let long = Step { estimate_ms: 4000, ..step(1) };
+    for number in 0..150 {
+        let id = format!("job-{number}");
+        expect_that!(cell.nodes[1].submit(&id, "work:500", long.clone()), ok(eq(&())));
+    }
+    std::thread::sleep(TOLD_WITHIN);
+    let refused = cell.nodes[0].submit("refused", "work:500", long.clone());
+    let failure = refused.expect_err("the queue refuses");
+    expect_true!(failure.is_not_run());
+    let is_told_when = matches!(failure.remedy, base::Remedy::Retry(after) if !after.is_zero());
+    expect_true!(is_told_when);
+    // A job that was accepted is accepted still, and is carried through.
+    expect_that!(cell.nodes[0].submit("job-149", "work:500", long.clone()), ok(eq(&())));
+    cell.wait_for(0, "job-149", JobState::Complete);
+    expect_that!(cell.world.targets.starts("refused"), eq(0));
+    wait("room in the queue", || cell.nodes[0].submit("refused", "work:10", step(1)).is_ok());
+    cell.wait_for(1, "refused", JobState::Complete);
+}
--- /dev/null
+++ b/crates/plan/src/admit.rs
@@ -0,0 +1,146 @@
+//! Which queues have more work than can be done while it is of use.
+//!
+//! It answers a cell that gets more than it can do for longer than jobs may
+//! wait: too many jobs for its room, or too few instances for the advice that
+//! the jobs need. If all were accepted, the number of jobs that wait would grow
+//! without bound, and those accepted last would never be of use. So a queue
+//! refuses new jobs, with the time after which it would take them, while what
+//! waits of its priority and of more urgent ones takes longer than its jobs may.
+//! What was accepted is carried through. The wait is the least that it can be:
+//! what runs is taken to end at once.
+
+use std::{collections::HashMap, time::Duration};
+
+use base::Name;
+use work::{Policy, Queue, Step};
+
+use crate::{board::Board, rank::objective_ms};
+
+/// Targets that a request for advice names, as a rule.
+const USUAL_TARGETS: u64 = 20;
+
+/// Weight of the newest job in a queue's usual objective, in thousandths.
+const NEWEST_MILLI: u64 = 50;
+
+/// A job may wait for this many times its objective: after three times the
+/// objective it is of no use, and the work itself takes the rest.
+const MOST_OBJECTIVES: u32 = 2;
+
+/// Time in which what was asked fades to a third of its weight.
+const FADE: Duration = Duration::from_secs(4);
+
+/// Least part of the advice that is left for long requests; less can't be told
+/// from nothing.
+const LEAST_PART: f64 = 0.05;
+
+/// A `Wait` is the work that waits, in time of the whole cell.
+#[derive(Clone, Copy, Debug, Default)]
+struct Wait {
+    room: Duration,
+    short_advice: Duration,
+    long_advice: Duration,
+}
+
+/// An `AskRate` is how much of the time of the instances short requests for
+/// advice take.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct AskRate {
+    taken: Duration,
+    at: Duration,
+}
+
+impl AskRate {
+    /// Takes note of a request that takes this time.
+    pub(crate) fn add(&mut self, time: Duration, now: Duration) {
+        self.taken = self.faded(now) + time;
+        self.at = now;
+    }
+
+    /// Gets the part of the time that they take of so many instances.
+    fn part(&self, advisors: u32, now: Duration) -> f64 {
+        self.faded(now).div_duration_f64(FADE * advisors.max(1))
+    }
+
+    fn faded(&self, now: Duration) -> Duration {
+        let age = now.saturating_sub(self.at);
+        self.taken.mul_f64((-age.div_duration_f64(FADE)).exp())
+    }
+}
+
+impl Board {
+    /// Gets the queues that take no new jobs for now, with the time after which
+    /// each would take them.
+    pub fn refusals(&self, now: Duration) -> Vec<(Name, Duration)> {
+        if now < self.began + self.settings.admission_after {
+            // Not all instances have a link yet.
+            return Vec::new();
+        }
+        let waits = self.waits();
+        let long_part = (1.0 - self.short_asks.part(self.advisors, now)).max(LEAST_PART);
+        let refusal = |queue: &Queue| {
+            let before = waits.iter().filter(|(priority, _)| **priority <= queue.policy.priority);
+            let mut wait = Wait::default();
+            for (_, earlier) in before {
+                wait.room += earlier.room;
+                wait.short_advice += earlier.short_advice;
+                wait.long_advice += earlier.long_advice;
+            }
+            // Short requests don't wait for long ones.
+            let advice = if self.is_long_ask(&queue.policy) {
+                (wait.short_advice + wait.long_advice).div_f64(long_part)
+            } else {
+                wait.short_advice
+            };
+            let objective_ms = *self.usual_objective_ms.get(&queue.name)?;
+            let most = Duration::from_millis(objective_ms) * MOST_OBJECTIVES;
+            let excess = wait.room.max(advice).checked_sub(most.min(self.settings.most_wait))?;
+            Some((queue.name.clone(), excess))
+        };
+        self.config.queues.iter().filter_map(refusal).collect()
+    }
+
+    /// Learns the usual objective of a queue's jobs.
+    pub(crate) fn learn_objective(&mut self, queue: &Name, steps: &[Step], policy: &Policy) {
+        let newest = objective_ms(steps, policy);
+        let usual = self.usual_objective_ms.entry(queue.clone()).or_insert(newest);
+        *usual = (*usual * (1000 - NEWEST_MILLI) + newest * NEWEST_MILLI) / 1000;
+    }
+
+    /// Gets what waits, by priority.
+    fn waits(&self) -> HashMap<u32, Wait> {
+        let mut waits: HashMap<u32, Wait> = HashMap::new();
+        let whole = self.targets.iter().map(|target| target.facts.capacity);
+        let (cpu, memory) = whole.fold((0, 0), |(cpu, memory), capacity| {
+            (cpu + u64::from(capacity.cpu_milli), memory + u64::from(capacity.memory_mib))
+        });
+        for key in &self.ready {
+            let Some((job, state)) = self.jobs.get(&key.job).zip(self.step_state(key)) else {
+                continue;
+            };
+            let step = &job.spec.steps[usize::from(key.step)];
+            let policy = self.config.policy(&job.spec.queue, &job.spec.policy);
+            let wait = waits.entry(policy.priority).or_default();
+            let part = |taken: u32, whole: u64| f64::from(taken) / whole.max(1) as f64;
+            let part = part(step.size.cpu_milli, cpu).max(part(step.size.memory_mib, memory));
+            let time = Duration::from_millis(u64::from(step.estimate_ms));
+            wait.room += time.mul_f64(part * state.waiting.len() as f64);
+            let advice = Duration::from_micros(usual_ask_us(policy)) / self.advisors.max(1);
+            if self.is_long_ask(policy) {
+                wait.long_advice += advice;
+            } else {
+                wait.short_advice += advice;
+            }
+        }
+        waits
+    }
+
+    fn is_long_ask(&self, policy: &Policy) -> bool {
+        self.settings.is_long_ask(usual_ask_us(policy))
+    }
+}
+
+/// Gets the time of a request for advice for a step, in microseconds.
+fn usual_ask_us(policy: &Policy) -> u64 {
+    let advice = policy.advice.unwrap_or_default();
+    u64::from(advice.request_us) + u64::from(advice.target_us) * USUAL_TARGETS
+}
--- a/crates/plan/src/ask.rs
+++ b/crates/plan/src/ask.rs
@@ -140,7 +140,11 @@
         };
         targets.truncate(self.settings.targets_per_ask);
         let cost_us = cost_us(advice, targets.len());
-        if targets.is_empty() || !self.may_ask(cost_us) {
+        if targets.is_empty() {
+            return;
+        }
+        if !self.may_ask(cost_us, round) {
+            round.short_asks_waiting += u32::from(!self.settings.is_long_ask(cost_us));
             return;
         }
         if !step.gang {
@@ -148,8 +152,12 @@
             round.keep_tasks(asked, step, wanted - usable);
         }
         let names = targets.iter().map(|id| self.targets[id.0 as usize].facts.id.clone()).collect();
-        let length =
-            if self.settings.is_long_ask(cost_us) { AskLength::Long } else { AskLength::Short };
+        let length = if self.settings.is_long_ask(cost_us) {
+            AskLength::Long
+        } else {
+            self.short_asks.add(Duration::from_micros(cost_us), now);
+            AskLength::Short
+        };
         self.actions.push(Action::Ask(Ask { step: key.clone(), targets: names, cost_us, length }));
         self.asking.insert(key.clone(), cost_us);
         if let Some(state) = self.step_state_mut(key) {
@@ -159,11 +167,16 @@
 
     /// Tells whether one more request for advice may be made. Too many would
     /// only wait for one another, while the room that they are for goes unused.
-    fn may_ask(&self, cost_us: u64) -> bool {
+    fn may_ask(&self, cost_us: u64, round: &Round) -> bool {
         let (long, short): (Vec<u64>, Vec<u64>) =
             self.asking.values().partition(|cost_us| self.settings.is_long_ask(**cost_us));
         if self.settings.is_long_ask(cost_us) {
-            return long.len() < self.settings.long_asks(self.advisors);
+            let most = self.settings.long_asks(self.advisors);
+            // Without an instance that makes short requests only, a long one
+            // holds up the short ones, so it goes out when there are none.
+            let has_short = !short.is_empty() || round.short_asks_waiting > 0;
+            let holds_up = has_short && most >= self.advisors as usize;
+            return long.len() < most && !holds_up;
         }
         let most_us = self.settings.advice_backlog.as_micros() as u64 * u64::from(self.advisors);
         short.is_empty() || short.iter().sum::<u64>() + cost_us <= most_us
--- a/crates/plan/src/board.rs
+++ b/crates/plan/src/board.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     action::{Action, Stop},
+    admit::AskRate,
     batch::Pending,
     job::{Job, Origin},
     settings::Settings,
@@ -37,6 +38,8 @@
     /// Requests for advice under way, with the time that they take, in
     /// microseconds.
     pub(crate) asking: HashMap<StepKey, u64>,
+    /// How much of the instances' time the short ones of them take.
+    pub(crate) short_asks: AskRate,
     /// Instances that can ask.
     pub(crate) advisors: u32,
     /// Occurrences that are to come, by the time that they are due.
@@ -62,6 +65,10 @@
     /// When unknown runs of earlier terms have surely lapsed.
     pub(crate) settled_at: Duration,
     pub(crate) pending: BTreeMap<Name, u32>,
+    /// When the term began.
+    pub(crate) began: Duration,
+    /// Usual objective of the jobs of each queue, in milliseconds.
+    pub(crate) usual_objective_ms: HashMap<Name, u64>,
     /// What each team is owed at the moment.
     buckets: HashMap<Name, Bucket>,
     /// How long runs take against their estimates, by queue.
@@ -81,7 +88,7 @@
     pub fn new(settings: Settings, term: u32, held: HashSet<Name>, now: Duration) -> Self {
         let settled_at = now + settings.lapse_after();
         let first_run = term.saturating_sub(1).saturating_mul(settings.runs_per_term);
-        Self { settings, first_run, unclaimed: held, settled_at, ..Self::default() }
+        Self { settings, first_run, unclaimed: held, settled_at, began: now, ..Self::default() }
     }
 
     /// Takes in a new configuration.
@@ -127,6 +134,10 @@
             let bucket = bucket.or_insert_with(|| Bucket::new(team.weight, now));
             job.entitlement = bucket.take(team.weight, now);
         }
+        if job.spec.schedule.is_none() {
+            let spec = Arc::clone(&job.spec);
+            self.learn_objective(&spec.queue, &spec.steps, &spec.policy);
+        }
         if !job.state.is_final() {
             self.changes.push((id.clone(), job.state));
         }
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -23,6 +23,8 @@
     kept: Vec<Resources>,
     /// What may run of each team though it isn't known where.
     unknown: HashMap<Name, Resources>,
+    /// Short requests for advice that have to wait.
+    pub(crate) short_asks_waiting: u32,
 }
 
 impl Round {
@@ -71,6 +73,7 @@
             open: numbered.filter(|(_, t)| t.is_open(now, silence)).map(|(id, _)| id).collect(),
             kept: vec![Resources::ZERO; self.targets.len()],
             unknown: HashMap::new(),
+            short_asks_waiting: 0,
         };
         if !self.is_settled(now) {
             round.unknown = self.unknown_runs();
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -12,6 +12,7 @@
 //! lapsed for certain.
 
 mod action;
+mod admit;
 mod adopt;
 mod ask;
 mod batch;
--- a/crates/plan/src/rank.rs
+++ b/crates/plan/src/rank.rs
@@ -10,7 +10,7 @@
 //! large gangs would never find their room beside a stream of small tasks.
 
 use base::Resources;
-use work::{Policy, Spec, Step, StepKey};
+use work::{Policy, Step, StepKey};
 
 use crate::{board::Board, share::Entitlement};
 
@@ -80,7 +80,7 @@
         let spec = &job.spec;
         let policy = self.config.policy(&spec.queue, &spec.policy);
         let since_ms = spec.accepted_unix_ms.max(spec.due_unix_ms(key.occurrence));
-        let objective_ms = objective_ms(spec, policy);
+        let objective_ms = objective_ms(&spec.steps, policy);
         let remaining_ms = chain_ms(&spec.steps, usize::from(key.step));
         let latest_start_ms = (since_ms + objective_ms).saturating_sub(remaining_ms);
         let useless_ms = (since_ms + objective_ms * USELESS_AFTER).saturating_sub(remaining_ms);
@@ -102,8 +102,8 @@
 }
 
 /// Gets the time within which a job is to be done.
-fn objective_ms(spec: &Spec, policy: &Policy) -> u64 {
-    let longest = (0..spec.steps.len()).map(|step| chain_ms(&spec.steps, step)).max().unwrap_or(0);
+pub(crate) fn objective_ms(steps: &[Step], policy: &Policy) -> u64 {
+    let longest = (0..steps.len()).map(|step| chain_ms(steps, step)).max().unwrap_or(0);
     longest * u64::from(policy.objective_factor_milli) / 1000 + u64::from(policy.objective_ms)
 }
 
--- a/crates/plan/src/settings.rs
+++ b/crates/plan/src/settings.rs
@@ -40,6 +40,13 @@
     pub long_ask: Duration,
     /// Most targets that one request for advice names.
     pub targets_per_ask: usize,
+    /// Time from the beginning of a term until jobs may be refused; all
+    /// instances have a link by then.
+    pub admission_after: Duration,
+    /// Longest wait for which jobs are accepted: what waits when the last
+    /// client has left is to be done within `finishS` of the users, 14 s, of
+    /// which the work itself takes a part.
+    pub most_wait: Duration,
 }
 
 /// The defaults fit leases of at most 10 s and links of 20 ms.
@@ -65,6 +72,8 @@
             advice_backlog: Duration::from_millis(150),
             long_ask: Duration::from_millis(150),
             targets_per_ask: 100,
+            admission_after: Duration::from_secs(3),
+            most_wait: Duration::from_secs(7),
         }
     }
 }
--- /dev/null
+++ b/crates/plan/tests/load.rs
@@ -0,0 +1,57 @@
+//! What callers get under the loads of the users' sheets. Each test plays whole
+//! days on the decisions.
+
+use googletest::prelude::*;
+use standin::cell::play::{Admission, Load, Player, Report};
+
+/// One day of each seed.
+const SEEDS: [u64; 2] = [1, 2];
+
+/// Position of the kind with short requests for advice that comes first.
+const QUOTE: usize = 0;
+
+fn play(load: &Load, admission: Admission) -> Vec<Vec<Report>> {
+    SEEDS.map(|seed| Player::new(load.clone(), admission, seed).play()).into()
+}
+
+fn count<'a>(
+    reports: impl IntoIterator<Item = &'a Report>,
+    counted: impl Fn(&Report) -> usize,
+) -> usize {
+    reports.into_iter().map(counted).sum()
+}
+
+/// Gets the share of the quotes that were done in time.
+fn quotes_in_time(days: &[Vec<Report>]) -> f64 {
+    let quotes = || days.iter().map(|day| &day[QUOTE]);
+    count(quotes(), Report::in_time) as f64 / count(quotes(), |report| report.fates.len()) as f64
+}
+
+#[gtest]
+fn a_cell_that_can_do_its_work_refuses_nothing() {
+    let days = play(&Load::firm(), Admission::AsTold);
+    for report in days.iter().flatten() {
+        expect_that!(report.refused(), eq(0), "{}", report.kind);
+        expect_that!(report.waiting(), eq(0), "{}", report.kind);
+    }
+}
+
+#[gtest]
+fn short_requests_for_advice_wait_for_no_long_ones_at_a_single_instance() {
+    let many = quotes_in_time(&play(&Load::firm(), Admission::All));
+    let single = Load { instances: 1, ..Load::firm() };
+    let single = quotes_in_time(&play(&single, Admission::All));
+    // A twentieth is what the bursts may take.
+    expect_that!(single, ge(many * 0.95));
+}
+
+#[gtest]
+fn an_instance_that_cannot_get_enough_advice_refuses_and_carries_the_rest_through() {
+    let load = Load { instances: 1, ..Load::firm() };
+    let all = play(&load, Admission::All);
+    let as_told = play(&load, Admission::AsTold);
+    expect_that!(count(all.iter().flatten(), Report::waiting), gt(0));
+    expect_that!(count(as_told.iter().flatten(), Report::waiting), eq(0));
+    let in_time = |days: &[Vec<Report>]| count(days.iter().flatten(), Report::in_time);
+    expect_that!(in_time(&as_told), ge(in_time(&all) * 95 / 100));
+}
--- /dev/null
+++ b/crates/standin/src/cell/play/report.rs
@@ -0,0 +1,83 @@
+//! What callers got.
+
+use std::time::Duration;
+
+/// A `Fate` is what became of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// It was refused each time, and never ran.
+    Refused,
+    /// Nothing of it ran when the day ended, though it was accepted.
+    Waiting,
+    /// It ran when the day ended.
+    Running,
+    /// It has failed.
+    Failed,
+    /// It was done.
+    Done {
+        /// Time from the first request until its end was told.
+        time: Duration,
+        /// Time within which it was to be done.
+        objective: Duration,
+    },
+}
+
+/// A `Report` is what the callers of one kind of request got.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// Name of the kind.
+    pub kind: String,
+    /// The fates of the jobs.
+    pub fates: Vec<Fate>,
+}
+
+/// A job that takes more than this many times its objective is of no use.
+const USELESS_AFTER: u32 = 3;
+
+impl Report {
+    /// Counts the jobs that were done in time.
+    pub fn in_time(&self) -> usize {
+        self.count(|fate| matches!(fate, Fate::Done { time, objective } if time <= objective))
+    }
+
+    /// Counts the jobs that were late, and of use.
+    pub fn late(&self) -> usize {
+        self.count(|fate| {
+            matches!(fate, Fate::Done { time, objective }
+                if time > objective && *time <= *objective * USELESS_AFTER)
+        })
+    }
+
+    /// Counts the jobs that were accepted and not done while they were of use.
+    pub fn useless(&self) -> usize {
+        self.fates.len() - self.in_time() - self.late() - self.refused()
+    }
+
+    /// Counts the jobs that were refused.
+    pub fn refused(&self) -> usize {
+        self.count(|fate| *fate == Fate::Refused)
+    }
+
+    /// Counts the jobs that were accepted and of which nothing ran when the day
+    /// ended.
+    pub fn waiting(&self) -> usize {
+        self.count(|fate| *fate == Fate::Waiting)
+    }
+
+    /// Gets the time within which this share of the jobs that were done was
+    /// done; nothing if none was.
+    pub fn time_of(&self, share: f64) -> Option<Duration> {
+        let done = self.fates.iter().filter_map(|fate| match fate {
+            Fate::Done { time, .. } => Some(*time),
+            Fate::Refused | Fate::Waiting | Fate::Running | Fate::Failed => None,
+        });
+        let mut times: Vec<Duration> = done.collect();
+        times.sort_unstable();
+        let position = (times.len() as f64 * share) as usize;
+        times.get(position.min(times.len().saturating_sub(1))).copied()
+    }
+
+    fn count(&self, is_counted: impl Fn(&Fate) -> bool) -> usize {
+        self.fates.iter().filter(|fate| is_counted(fate)).count()
+    }
+}
