--- /dev/null
+++ b/crates/plan/tests/decisions/board.rs
@@ -0,0 +1,157 @@
+//! What the board does with what it is told.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use plan::StartAnswer;
+use work::{End, JobState, Step};
+
+use crate::cell::{ATTEMPTS, Cell, step};
+
+#[gtest]
+fn tasks_start_where_there_is_room_and_end_with_their_job() {
+    let mut cell = Cell::new(2);
+    cell.accept("job", vec![step(3)]);
+    let starts = cell.decide_starts();
+    expect_that!(starts.len(), eq(3));
+    cell.answer_all(&starts, &StartAnswer::Started);
+    expect_that!(cell.state("job"), eq(JobState::Active));
+    for start in &starts {
+        cell.end(start, End::Done);
+    }
+    // It is told once it is recorded.
+    expect_that!(cell.state("job"), eq(JobState::Active));
+    cell.record();
+    expect_that!(cell.state("job"), eq(JobState::Complete));
+}
+
+#[gtest]
+fn no_target_is_ever_overcommitted() {
+    let mut cell = Cell::new(1);
+    cell.accept("job", vec![step(20)]);
+    let starts = cell.decide_starts();
+    // Eight fit.
+    expect_that!(starts.len(), eq(8));
+    cell.answer_all(&starts, &StartAnswer::Unknown);
+    cell.advance(Duration::from_millis(100));
+    // What may be running takes room until its end is certain.
+    expect_that!(cell.decide_starts(), is_empty());
+}
+
+#[gtest]
+fn what_runs_takes_room_from_later_jobs() {
+    let mut cell = Cell::new(1);
+    cell.accept("first", vec![step(6)]);
+    let first = cell.decide_starts();
+    cell.answer_all(&first, &StartAnswer::Started);
+    cell.accept("second", vec![step(6)]);
+    // Eight fit.
+    let second = cell.decide_starts();
+    expect_that!(second.len(), eq(2));
+    cell.answer_all(&second, &StartAnswer::Started);
+    cell.end(&first[0], End::Done);
+    expect_that!(cell.decide_starts().len(), eq(1));
+}
+
+#[gtest]
+fn a_later_step_starts_after_all_tasks_of_the_earlier_one() {
+    let mut cell = Cell::new(2);
+    let second = Step { after: [0].into_iter().collect(), ..step(1) };
+    cell.accept("job", vec![step(2), second]);
+    let first = cell.decide_starts();
+    expect_that!(first.len(), eq(2));
+    cell.answer_all(&first, &StartAnswer::Started);
+    cell.end(&first[0], End::Done);
+    expect_that!(cell.decide_starts(), is_empty());
+    cell.end(&first[1], End::Done);
+    let second = cell.decide_starts();
+    expect_that!(second.len(), eq(1));
+    expect_that!(second[0].task.step.step, eq(1));
+}
+
+#[gtest]
+fn a_job_fails_after_the_attempts_of_its_queue() {
+    let mut cell = Cell::new(1);
+    cell.accept("job", vec![step(1)]);
+    for _ in 0..ATTEMPTS {
+        let starts = cell.decide_starts();
+        expect_that!(starts.len(), eq(1));
+        cell.answer_all(&starts, &StartAnswer::Started);
+        cell.end(&starts[0], End::Failed);
+    }
+    cell.record();
+    expect_that!(cell.state("job"), eq(JobState::Failed));
+    expect_that!(cell.decide_starts(), is_empty());
+}
+
+#[gtest]
+fn a_cancelled_job_is_stopped_and_starts_nothing_more() {
+    let mut cell = Cell::new(1);
+    cell.accept("job", vec![step(10)]);
+    let starts = cell.decide_starts();
+    cell.answer_all(&starts, &StartAnswer::Started);
+    cell.cancel("job");
+    expect_that!(cell.stops().len(), eq(starts.len()));
+    cell.end(&starts[0], End::Stopped);
+    expect_that!(cell.decide_starts(), is_empty());
+}
+
+#[gtest]
+fn a_team_never_has_more_running_than_its_limit() {
+    let mut cell = Cell::new(4);
+    cell.limit_team(5);
+    cell.accept("job", vec![step(20)]);
+    let starts = cell.decide_starts();
+    expect_that!(starts.len(), eq(5));
+    cell.answer_all(&starts, &StartAnswer::Started);
+    cell.end(&starts[0], End::Done);
+    expect_that!(cell.decide_starts().len(), eq(1));
+}
+
+#[gtest]
+fn a_long_running_task_starts_again_however_it_ends() {
+    let mut cell = Cell::new(1);
+    cell.accept("service", vec![Step { long_running: true, ..step(1) }]);
+    for end in [End::Failed, End::Failed, End::Failed, End::Failed, End::Done, End::Lapsed] {
+        let starts = cell.decide_starts();
+        expect_that!(starts.len(), eq(1));
+        cell.answer_all(&starts, &StartAnswer::Started);
+        cell.end(&starts[0], end);
+    }
+    expect_that!(cell.decide_starts().len(), eq(1));
+}
+
+#[gtest]
+fn an_end_is_forgotten_only_when_all_before_it_is_recorded() {
+    let mut cell = Cell::new(1);
+    cell.accept("one", vec![step(1)]);
+    cell.accept("two", vec![step(1)]);
+    let starts = cell.decide_starts();
+    cell.answer_all(&starts, &StartAnswer::Started);
+    cell.end(&starts[0], End::Done);
+    let first = cell.board.take_batch().expect("there is an end to record");
+    cell.end(&starts[1], End::Done);
+    let second = cell.board.take_batch().expect("there is another one");
+    cell.board.recorded(second);
+    expect_that!(cell.board.recorded_end(&starts[0].target), eq(0));
+    cell.board.not_recorded(first);
+    expect_that!(cell.board.recorded_end(&starts[0].target), eq(0));
+    let again = cell.board.take_batch().expect("the first is tried again");
+    cell.board.recorded(again);
+    expect_that!(cell.board.recorded_end(&starts[0].target), eq(2));
+}
+
+#[gtest]
+fn a_team_that_sends_more_than_it_is_owed_waits_for_the_others() {
+    let mut cell = Cell::new(1);
+    cell.weigh_team(1);
+    // The first two are owed: two seconds of its weight.
+    for number in 0..12 {
+        cell.accept(&format!("flood-{number}"), vec![step(2)]);
+    }
+    cell.accept_of_other("other", vec![step(2)]);
+    let starts = cell.decide_starts();
+    let other = starts.iter().filter(|start| &*start.task.step.job == "other").count();
+    expect_that!(starts.len(), eq(8));
+    expect_that!(other, eq(2));
+}
--- a/crates/plan/tests/common/mod.rs
+++ b/crates/plan/tests/decisions/cell.rs
@@ -10,7 +10,7 @@
 use plan::{
     Action, Board, Facts, Listing, Need, RunEnd, RunSeen, Settings, Start, StartAnswer, Stop,
 };
-use work::{Config, End, JobState, Policy, Progress, Queue, Service, Spec, Step, Team};
+use work::{Config, End, JobState, Policy, Progress, Queue, Schedule, Service, Spec, Step, Team};
 
 /// Failures of a task after which its job has failed.
 pub const ATTEMPTS: u32 = 3;
@@ -29,6 +29,11 @@
     }
 }
 
+/// A step of so many of these tasks.
+pub fn step(count: u32) -> Step {
+    Step { count, ..small_step() }
+}
+
 /// A `Cell` is a board with targets.
 pub struct Cell {
     pub board: Board,
@@ -97,15 +102,35 @@
         self.accept_of("other", id, steps);
     }
 
+    /// Accepts a job that runs several times, from one interval on.
+    pub fn accept_scheduled(&mut self, id: &str, steps: Vec<Step>, interval: Duration, times: u32) {
+        let interval_ms = interval.as_millis() as u64;
+        let first_unix_ms = self.unix_ms + interval_ms;
+        self.accept_spec(
+            id,
+            Spec {
+                schedule: Some(Schedule { first_unix_ms, interval_ms, times }),
+                ..self.spec(TEAM, steps)
+            },
+        );
+    }
+
     fn accept_of(&mut self, team: &str, id: &str, steps: Vec<Step>) {
-        let spec = Spec {
+        self.accept_spec(id, self.spec(team, steps));
+    }
+
+    fn spec(&self, team: &str, steps: Vec<Step>) -> Spec {
+        Spec {
             queue: Name::from(QUEUE),
             policy: policy(),
             team: Name::from(team),
             accepted_unix_ms: self.unix_ms,
             steps,
             ..Spec::default()
-        };
+        }
+    }
+
+    fn accept_spec(&mut self, id: &str, spec: Spec) {
         self.specs.push((Name::from(id), spec.clone()));
         self.board.accept(&Name::from(id), spec, self.now);
     }
@@ -303,14 +328,31 @@
     }
 
     pub fn list_targets(&mut self) {
-        let facts = |name: &Name| Facts {
-            id: name.clone(),
-            service: Name::from(SERVICE),
-            capacity: small_step().size * 8,
-            ..Facts::default()
+        self.list_targets_with(|_| {});
+    }
+
+    /// Has the targets say something else of themselves.
+    pub fn list_targets_with(&mut self, change: impl Fn(&mut Facts)) {
+        let facts = |name: &Name| {
+            let mut facts = Facts {
+                id: name.clone(),
+                service: Name::from(SERVICE),
+                capacity: small_step().size * 8,
+                ..Facts::default()
+            };
+            change(&mut facts);
+            facts
         };
         self.board.list_targets(self.targets.iter().map(facts).collect());
     }
+
+    /// Has one target no longer be listed.
+    pub fn list_targets_without(&mut self, target: &str) {
+        let all = self.targets.clone();
+        self.targets.retain(|name| &**name != target);
+        self.list_targets();
+        self.targets = all;
+    }
 }
 
 fn policy() -> Policy {
--- /dev/null
+++ b/crates/plan/tests/decisions/main.rs
@@ -0,0 +1,8 @@
+//! What the placer decides, told without network or clock.
+
+mod board;
+mod cell;
+mod gangs;
+mod places;
+mod takeover;
+mod targets;
