Only what holds others up has jobs refused

Cause (found on reading the diff): the wait of a queue counted the work of all pools, of teams at their upper limit and beyond what they are owed, and tasks that no target can hold. One team with many times its usual, or jobs that can never run, would have had the others' jobs refused, and for good.

Change: room counts by pool, and what holds up no others doesn't count.

--- a/crates/plan/src/admit.rs
+++ b/crates/plan/src/admit.rs
@@ -7,14 +7,22 @@
 //! refuses new jobs, with the time after which it would take them, while what
 //! waits of its priority and of more urgent ones takes longer than its jobs may.
 //! What was accepted is carried through. The wait is the least that it can be:
-//! what runs is taken to end at once.
+//! what runs is taken to end at once, and what holds up no others (the work of
+//! teams at their limit or beyond what they are owed, and tasks that no target
+//! can hold) doesn't count.
 
 use std::{collections::HashMap, time::Duration};
 
-use base::Name;
+use base::{Name, Resources};
 use work::{Policy, Queue, Step};
 
-use crate::{board::Board, rank::objective_ms};
+use crate::{
+    board::Board,
+    job::Job,
+    rank::objective_ms,
+    share::Entitlement,
+    target::{Availability, Target},
+};
 
 /// Targets that a request for advice names, as a rule.
 const USUAL_TARGETS: u64 = 20;
@@ -45,6 +53,33 @@
     long_advice: Duration,
 }
 
+/// A `Room` is what the targets of a pool hold when they are empty.
+#[derive(Clone, Copy, Debug, Default)]
+struct Room {
+    cpu_milli: u64,
+    memory_mib: u64,
+    largest: Resources,
+}
+
+impl Room {
+    fn add(&mut self, capacity: Resources) {
+        self.cpu_milli += u64::from(capacity.cpu_milli);
+        self.memory_mib += u64::from(capacity.memory_mib);
+        self.largest = Resources {
+            cpu_milli: self.largest.cpu_milli.max(capacity.cpu_milli),
+            memory_mib: self.largest.memory_mib.max(capacity.memory_mib),
+            accelerators: self.largest.accelerators.max(capacity.accelerators),
+        };
+    }
+
+    /// Gets the part of it that a task takes, by what is scarcer.
+    fn part(&self, size: Resources) -> f64 {
+        let part = |taken: u32, whole: u64| f64::from(taken) / whole.max(1) as f64;
+        let cpu = part(size.cpu_milli, self.cpu_milli);
+        cpu.max(part(size.memory_mib, self.memory_mib))
+    }
+}
+
 /// An `AskRate` is how much of the time of the instances short requests for
 /// advice take.
 #[derive(Clone, Copy, Debug, Default)]
@@ -82,10 +117,13 @@
         let waits = self.waits();
         let long_part = (1.0 - self.short_asks.part(self.advisors, now)).max(LEAST_PART);
         let refusal = |queue: &Queue| {
-            let before = waits.iter().filter(|(priority, _)| **priority <= queue.policy.priority);
+            let before =
+                waits.iter().filter(|((priority, _), _)| *priority <= queue.policy.priority);
             let mut wait = Wait::default();
-            for (_, earlier) in before {
-                wait.room += earlier.room;
+            for ((_, service), earlier) in before {
+                if *service == queue.policy.service {
+                    wait.room += earlier.room;
+                }
                 wait.short_advice += earlier.short_advice;
                 wait.long_advice += earlier.long_advice;
             }
@@ -110,24 +148,24 @@
         *usual = (*usual * (1000 - NEWEST_MILLI) + newest * NEWEST_MILLI) / 1000;
     }
 
-    /// Gets what waits, by priority.
-    fn waits(&self) -> HashMap<u32, Wait> {
-        let mut waits: HashMap<u32, Wait> = HashMap::new();
-        let whole = self.targets.iter().map(|target| target.facts.capacity);
-        let (cpu, memory) = whole.fold((0, 0), |(cpu, memory), capacity| {
-            (cpu + u64::from(capacity.cpu_milli), memory + u64::from(capacity.memory_mib))
-        });
+    /// Gets what waits, by priority and pool.
+    fn waits(&self) -> HashMap<(u32, Name), Wait> {
+        let mut waits: HashMap<(u32, Name), Wait> = HashMap::new();
+        let rooms = self.rooms();
         for key in &self.ready {
             let Some((job, state)) = self.jobs.get(&key.job).zip(self.step_state(key)) else {
                 continue;
             };
             let step = &job.spec.steps[usize::from(key.step)];
             let policy = self.config.policy(&job.spec.queue, &job.spec.policy);
-            let wait = waits.entry(policy.priority).or_default();
-            let part = |taken: u32, whole: u64| f64::from(taken) / whole.max(1) as f64;
-            let part = part(step.size.cpu_milli, cpu).max(part(step.size.memory_mib, memory));
+            let room = rooms.get(&policy.service).filter(|room| step.size.fits(&room.largest));
+            let is_beyond = job.entitlement == Entitlement::Beyond;
+            let Some(room) = room.filter(|_| !is_beyond && self.may_start(job, step)) else {
+                continue;
+            };
+            let wait = waits.entry((policy.priority, policy.service.clone())).or_default();
             let time = Duration::from_millis(u64::from(step.estimate_ms));
-            wait.room += time.mul_f64(part * state.waiting.len() as f64);
+            wait.room += time.mul_f64(room.part(step.size) * state.waiting.len() as f64);
             let asks = if step.gang { ASKS_OF_GANG } else { 1 };
             let advice = Duration::from_micros(usual_ask_us(policy)) * asks / self.advisors.max(1);
             if self.is_long_ask(policy) {
@@ -139,6 +177,24 @@
         waits
     }
 
+    /// Gets the room of each pool.
+    fn rooms(&self) -> HashMap<Name, Room> {
+        let mut rooms: HashMap<Name, Room> = HashMap::new();
+        for Target { facts, .. } in &self.targets {
+            if facts.availability != Availability::Unlisted {
+                rooms.entry(facts.service.clone()).or_default().add(facts.capacity);
+            }
+        }
+        rooms
+    }
+
+    /// Tells whether the limit of a job's team lets another task of a step start.
+    fn may_start(&self, job: &Job, step: &Step) -> bool {
+        let team = self.config.teams.get(&job.spec.team);
+        let most = team.map_or(Resources::MAX, |team| team.most);
+        step.size.fits(&(most - self.used.used(&job.spec.team)))
+    }
+
     fn is_long_ask(&self, policy: &Policy) -> bool {
         self.settings.is_long_ask(usual_ask_us(policy))
     }
--- /dev/null
+++ b/crates/plan/tests/decisions/admission.rs
@@ -0,0 +1,59 @@
+//! Which queues refuse.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use work::Step;
+
+use crate::cell::{Cell, OTHER_QUEUE, QUEUE, step};
+
+/// Work that takes a target of eight tasks half a minute.
+fn long() -> Step {
+    Step { estimate_ms: 2000, ..step(120) }
+}
+
+/// Has the term be old enough for refusals.
+fn settle(cell: &mut Cell) {
+    cell.advance(Duration::from_secs(4));
+    cell.hear_others("");
+}
+
+#[gtest]
+fn a_queue_refuses_while_what_waits_takes_longer_than_its_jobs_may() {
+    let mut cell = Cell::new(1);
+    settle(&mut cell);
+    expect_that!(cell.refusals(), is_empty());
+    cell.accept("job", vec![long()]);
+    expect_that!(cell.refusals(), contains(eq(QUEUE)));
+    cell.cancel("job");
+    expect_that!(cell.refusals(), is_empty());
+}
+
+#[gtest]
+fn the_work_of_one_pool_refuses_nothing_of_another() {
+    let mut cell = Cell::new(2);
+    settle(&mut cell);
+    cell.split_pools();
+    cell.accept("job", vec![long()]);
+    cell.accept_in(OTHER_QUEUE, "small", vec![step(1)]);
+    expect_that!(cell.refusals(), elements_are![eq(QUEUE)]);
+}
+
+#[gtest]
+fn a_team_at_its_limit_has_nothing_of_others_refused() {
+    let mut cell = Cell::new(1);
+    settle(&mut cell);
+    cell.limit_team(1);
+    cell.accept("job", vec![long()]);
+    expect_that!(cell.decide_starts().len(), eq(1));
+    expect_that!(cell.refusals(), is_empty());
+}
+
+#[gtest]
+fn tasks_that_no_target_can_hold_have_nothing_refused() {
+    let mut cell = Cell::new(1);
+    settle(&mut cell);
+    let too_large = Step { size: step(1).size * 9, ..long() };
+    cell.accept("job", vec![too_large]);
+    expect_that!(cell.refusals(), is_empty());
+}
--- a/crates/plan/tests/decisions/cell.rs
+++ b/crates/plan/tests/decisions/cell.rs
@@ -17,7 +17,11 @@
 
 const SERVICE: &str = "pool";
 const TEAM: &str = "team";
-const QUEUE: &str = "queue";
+pub const QUEUE: &str = "queue";
+
+/// A queue whose pool has the last target, once the pools are split.
+pub const OTHER_QUEUE: &str = "other queue";
+const OTHER_SERVICE: &str = "other pool";
 
 /// A step of one task, of which eight fit on a target.
 pub fn small_step() -> Step {
@@ -93,6 +97,33 @@
         self.board.configure(Arc::new(self.config.clone()));
     }
 
+    /// Decides; gets the names of the queues that refuse.
+    pub fn refusals(&mut self) -> Vec<String> {
+        self.decide_starts();
+        let refusals = self.board.refusals(self.now).into_iter();
+        refusals.map(|(queue, _)| queue.to_string()).collect()
+    }
+
+    /// Has the last target be in the pool of the other queue.
+    pub fn split_pools(&mut self) {
+        let other = Policy { service: Name::from(OTHER_SERVICE), ..policy() };
+        let queue = Queue { name: Name::from(OTHER_QUEUE), policy: other, ..Queue::default() };
+        self.config.queues.push(queue);
+        self.board.configure(Arc::new(self.config.clone()));
+        let last = self.targets.last().cloned().unwrap_or_default();
+        self.list_targets_with(|facts| {
+            if facts.id == last {
+                facts.service = Name::from(OTHER_SERVICE);
+            }
+        });
+    }
+
+    /// Accepts a job in another queue.
+    pub fn accept_in(&mut self, queue: &str, id: &str, steps: Vec<Step>) {
+        let policy = self.config.policy(queue, &policy()).clone();
+        self.accept_spec(id, Spec { queue: Name::from(queue), policy, ..self.spec(TEAM, steps) });
+    }
+
     pub fn accept(&mut self, id: &str, steps: Vec<Step>) {
         self.accept_of(TEAM, id, steps);
     }
--- a/crates/plan/tests/decisions/main.rs
+++ b/crates/plan/tests/decisions/main.rs
@@ -1,5 +1,6 @@
 //! What the placer decides, told without network or clock.
 
+mod admission;
 mod board;
 mod cell;
 mod gangs;
