One piece of code where there were two

Read through once more; nothing of the behaviour is meant to change.

- Pauses and the time to come back stand once, in the context; so does the question whether this process leads.
- Recording for another instance: one piece for jobs and cancellations.
- The chains of a job's work are added up once for its place in the order, not once for each step; the limit of a team, the time of a request for advice and the run of an answered start are worked out in one place.
- A refused job is counted and logged where all others are.
- The list of targets is no longer copied for each look at its changes.
- Gone: a revision that nobody read; a field that was public without need.

--- a/crates/node/src/configs.rs
+++ b/crates/node/src/configs.rs
@@ -13,7 +13,7 @@
 use tokio::{sync::watch, time};
 use work::Config;
 
-use crate::context::Context;
+use crate::context::{Context, RETRY_PAUSE};
 
 /// How long one wait for changes takes; bounds how late a silent connection is
 /// noticed.
@@ -23,9 +23,6 @@
 /// a change.
 const REREAD_PERIOD: Duration = Duration::from_millis(2000);
 
-/// Pause after a failed request.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
-
 /// A `Configs` holds the configuration in force.
 #[derive(Debug)]
 pub(crate) struct Configs {
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -18,6 +18,15 @@
     states::States, uplink::Uplink,
 };
 
+/// Time after which a request that was refused for now may be repeated.
+pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(1000);
+
+/// Pause before a request is sent again for a client who waits.
+pub(crate) const RESEND_PAUSE: Duration = Duration::from_millis(60);
+
+/// Pause of what goes on for good after a failed request.
+pub(crate) const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
 /// A `Leader` is who leads the cell, as the key-value service has it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Leader {
@@ -100,6 +109,11 @@
         let _ = self.stopping.subscribe().wait_for(|stopping| *stopping).await;
     }
 
+    /// Tells whether this process leads, as far as it knows.
+    pub(crate) fn leads(&self) -> bool {
+        self.leader.borrow().as_ref().is_some_and(|leader| leader.process == self.process)
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         *self.stopping.borrow()
     }
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -9,13 +9,12 @@
 use tokio::time;
 use work::{Config, JobState, Policy, Progress, Schedule, Spec, Step};
 
-use crate::{context::Context, keys, metrics::Metrics, writes};
-
-/// Time after which a request that was refused for now may be repeated.
-const RETRY_AFTER: Duration = Duration::from_millis(1000);
-
-/// Pause before a change is sent again that was not answered.
-const RESEND_PAUSE: Duration = Duration::from_millis(60);
+use crate::{
+    context::{Context, RESEND_PAUSE, RETRY_AFTER},
+    keys,
+    metrics::Metrics,
+    writes,
+};
 
 /// Time that is left for the answer to reach the client.
 const ANSWER_TIME: Duration = Duration::from_millis(250);
@@ -132,17 +131,7 @@
         if let Some(fault) = spec.fault() {
             return Err(Failure::fix(fault));
         }
-        if let Some(after) = self.refusal(&spec)
-            && !self.is_repeat(id, time_left).await
-        {
-            let failure = Failure::busy(after, "the queue has more work than can be done in time");
-            Metrics::count(&self.ctx.metrics.requests, "submit", "refused");
-            self.log_failure("submit", id, &failure);
-            return Err(failure);
-        }
-        let began = clock::now();
-        let outcome = writes::submit(&self.ctx, id, &spec, self.time_to_write(time_left)).await;
-        Metrics::observe(&self.ctx.metrics.write_time, clock::now().saturating_sub(began));
+        let outcome = self.record_job(id, &spec, time_left).await;
         Metrics::count(&self.ctx.metrics.requests, "submit", outcome_of(&outcome));
         let tasks: u32 = spec.steps.iter().map(|step| step.count).sum();
         match &outcome {
@@ -156,6 +145,19 @@
         outcome
     }
 
+    /// Records a job, unless its queue refuses it.
+    async fn record_job(&self, id: &Name, spec: &Spec, time_left: Duration) -> Result<()> {
+        if let Some(after) = self.refusal(spec)
+            && !self.is_repeat(id, time_left).await
+        {
+            return Err(Failure::busy(after, "the queue has more work than can be done in time"));
+        }
+        let began = clock::now();
+        let outcome = writes::submit(&self.ctx, id, spec, self.time_to_write(time_left)).await;
+        Metrics::observe(&self.ctx.metrics.write_time, clock::now().saturating_sub(began));
+        outcome
+    }
+
     /// Cancels a job; gets whether there is such a job.
     ///
     /// # Errors
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -29,7 +29,7 @@
 use work::TaskKey;
 
 use crate::{
-    context::{Context, Leader, jitter},
+    context::{Context, Leader, RETRY_PAUSE, jitter},
     keys,
     link::{Succession, Up},
     placer,
@@ -38,9 +38,6 @@
 /// How long one wait for a change of the lead takes.
 const WATCH_WAIT: Duration = Duration::from_millis(2000);
 
-/// Pause after a failed request.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
-
 /// Within this time instances try to take a free lead, so that not all of them
 /// write at once.
 const TAKE_JITTER: Duration = Duration::from_millis(100);
--- a/crates/node/src/placer/advice.rs
+++ b/crates/node/src/placer/advice.rs
@@ -21,8 +21,8 @@
 
 /// A `Helper` is an instance that can ask.
 #[derive(Debug)]
-pub(crate) struct Helper {
-    pub(crate) down: mpsc::UnboundedSender<Down>,
+struct Helper {
+    down: mpsc::UnboundedSender<Down>,
     strength_milli: u32,
     backlog_us: u64,
     waiting: usize,
--- a/crates/node/src/placer/follow.rs
+++ b/crates/node/src/placer/follow.rs
@@ -8,7 +8,7 @@
 use work::Spec;
 
 use crate::{
-    context::Context,
+    context::{Context, RETRY_PAUSE},
     edge::Listed,
     keys::{self, JobKey},
     placer::{event::Event, read::read_all},
@@ -36,9 +36,6 @@
 /// misses a change.
 const REREAD_PERIOD: Duration = Duration::from_secs(6);
 
-/// Pause after a failed request.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
-
 /// Follows accepted and cancelled jobs.
 pub(crate) async fn follow_jobs(
     ctx: Arc<Context>,
@@ -139,12 +136,11 @@
         if changes.events.is_empty() {
             continue;
         }
-        let mut changed = targets.clone();
+        let mut has_changed = false;
         for change in changes.events {
-            note_target(ctx, &mut changed, prefix, change);
+            has_changed |= note_target(ctx, &mut targets, prefix, change);
         }
-        if changed != targets {
-            targets = changed;
+        if has_changed {
             let _ = events.send(Event::Targets(targets.clone()));
         }
         time::sleep(TARGETS_PAUSE).await;
@@ -152,24 +148,27 @@
     Ok(())
 }
 
-fn note_target(ctx: &Context, targets: &mut Listed, prefix: &str, change: Change) {
+/// Takes in what is listed of a target; gets whether that is new.
+fn note_target(ctx: &Context, targets: &mut Listed, prefix: &str, change: Change) -> bool {
     match change {
         Change::Put(entry) => {
             let id = Name::from(entry.key.strip_prefix(prefix).unwrap_or_default());
             match ctx.edges.catalog.target(&id, &entry.value) {
                 Ok(target) => {
+                    let is_new = targets.get(&id) != Some(&target);
                     targets.insert(id, target);
+                    is_new
                 }
                 Err(why) => {
                     // It names no target to use; one that was known is gone.
                     emit!(ctx.log, debug, TargetLost; "target" => %id, "why" => why);
-                    targets.remove(&id);
+                    targets.remove(&id).is_some()
                 }
             }
         }
         Change::Deleted { key, .. } => {
-            targets.remove(key.strip_prefix(prefix).unwrap_or_default());
+            targets.remove(key.strip_prefix(prefix).unwrap_or_default()).is_some()
         }
-        Change::Heartbeat => {}
+        Change::Heartbeat => false,
     }
 }
--- a/crates/node/src/placer/fronts.rs
+++ b/crates/node/src/placer/fronts.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use base::{Name, clock, emit};
+use base::{Failure, Name, clock, emit};
 use plan::Ask;
 use tokio::{sync::mpsc, time};
 
@@ -56,25 +56,17 @@
             Up::Accepted(id, spec) => self.board.accept(&id, *spec, now),
             Up::Cancelled(id) => self.board.cancel(&id, now),
             Up::Submit { number, id, spec } => {
-                let (ctx, down) = (Arc::clone(&self.ctx), self.helpers.down(instance));
-                let events = self.events.clone();
-                self.tasks.spawn(async move {
-                    let outcome = writes::submit_here(&ctx, &id, &spec).await;
-                    if outcome.is_ok() {
-                        let _ = events.send(Event::Accepted(id, spec));
-                    }
-                    tell(down, Down::Written { number, outcome });
+                let ctx = Arc::clone(&self.ctx);
+                self.write_for(instance, number, async move {
+                    writes::submit_here(&ctx, &id, &spec).await?;
+                    Ok(Event::Accepted(id, spec))
                 });
             }
             Up::Cancel { number, id } => {
-                let (ctx, down) = (Arc::clone(&self.ctx), self.helpers.down(instance));
-                let events = self.events.clone();
-                self.tasks.spawn(async move {
-                    let outcome = writes::cancel_here(&ctx, &id).await;
-                    if outcome.is_ok() {
-                        let _ = events.send(Event::Cancelled(id));
-                    }
-                    tell(down, Down::Written { number, outcome });
+                let ctx = Arc::clone(&self.ctx);
+                self.write_for(instance, number, async move {
+                    writes::cancel_here(&ctx, &id).await?;
+                    Ok(Event::Cancelled(id))
                 });
             }
             Up::Advised { number, allowed, valid_ms } => {
@@ -83,7 +75,25 @@
         }
     }
 
-    pub(super) fn take_advice(
+    /// Makes a change for an instance, takes in what it means, and tells the
+    /// instance the outcome.
+    fn write_for(
+        &mut self,
+        instance: &Name,
+        number: u64,
+        change: impl Future<Output = Result<Event, Failure>> + Send + 'static,
+    ) {
+        let (down, events) = (self.helpers.down(instance), self.events.clone());
+        self.tasks.spawn(async move {
+            let outcome = change.await.map(|event| {
+                // The placer has ended if nobody receives.
+                let _ = events.send(event);
+            });
+            tell(down, Down::Written { number, outcome });
+        });
+    }
+
+    fn take_advice(
         &mut self,
         instance: &Name,
         number: u64,
--- a/crates/node/src/placer/hold.rs
+++ b/crates/node/src/placer/hold.rs
@@ -59,7 +59,8 @@
 /// A `Pace` is how often targets are asked, for all holders of a placer.
 #[derive(Debug)]
 pub(crate) struct Pace {
-    /// Time between requests to a target that runs nothing, in milliseconds.
+    /// Pause between requests to a target that runs nothing, in milliseconds; 0
+    /// if each request is to wait there meanwhile.
     idle_ms: AtomicU64,
     claiming: Semaphore,
 }
@@ -74,17 +75,18 @@
     /// Sets the number of targets; gets the longest time between requests to one
     /// that runs nothing.
     pub(crate) fn set_targets(&self, targets: usize) -> Duration {
-        let period = (Duration::from_secs(targets as u64) / IDLE_RATE).max(WAIT);
-        self.idle_ms.store(period.as_millis() as u64, Ordering::Relaxed);
-        period + if period > WAIT { period / JITTER_PART } else { Duration::ZERO }
+        let period = Duration::from_secs(targets as u64) / IDLE_RATE;
+        let pause = if period > WAIT { period } else { Duration::ZERO };
+        self.idle_ms.store(pause.as_millis() as u64, Ordering::Relaxed);
+        period.max(WAIT) + pause / JITTER_PART
     }
 
     /// Gets the pause before the next request to a target that runs nothing;
     /// `None` if a request is to wait there meanwhile.
     fn idle_pause(&self) -> Option<Duration> {
-        let period = Duration::from_millis(self.idle_ms.load(Ordering::Relaxed));
+        let pause = Duration::from_millis(self.idle_ms.load(Ordering::Relaxed));
         // Those that were claimed at the same time aren't asked so for ever.
-        (period > WAIT).then(|| period + jitter(period / JITTER_PART))
+        (!pause.is_zero()).then(|| pause + jitter(pause / JITTER_PART))
     }
 }
 
--- a/crates/node/src/placer/read.rs
+++ b/crates/node/src/placer/read.rs
@@ -20,8 +20,6 @@
     pub(crate) ended: Vec<(Name, JobState)>,
     /// Targets that runs may be on.
     pub(crate) held: HashSet<Name>,
-    /// Revision of the record of those.
-    pub(crate) held_revision: Revision,
     /// Revision after which jobs have to be followed.
     pub(crate) revision: Revision,
 }
@@ -59,7 +57,6 @@
     // What is left has no job any more.
     recorded.ended = progress.into_iter().map(|(id, progress)| (id, progress.state)).collect();
     if let Some(entry) = held? {
-        recorded.held_revision = entry.revision;
         recorded.held = decode::<Vec<Name>>(ctx, &entry).unwrap_or_default().into_iter().collect();
     }
     Ok(recorded)
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -100,8 +100,7 @@
 
     /// Tells whether this instance leads.
     pub fn is_leading(&self) -> bool {
-        let leader = self.ctx.leader.borrow();
-        leader.as_ref().is_some_and(|leader| leader.process == self.ctx.process)
+        self.ctx.leads()
     }
 
     /// Hands over the lead if this instance has it, and waits until it has.
--- a/crates/node/src/uplink.rs
+++ b/crates/node/src/uplink.rs
@@ -12,10 +12,7 @@
     time,
 };
 
-use crate::link::Up;
-
-/// Time after which a request that the leader can't take may be repeated.
-const RETRY_AFTER: Duration = Duration::from_millis(1000);
+use crate::{context::RETRY_AFTER, link::Up};
 
 /// An `Uplink` is the way from a front to the leader, while there is one.
 #[derive(Debug, Default)]
--- a/crates/node/src/writes.rs
+++ b/crates/node/src/writes.rs
@@ -13,18 +13,16 @@
 use tokio::time;
 use work::Spec;
 
-use crate::{context::Context, keys, link::Up};
+use crate::{
+    context::{Context, RESEND_PAUSE, RETRY_AFTER},
+    keys,
+    link::Up,
+};
 
 /// Time for an answer to one change; the service answers in milliseconds, and
 /// in some 300 ms when it is slow.
 const ANSWER_TIME: Duration = Duration::from_millis(500);
 
-/// Pause before a change is sent again.
-const RESEND_PAUSE: Duration = Duration::from_millis(60);
-
-/// Time after which a request that was refused for now may be repeated.
-const RETRY_AFTER: Duration = Duration::from_millis(1000);
-
 /// Records an accepted job. A job that is there already is the same one, sent
 /// again.
 pub(crate) async fn submit(
@@ -101,7 +99,6 @@
 ) -> Result<()> {
     let end = clock::now() + time_left;
     let left = || end.saturating_sub(clock::now());
-    let leads = ctx.leader.borrow().as_ref().is_some_and(|leader| leader.process == ctx.process);
     let mut may_have_run = false;
     if !ctx.is_store_suspect.load(Ordering::Relaxed) {
         match once(ctx, commit.clone(), ANSWER_TIME.min(left())).await {
@@ -110,7 +107,7 @@
         }
         ctx.is_store_suspect.store(true, Ordering::Relaxed);
     }
-    if !leads {
+    if !ctx.leads() {
         match ctx.uplink.ask(ask, (ANSWER_TIME * 2).min(left())).await {
             Ok(()) => return Ok(()),
             Err(failure) => may_have_run |= !failure.is_not_run(),
--- a/crates/plan/src/admit.rs
+++ b/crates/plan/src/admit.rs
@@ -17,15 +17,15 @@
 use work::{Policy, Queue, Step};
 
 use crate::{
+    ask::cost_us,
     board::Board,
-    job::Job,
-    rank::objective_ms,
+    rank::{chains_ms, objective_ms},
     share::Entitlement,
     target::{Availability, Target},
 };
 
 /// Targets that a request for advice names, as a rule.
-const USUAL_TARGETS: u64 = 20;
+const USUAL_TARGETS: usize = 20;
 
 /// Requests for advice that a gang takes, as a rule: one to learn which targets
 /// it may have, and one for tickets once these have room.
@@ -143,7 +143,7 @@
 
     /// Learns the usual objective of a queue's jobs.
     pub(crate) fn learn_objective(&mut self, queue: &Name, steps: &[Step], policy: &Policy) {
-        let newest = objective_ms(steps, policy);
+        let newest = objective_ms(&chains_ms(steps), policy);
         let usual = self.usual_objective_ms.entry(queue.clone()).or_insert(newest);
         *usual = (*usual * (1000 - NEWEST_MILLI) + newest * NEWEST_MILLI) / 1000;
     }
@@ -160,7 +160,9 @@
             let policy = self.config.policy(&job.spec.queue, &job.spec.policy);
             let room = rooms.get(&policy.service).filter(|room| step.size.fits(&room.largest));
             let is_beyond = job.entitlement == Entitlement::Beyond;
-            let Some(room) = room.filter(|_| !is_beyond && self.may_start(job, step)) else {
+            let left = self.team_left(&job.spec.team);
+            let may_start = left.is_none_or(|left| step.size.fits(&left));
+            let Some(room) = room.filter(|_| !is_beyond && may_start) else {
                 continue;
             };
             let wait = waits.entry((policy.priority, policy.service.clone())).or_default();
@@ -188,13 +190,6 @@
         rooms
     }
 
-    /// Tells whether the limit of a job's team lets another task of a step start.
-    fn may_start(&self, job: &Job, step: &Step) -> bool {
-        let team = self.config.teams.get(&job.spec.team);
-        let most = team.map_or(Resources::MAX, |team| team.most);
-        step.size.fits(&(most - self.used.used(&job.spec.team)))
-    }
-
     fn is_long_ask(&self, policy: &Policy) -> bool {
         self.settings.is_long_ask(usual_ask_us(policy))
     }
@@ -202,6 +197,5 @@
 
 /// Gets the time of a request for advice for a step, in microseconds.
 fn usual_ask_us(policy: &Policy) -> u64 {
-    let advice = policy.advice.unwrap_or_default();
-    u64::from(advice.request_us) + u64::from(advice.target_us) * USUAL_TARGETS
+    cost_us(policy.advice.unwrap_or_default(), USUAL_TARGETS)
 }
--- a/crates/plan/src/ask.rs
+++ b/crates/plan/src/ask.rs
@@ -255,6 +255,7 @@
     slots.map(|slot| slot.tasks).fold(0, u32::saturating_add)
 }
 
-fn cost_us(advice: Advice, targets: usize) -> u64 {
+/// Gets the time of a request about so many targets, in microseconds.
+pub(crate) fn cost_us(advice: Advice, targets: usize) -> u64 {
     u64::from(advice.request_us) + u64::from(advice.target_us) * targets as u64
 }
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -232,12 +232,18 @@
 
     /// Gets how many tasks of a size a team may start.
     fn team_allows(&self, team: &Name, size: Resources, round: &Round) -> u32 {
-        let most = self.config.teams.get(team).map_or(Resources::MAX, |team| team.most);
-        if most == Resources::MAX {
+        let Some(left) = self.team_left(team) else {
             return u32::MAX;
-        }
+        };
         let unknown = round.unknown.get(team).copied().unwrap_or_default();
-        (most - self.used.used(team) - unknown).times(&size)
+        (left - unknown).times(&size)
+    }
+
+    /// Gets what a team may start beside what it has running; `None` without a
+    /// limit.
+    pub(crate) fn team_left(&self, team: &Name) -> Option<Resources> {
+        let most = self.config.teams.get(team)?.most;
+        (most != Resources::MAX).then(|| most - self.used.used(team))
     }
 
     /// Gets what may run of each team on targets that haven't answered yet: at
--- a/crates/plan/src/listing.rs
+++ b/crates/plan/src/listing.rs
@@ -94,18 +94,13 @@
         let Some(&id) = self.ids.get(target) else {
             return;
         };
-        let Some(known) = self.targets[id.0 as usize].runs.get_mut(task) else {
+        let account = &mut self.targets[id.0 as usize];
+        let Some(known) = account.runs.get_mut(task).filter(|known| known.number == run) else {
             return;
         };
-        if known.number != run {
-            return;
-        }
         match answer {
             StartAnswer::Started => {
-                self.targets[id.0 as usize].unanswered = 0;
-                let Some(known) = self.targets[id.0 as usize].runs.get_mut(task) else {
-                    return;
-                };
+                account.unanswered = 0;
                 known.settled = Some(now);
                 if known.phase == Phase::Starting {
                     known.phase = Phase::Running;
@@ -128,7 +123,7 @@
             StartAnswer::Unknown => {
                 if known.phase == Phase::Starting {
                     known.phase = Phase::Unsure(now);
-                    self.targets[id.0 as usize].pause(self.settings.unanswered_pause, now);
+                    account.pause(self.settings.unanswered_pause, now);
                     self.actions.push(Action::Look(Name::from(target)));
                 }
             }
--- a/crates/plan/src/rank.rs
+++ b/crates/plan/src/rank.rs
@@ -3,11 +3,12 @@
 //! It answers a cell that is full, as after an outage or in a burst: then not
 //! all jobs can meet their objective, and serving them in the order of their
 //! arrival makes all of them late. So what can still meet its objective goes
-//! first, of that what its team is owed, the most urgent queue before the others and the job whose latest
-//! start is nearest before others of its queue. What can only be late comes
-//! after that, and at the end what is later than counts. But while much of the
-//! cell is free, what has waited too long goes first, so that it isn't starved:
-//! large gangs would never find their room beside a stream of small tasks.
+//! first, of that what its team is owed, the most urgent queue before the others
+//! and the job whose latest start is nearest before others of its queue. What
+//! can only be late comes after that, and at the end what is later than counts.
+//! But while much of the cell is free, what has waited too long goes first, so
+//! that it isn't starved: large gangs would never find their room beside a
+//! stream of small tasks.
 
 use base::Resources;
 use work::{Policy, Step, StepKey};
@@ -80,8 +81,9 @@
         let spec = &job.spec;
         let policy = self.config.policy(&spec.queue, &spec.policy);
         let since_ms = spec.accepted_unix_ms.max(spec.due_unix_ms(key.occurrence));
-        let objective_ms = objective_ms(&spec.steps, policy);
-        let remaining_ms = chain_ms(&spec.steps, usize::from(key.step));
+        let chains_ms = chains_ms(&spec.steps);
+        let objective_ms = objective_ms(&chains_ms, policy);
+        let remaining_ms = chains_ms[usize::from(key.step)];
         let latest_start_ms = (since_ms + objective_ms).saturating_sub(remaining_ms);
         let useless_ms = (since_ms + objective_ms * USELESS_AFTER).saturating_sub(remaining_ms);
         let timeliness = if unix_ms <= latest_start_ms {
@@ -101,22 +103,22 @@
     }
 }
 
-/// Gets the time within which a job is to be done.
-pub(crate) fn objective_ms(steps: &[Step], policy: &Policy) -> u64 {
-    let longest = (0..steps.len()).map(|step| chain_ms(steps, step)).max().unwrap_or(0);
+/// Gets the time within which a job with these chains of work is to be done.
+pub(crate) fn objective_ms(chains_ms: &[u64], policy: &Policy) -> u64 {
+    let longest = chains_ms.iter().max().copied().unwrap_or(0);
     longest * u64::from(policy.objective_factor_milli) / 1000 + u64::from(policy.objective_ms)
 }
 
-/// Gets the estimate of the longest chain of work that begins with a step.
-fn chain_ms(steps: &[Step], first: usize) -> u64 {
+/// Gets the estimate of the longest chain of work that begins with each step.
+pub(crate) fn chains_ms(steps: &[Step]) -> Vec<u64> {
     // Steps only wait for earlier ones, so one pass from the end is enough.
     let mut chains = vec![0; steps.len()];
-    for number in (first..steps.len()).rev() {
+    for number in (0..steps.len()).rev() {
         let later = (number + 1..steps.len())
             .filter(|later| steps[*later].after.iter().any(|b| usize::from(*b) == number))
             .map(|later| chains[later])
             .max();
         chains[number] = u64::from(steps[number].estimate_ms) + later.unwrap_or(0);
     }
-    chains.get(first).copied().unwrap_or(0)
+    chains
 }
