A refusal always says when to come back; a malformed job leaves a line

Change: no refusal while what waits takes exactly as long as it may; times to come back are rounded up to a millisecond. A job that is refused for its steps is counted and logged with its id, as all refused ones are; before, it left no line.

Tests: a_refusal_always_says_when_to_come_back and a_malformed_job_is_refused_and_counted, each seen failing without the change.

--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -128,14 +128,11 @@
             schedule,
             steps,
         };
-        if let Some(fault) = spec.fault() {
-            return Err(Failure::fix(fault));
-        }
         let outcome = self.record_job(id, &spec, time_left).await;
         Metrics::count(&self.ctx.metrics.requests, "submit", outcome_of(&outcome));
-        let tasks: u32 = spec.steps.iter().map(|step| step.count).sum();
         match &outcome {
             Ok(()) => {
+                let tasks: u32 = spec.steps.iter().map(|step| step.count).sum();
                 emit!(self.ctx.log, info, JobAccepted; "job" => %id, "queue" => %spec.queue,
                     "team" => %spec.team, "steps" => spec.steps.len(), "tasks" => tasks);
                 self.ctx.states.merge([(id.clone(), JobState::Queued)], clock::now());
@@ -145,8 +142,11 @@
         outcome
     }
 
-    /// Records a job, unless its queue refuses it.
+    /// Records a job, unless it is malformed or its queue refuses it.
     async fn record_job(&self, id: &Name, spec: &Spec, time_left: Duration) -> Result<()> {
+        if let Some(fault) = spec.fault() {
+            return Err(Failure::fix(fault));
+        }
         if let Some(after) = self.refusal(spec)
             && !self.is_repeat(id, time_left).await
         {
--- a/crates/node/src/placer/fronts.rs
+++ b/crates/node/src/placer/fronts.rs
@@ -124,7 +124,9 @@
     /// Gets how the queues are.
     pub(super) fn queues(&self) -> Queues {
         let refusing = self.board.refusals(clock::now()).into_iter();
-        let in_ms = |(queue, after): (Name, Duration)| (queue, after.as_millis() as u64);
+        // Rounded up, so that there always is a time to come back.
+        let ms = |after: Duration| after.as_nanos().div_ceil(1_000_000) as u64;
+        let in_ms = |(queue, after): (Name, Duration)| (queue, ms(after));
         Queues { pending: self.board.pending(), refusing: refusing.map(in_ms).collect() }
     }
 
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -136,6 +136,11 @@
         front.pending(&admitted)
     }
 
+    /// Gets the counters and times.
+    pub fn metrics(&self) -> String {
+        self.front().metrics()
+    }
+
     /// Checks a key.
     pub fn check_key(&self, key: &str) -> Result<(), Failure> {
         self.front().admit("host", "/queue/", Some(key)).map(|_| ())
--- a/crates/node/tests/faults.rs
+++ b/crates/node/tests/faults.rs
@@ -373,3 +373,18 @@
     expect_that!(began.elapsed(), lt(Duration::from_millis(1500)));
     expect_that!(cell.world.targets.broken(), is_empty());
 }
+
+#[gtest]
+fn a_malformed_job_is_refused_and_counted() {
+    let cell = Cell::start(1, 1);
+    let too_many = vec![step(u32::MAX), step(u32::MAX)];
+    for steps in [Vec::new(), vec![step(0)], too_many] {
+        let refused = cell.nodes[0].submit_steps("job", "work:10", steps);
+        expect_that!(refused.map_err(|failure| failure.remedy), err(eq(base::Remedy::Fix)));
+    }
+    let counted = cell.nodes[0].metrics();
+    expect_that!(
+        counted,
+        contains_substring(r#"requests_total{kind="submit",outcome="refused"} 3"#)
+    );
+}
--- a/crates/plan/src/admit.rs
+++ b/crates/plan/src/admit.rs
@@ -136,7 +136,7 @@
             let objective_ms = *self.usual_objective_ms.get(&queue.name)?;
             let most = Duration::from_millis(objective_ms) * MOST_OBJECTIVES;
             let excess = wait.room.max(advice).checked_sub(most.min(self.settings.most_wait))?;
-            Some((queue.name.clone(), excess))
+            (!excess.is_zero()).then(|| (queue.name.clone(), excess))
         };
         self.config.queues.iter().filter_map(refusal).collect()
     }
--- a/crates/plan/tests/decisions/admission.rs
+++ b/crates/plan/tests/decisions/admission.rs
@@ -29,6 +29,18 @@
     expect_that!(cell.refusals(), is_empty());
 }
 
+#[gtest]
+fn a_refusal_always_says_when_to_come_back() {
+    // Eight of them start, and what waits takes as long as it may.
+    let mut cell = Cell::new(1);
+    settle(&mut cell);
+    cell.accept("job", vec![Step { count: 36, ..long() }]);
+    cell.decide_starts();
+    let refusals = cell.board.refusals(cell.now);
+    expect_true!(refusals.iter().all(|(_, after)| !after.is_zero()));
+    expect_that!(cell.refusals(), is_empty());
+}
+
 #[gtest]
 fn the_work_of_one_pool_refuses_nothing_of_another() {
     let mut cell = Cell::new(2);
--- a/crates/standin/src/cell/world.rs
+++ b/crates/standin/src/cell/world.rs
@@ -22,6 +22,10 @@
 const TARGET_PREFIX: &str = "targets/";
 const SERVICE: &str = "pool";
 
+/// Jobs a second that the team is owed; more than any test sends, as what it
+/// isn't owed counts for less.
+const TEAM_WEIGHT: u32 = 1000;
+
 /// A `World` is what the nodes of a cell meet.
 #[derive(Clone)]
 pub struct World {
@@ -109,7 +113,8 @@
                 policy: policy(),
             }],
             services: [(Name::from(SERVICE), Service::default())].into(),
-            teams: [(Name::from("team"), Team { weight: 1, most: Resources::MAX })].into(),
+            teams: [(Name::from("team"), Team { weight: TEAM_WEIGHT, most: Resources::MAX })]
+                .into(),
             keys: keys.iter().map(|(key, team)| (Name::from(*key), Name::from(*team))).collect(),
             ..Config::default()
         };
