A call that fails beside a killed instance must have been at it

Cause. no_runner_is_over_its_slots failed in 1 of 12 and 1 of 15 runs beside busy loops with 99 answers where it asks for 100, the calls of the two instances that live. A trace of another failure (28th run): 48 calls were at the killed instance, three had been sent on to it by entry-2 and failed as may-have-run when the link broke, after entry-2 had spent its 20 retries on others. That is what the limit on retries says; the count of 100 took for granted that nothing is sent on.

The count gives way to a check of each failure: it was at the killed instance, or had been sent on to it, and then that instance had used its retries. A failure of any other kind used to pass as long as 100 were answered.

Ruled out: calls lost elsewhere (all failures of the trace have one of the two reasons).

--- a/crates/daemon/tests/calls.rs
+++ b/crates/daemon/tests/calls.rs
@@ -11,6 +11,9 @@
 use standin::Fault;
 use tokio::task::JoinSet;
 
+/// Calls that an instance may send again without new ones before them.
+const RETRIES_AT_ONCE: usize = 20;
+
 /// Times that a call is sent on at most: three refusals, and a wait of half a
 /// second each at a peer within its timeout of two seconds.
 const MOST_FORWARDS: usize = 7;
@@ -24,31 +27,39 @@
     let mut calls = JoinSet::new();
     for number in 0..150u64 {
         // Answers come out of order.
-        let client = rig.client((number % 3) as usize, &key);
+        let at = (number % 3) as usize;
+        let client = rig.client(at, &key);
         let text = format!("call {number} sleep={}", (number * 7) % 20);
         calls.spawn(async move {
             let answer = client.call(FIND, &text, None).await;
-            (text, answer)
+            (at, text, answer)
         });
     }
     tokio::time::sleep(Duration::from_millis(50)).await;
-    // One instance leaves in the middle; those at it may fail, but truly.
-    rig.instances[1].kill();
-    let mut answered = 0;
+    // One instance leaves in the middle; calls at it may fail, but truly.
+    const KILLED: usize = 1;
+    rig.instances[KILLED].kill();
+    let mut broken = [0; 3];
     while let Some(joined) = calls.join_next().await {
-        let (text, answer) = joined.expect("no call panics");
+        let (at, text, answer) = joined.expect("no call panics");
         match answer {
-            Ok(answer) => {
-                expect_that!(answer, eq(&text));
-                answered += 1;
+            Ok(answer) => expect_that!(answer, eq(&text)),
+            Err(failure) if at == KILLED => {
+                expect_that!(failure.verdict, any!(eq(Verdict::NotRun), eq(Verdict::MayHaveRun)));
             }
             Err(failure) => {
-                expect_that!(failure.verdict, any!(eq(Verdict::NotRun), eq(Verdict::MayHaveRun)))
+                // The call had been sent on to the one that left.
+                expect_that!(failure.verdict, eq(Verdict::MayHaveRun));
+                expect_that!(failure.reason, eq("the link to instance entry-1 broke"));
+                broken[at] += 1;
             }
         }
     }
-    // Two instances of three are left.
-    expect_that!(answered, ge(100));
+    for (instance, broken) in rig.instances.iter().zip(broken) {
+        // Such calls are sent again while retries are left.
+        let again = instance.log().matches("call sent again").count();
+        expect_that!(broken == 0 || again >= RETRIES_AT_ONCE, eq(true), "{broken} and {again}");
+    }
     let seen = rig.world.observer().seen();
     expect_that!(seen.overcommits, eq(0));
     expect_that!(seen.most_calls, le(2));
