Long advice gets a tenth of the time, and refusals begin a second after the last instance joined

Long requests get a tenth of the instances' time in any case, and the estimate uses the same figure. Refusals begin when no further instance has joined for a second, instead of three seconds after the term began.

Ruled out: lost records (all jobs were read at each takeover); room (most of the workers were free).

--- a/crates/node/src/placer/fronts.rs
+++ b/crates/node/src/placer/fronts.rs
@@ -136,7 +136,7 @@
         let _ = down.send(Down::States(self.board.states()));
         let _ = down.send(Down::Queues(self.queues()));
         self.helpers.join(instance.clone(), strength_milli, down);
-        self.board.set_advisors(self.helpers.len());
+        self.board.set_advisors(self.helpers.len(), clock::now());
         let events = self.events.clone();
         self.tasks.spawn(async move {
             while let Some(frame) = up.recv().await {
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -355,7 +355,7 @@
                 for asked in self.helpers.leave(&instance) {
                     self.board.advised(&asked.step, &asked.targets, None, now);
                 }
-                self.board.set_advisors(self.helpers.len());
+                self.board.set_advisors(self.helpers.len(), now);
             }
             Event::Unadvised(number) => {
                 if let Some(asked) = self.helpers.answered(number) {
--- a/crates/plan/src/admit.rs
+++ b/crates/plan/src/admit.rs
@@ -41,9 +41,9 @@
 /// Time in which what was asked fades to a third of its weight.
 const FADE: Duration = Duration::from_secs(4);
 
-/// Least part of the advice that is left for long requests; less can't be told
-/// from nothing.
-const LEAST_PART: f64 = 0.05;
+/// Part of the advice that long requests get in any case: a job that was
+/// accepted is carried through, however many short ones come.
+const LEAST_LONG_PART: f64 = 0.1;
 
 /// A `Wait` is the work that waits, in time of the whole cell.
 #[derive(Clone, Copy, Debug, Default)]
@@ -80,8 +80,8 @@
     }
 }
 
-/// An `AskRate` is how much of the time of the instances short requests for
-/// advice take.
+/// An `AskRate` is how much of the time of the instances the requests for advice
+/// of one length take.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct AskRate {
     taken: Duration,
@@ -95,6 +95,11 @@
         self.at = now;
     }
 
+    /// Tells whether they take less than what long requests get in any case.
+    pub(crate) fn is_below_least(&self, advisors: u32, now: Duration) -> bool {
+        self.part(advisors, now) < LEAST_LONG_PART
+    }
+
     /// Gets the part of the time that they take of so many instances.
     fn part(&self, advisors: u32, now: Duration) -> f64 {
         self.faded(now).div_duration_f64(FADE * advisors.max(1))
@@ -110,12 +115,12 @@
     /// Gets the queues that take no new jobs for now, with the time after which
     /// each would take them.
     pub fn refusals(&self, now: Duration) -> Vec<(Name, Duration)> {
-        if now < self.began + self.settings.admission_after {
-            // Not all instances have a link yet.
+        if now < self.joined_at + self.settings.admission_after {
+            // Further instances are likely to follow.
             return Vec::new();
         }
         let waits = self.waits();
-        let long_part = (1.0 - self.short_asks.part(self.advisors, now)).max(LEAST_PART);
+        let long_part = (1.0 - self.short_asks.part(self.advisors, now)).max(LEAST_LONG_PART);
         let refusal = |queue: &Queue| {
             let before =
                 waits.iter().filter(|((priority, _), _)| *priority <= queue.policy.priority);
--- a/crates/plan/src/ask.rs
+++ b/crates/plan/src/ask.rs
@@ -38,8 +38,12 @@
 
 impl Board {
     /// Takes in how many instances can ask at the same time.
-    pub fn set_advisors(&mut self, count: usize) {
-        self.advisors = count as u32;
+    pub fn set_advisors(&mut self, count: usize, now: Duration) {
+        let count = count as u32;
+        if count > self.advisors {
+            self.joined_at = now;
+        }
+        self.advisors = count;
     }
 
     /// Takes in which of the targets asked about may run a step; `None` if
@@ -143,7 +147,7 @@
         if targets.is_empty() {
             return;
         }
-        if !self.may_ask(cost_us, round) {
+        if !self.may_ask(cost_us, round, now) {
             round.short_asks_waiting += u32::from(!self.settings.is_long_ask(cost_us));
             return;
         }
@@ -152,12 +156,11 @@
             round.keep_tasks(asked, step, wanted - usable);
         }
         let names = targets.iter().map(|id| self.targets[id.0 as usize].facts.id.clone()).collect();
-        let length = if self.settings.is_long_ask(cost_us) {
-            AskLength::Long
-        } else {
-            self.short_asks.add(Duration::from_micros(cost_us), now);
-            AskLength::Short
+        let (length, asks) = match self.settings.is_long_ask(cost_us) {
+            true => (AskLength::Long, &mut self.long_asks),
+            false => (AskLength::Short, &mut self.short_asks),
         };
+        asks.add(Duration::from_micros(cost_us), now);
         self.actions.push(Action::Ask(Ask { step: key.clone(), targets: names, cost_us, length }));
         self.asking.insert(key.clone(), cost_us);
         if let Some(state) = self.step_state_mut(key) {
@@ -167,16 +170,18 @@
 
     /// Tells whether one more request for advice may be made. Too many would
     /// only wait for one another, while the room that they are for goes unused.
-    fn may_ask(&self, cost_us: u64, round: &Round) -> bool {
+    fn may_ask(&self, cost_us: u64, round: &Round, now: Duration) -> bool {
         let (long, short): (Vec<u64>, Vec<u64>) =
             self.asking.values().partition(|cost_us| self.settings.is_long_ask(**cost_us));
         if self.settings.is_long_ask(cost_us) {
             let most = self.settings.long_asks(self.advisors);
             // Without an instance that makes short requests only, a long one
-            // holds up the short ones, so it goes out when there are none.
+            // holds up the short ones, so it goes out when there are none, or
+            // when long ones have not had the least that is kept for them.
             let has_short = !short.is_empty() || round.short_asks_waiting > 0;
             let holds_up = has_short && most >= self.advisors as usize;
-            return long.len() < most && !holds_up;
+            let is_due = self.long_asks.is_below_least(self.advisors, now);
+            return long.len() < most && (!holds_up || is_due);
         }
         let most_us = self.settings.advice_backlog.as_micros() as u64 * u64::from(self.advisors);
         short.is_empty() || short.iter().sum::<u64>() + cost_us <= most_us
--- a/crates/plan/src/board.rs
+++ b/crates/plan/src/board.rs
@@ -43,6 +43,7 @@
     pub(crate) asking: HashMap<StepKey, u64>,
     /// How much of the instances' time the short ones of them take.
     pub(crate) short_asks: AskRate,
+    pub(crate) long_asks: AskRate,
     /// Instances that can ask.
     pub(crate) advisors: u32,
     /// Occurrences that are to come, by the time that they are due.
@@ -68,8 +69,8 @@
     /// When unknown runs of earlier terms have surely lapsed.
     pub(crate) settled_at: Duration,
     pub(crate) pending: BTreeMap<Name, u32>,
-    /// When the term began.
-    pub(crate) began: Duration,
+    /// When the last instance joined, or when the term began.
+    pub(crate) joined_at: Duration,
     /// Usual objective of the jobs of each queue, in milliseconds.
     pub(crate) usual_objective_ms: HashMap<Name, u64>,
     /// What each team is owed at the moment.
@@ -97,7 +98,7 @@
             first_run,
             unclaimed: held,
             settled_at,
-            began: now,
+            joined_at: now,
             idle_silence,
             ..Self::default()
         }
--- a/crates/plan/src/settings.rs
+++ b/crates/plan/src/settings.rs
@@ -46,8 +46,9 @@
     pub long_ask: Duration,
     /// Most targets that one request for advice names.
     pub targets_per_ask: usize,
-    /// Time from the beginning of a term until jobs may be refused; all
-    /// instances have a link by then.
+    /// Time without a further instance until jobs may be refused, which needs
+    /// the number of instances. They all look for the new leader at once, so
+    /// that their links come within a fraction of it.
     pub admission_after: Duration,
     /// Longest wait for which jobs are accepted: what waits when the last
     /// client has left is to be done within `finishS` of the users, 14 s, of
@@ -80,7 +81,7 @@
             advice_backlog: Duration::from_millis(150),
             long_ask: Duration::from_millis(150),
             targets_per_ask: 100,
-            admission_after: Duration::from_secs(3),
+            admission_after: Duration::from_secs(1),
             most_wait: Duration::from_secs(7),
         }
     }
--- a/crates/plan/tests/decisions/admission.rs
+++ b/crates/plan/tests/decisions/admission.rs
@@ -29,6 +29,25 @@
     expect_that!(cell.refusals(), is_empty());
 }
 
+#[gtest]
+fn a_new_leader_refuses_once_no_further_instance_joins() {
+    const QUIET: Duration = Duration::from_secs(1);
+    const PAUSE: Duration = Duration::from_millis(600);
+    let mut cell = Cell::new(1);
+    cell.accept("job", vec![long()]);
+    for instances in 1..=3 {
+        cell.board.set_advisors(instances, cell.now);
+        cell.advance(PAUSE);
+        expect_that!(cell.refusals(), is_empty());
+    }
+    cell.advance(QUIET - PAUSE);
+    cell.hear_others("");
+    expect_that!(cell.refusals(), elements_are![eq(QUEUE)]);
+    // One that leaves starts no new wait.
+    cell.board.set_advisors(2, cell.now);
+    expect_that!(cell.refusals(), elements_are![eq(QUEUE)]);
+}
+
 #[gtest]
 fn a_refusal_always_says_when_to_come_back() {
     // Eight of them start, and what waits takes as long as it may.
--- /dev/null
+++ b/crates/plan/tests/decisions/advice.rs
@@ -0,0 +1,61 @@
+//! Which requests for advice go out.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use plan::{Ask, AskLength};
+use work::Advice;
+
+use crate::cell::{Cell, OTHER_QUEUE, QUEUE, step};
+
+const SHORT: Advice = Advice { request_us: 20_000, target_us: 0, valid_ms: 1500 };
+const LONG: Advice = Advice { request_us: 400_000, target_us: 0, valid_ms: 1500 };
+
+/// The part of an instance's time that long requests get while short ones wait.
+const LEAST_LONG_PART: f64 = 0.1;
+
+/// Short requests wait at all times: those of the one instance that there is
+/// take half as long again as there is time for.
+#[gtest]
+fn long_requests_give_way_to_short_ones_but_are_made() {
+    const TIME: Duration = Duration::from_secs(40);
+    const TICK: Duration = Duration::from_millis(5);
+    let mut cell = Cell::new(1);
+    cell.set_advice(QUEUE, SHORT);
+    cell.add_queue(OTHER_QUEUE, LONG);
+    cell.board.set_advisors(1, cell.now);
+    for number in 0..30 {
+        cell.accept(&format!("short-{number}"), vec![step(1)]);
+    }
+    for number in 0..3 {
+        cell.accept_in(OTHER_QUEUE, &format!("long-{number}"), vec![step(1)]);
+    }
+    let (mut long, mut short) = (Duration::ZERO, Duration::ZERO);
+    let mut waiting: Vec<Ask> = Vec::new();
+    let mut ready_at = cell.now;
+    let end = cell.now + TIME;
+    while cell.now < end {
+        cell.decide_starts();
+        for ask in cell.take_asks() {
+            let time = Duration::from_micros(ask.cost_us);
+            match ask.length {
+                AskLength::Long => long += time,
+                AskLength::Short => short += time,
+            }
+            waiting.push(ask);
+        }
+        // The instance answers one after the other, and nothing may run.
+        if cell.now >= ready_at && !waiting.is_empty() {
+            let ask = waiting.remove(0);
+            ready_at = cell.now + Duration::from_micros(ask.cost_us);
+            cell.board.advised(&ask.step, &ask.targets, None, Duration::ZERO);
+        }
+        cell.advance(TICK);
+        cell.hear_others("");
+    }
+    let part = |time: Duration| time.div_duration_f64(TIME);
+    expect_that!(part(long), ge(LEAST_LONG_PART));
+    // Every time it is a whole request more than the least.
+    expect_that!(part(long), le(LEAST_LONG_PART * 2.0));
+    expect_that!(part(short), ge(1.0 - LEAST_LONG_PART * 2.0));
+}
--- a/crates/plan/tests/decisions/cell.rs
+++ b/crates/plan/tests/decisions/cell.rs
@@ -8,9 +8,11 @@
 
 use base::{Name, Resources};
 use plan::{
-    Action, Board, Facts, Listing, Need, RunEnd, RunSeen, Settings, Start, StartAnswer, Stop,
+    Action, Ask, Board, Facts, Listing, Need, RunEnd, RunSeen, Settings, Start, StartAnswer, Stop,
+};
+use work::{
+    Advice, Config, End, JobState, Policy, Progress, Queue, Schedule, Service, Spec, Step, Team,
 };
-use work::{Config, End, JobState, Policy, Progress, Queue, Schedule, Service, Spec, Step, Team};
 
 /// Failures of a task after which its job has failed.
 pub const ATTEMPTS: u32 = 3;
@@ -50,6 +52,7 @@
     progress: HashMap<Name, Progress>,
     config: Config,
     stops: Vec<Stop>,
+    asks: Vec<Ask>,
 }
 
 impl Cell {
@@ -77,6 +80,7 @@
                 ..Config::default()
             },
             stops: Vec::new(),
+            asks: Vec::new(),
         };
         cell.board.configure(Arc::new(cell.config.clone()));
         cell.list_targets();
@@ -118,6 +122,27 @@
         });
     }
 
+    /// Adds a queue in the same pool whose steps need advice.
+    pub fn add_queue(&mut self, queue: &str, advice: Advice) {
+        let queue = Queue { name: Name::from(queue), policy: policy(), ..Queue::default() };
+        let name = queue.name.clone();
+        self.config.queues.push(queue);
+        self.set_advice(&name, advice);
+    }
+
+    /// Has the steps of a queue need advice.
+    pub fn set_advice(&mut self, queue: &str, advice: Advice) {
+        for known in self.config.queues.iter_mut().filter(|known| *known.name == *queue) {
+            known.policy.advice = Some(advice);
+        }
+        self.board.configure(Arc::new(self.config.clone()));
+    }
+
+    /// Gets the requests for advice since the last call.
+    pub fn take_asks(&mut self) -> Vec<Ask> {
+        std::mem::take(&mut self.asks)
+    }
+
     /// Accepts a job in another queue.
     pub fn accept_in(&mut self, queue: &str, id: &str, steps: Vec<Step>) {
         let policy = self.config.policy(queue, &policy()).clone();
@@ -179,7 +204,8 @@
             match action {
                 Action::Start(start) => starts.push(start),
                 Action::Stop(stop) => self.stops.push(stop),
-                Action::Ask(_) | Action::Look(_) => {}
+                Action::Ask(ask) => self.asks.push(ask),
+                Action::Look(_) => {}
             }
         }
         starts
--- a/crates/plan/tests/decisions/main.rs
+++ b/crates/plan/tests/decisions/main.rs
@@ -1,6 +1,7 @@
 //! What the placer decides, told without network or clock.
 
 mod admission;
+mod advice;
 mod board;
 mod cell;
 mod gangs;
--- a/crates/standin/src/cell/play/mod.rs
+++ b/crates/standin/src/cell/play/mod.rs
@@ -135,7 +135,7 @@
             ..Facts::default()
         };
         board.list_targets(names.iter().map(facts).collect());
-        board.set_advisors(load.instances);
+        board.set_advisors(load.instances, now);
         let mut player = Self {
             advisors: vec![now; load.instances],
             targets: names.iter().map(|name| (name.clone(), Target::default())).collect(),
