A refusal of a queue logs what it is based on

The line of event 511 told only the time after which the queue would take jobs. It now has the decision's inputs: the time that what waits takes of the room and of the advice, the longest wait, and how many instances there are.

No other behaviour; the tests of plan and node pass.

--- a/crates/node/src/placer/fronts.rs
+++ b/crates/node/src/placer/fronts.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use base::{Failure, Name, clock, emit};
-use plan::Ask;
+use plan::{Ask, Overload};
 use tokio::{sync::mpsc, time};
 
 use crate::{
@@ -121,20 +121,32 @@
         self.board.advised(&asked.step, &asked.targets, Some(allowed), now + valid);
     }
 
-    /// Gets how the queues are.
-    pub(super) fn queues(&self) -> Queues {
-        let refusing = self.board.refusals(clock::now()).into_iter();
+    /// Tells all fronts how the queues are.
+    pub(super) fn tell_queues(&self) {
+        let overloads = self.board.refusals(clock::now());
+        let ms = |time: Duration| time.as_millis() as u64;
+        for overload in &overloads {
+            emit!(self.ctx.log, warn, QueueRefuses; "queue" => %overload.queue,
+                "after_ms" => ms(overload.after), "room_ms" => ms(overload.room),
+                "advice_ms" => ms(overload.advice), "most_ms" => ms(overload.most),
+                "instances" => self.helpers.len(), "term" => self.lead.term);
+        }
+        self.helpers.tell(&Down::Queues(self.queues(overloads)));
+    }
+
+    fn queues(&self, overloads: Vec<Overload>) -> Queues {
         // Rounded up, so that there always is a time to come back.
         let ms = |after: Duration| after.as_nanos().div_ceil(1_000_000) as u64;
-        let in_ms = |(queue, after): (Name, Duration)| (queue, ms(after));
-        Queues { pending: self.board.pending(), refusing: refusing.map(in_ms).collect() }
+        let in_ms = |overload: Overload| (overload.queue, ms(overload.after));
+        let refusing = overloads.into_iter().map(in_ms).collect();
+        Queues { pending: self.board.pending(), refusing }
     }
 
     pub(super) fn join(&mut self, joined: Joined) {
         let Joined { instance, strength_milli, down, mut up } = joined;
         // A closed link is noticed where its frames are received.
         let _ = down.send(Down::States(self.board.states()));
-        let _ = down.send(Down::Queues(self.queues()));
+        let _ = down.send(Down::Queues(self.queues(self.board.refusals(clock::now()))));
         self.helpers.join(instance.clone(), strength_milli, down);
         self.board.set_advisors(self.helpers.len(), clock::now());
         let events = self.events.clone();
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -392,15 +392,6 @@
         }
     }
 
-    fn tell_queues(&mut self) {
-        let queues = self.queues();
-        for (queue, after_ms) in &queues.refusing {
-            emit!(self.ctx.log, warn, QueueRefuses; "queue" => %queue, "after_ms" => after_ms,
-                "term" => self.lead.term);
-        }
-        self.helpers.tell(&Down::Queues(queues));
-    }
-
     fn forget_expired(&mut self) {
         let expired = self.board.take_expired(clock::now());
         if !expired.is_empty() {
--- a/crates/plan/src/admit.rs
+++ b/crates/plan/src/admit.rs
@@ -45,6 +45,21 @@
 /// accepted is carried through, however many short ones come.
 const LEAST_LONG_PART: f64 = 0.1;
 
+/// An `Overload` is why a queue takes no new jobs for now.
+#[derive(Clone, Debug)]
+pub struct Overload {
+    /// The queue.
+    pub queue: Name,
+    /// Time after which it would take them, more than zero.
+    pub after: Duration,
+    /// Time that what waits takes of the room.
+    pub room: Duration,
+    /// Time that what waits takes of the advice.
+    pub advice: Duration,
+    /// Longest wait for which it takes jobs.
+    pub most: Duration,
+}
+
 /// A `Wait` is the work that waits, in time of the whole cell.
 #[derive(Clone, Copy, Debug, Default)]
 struct Wait {
@@ -112,16 +127,15 @@
 }
 
 impl Board {
-    /// Gets the queues that take no new jobs for now, with the time after which
-    /// each would take them.
-    pub fn refusals(&self, now: Duration) -> Vec<(Name, Duration)> {
+    /// Gets the queues that take no new jobs for now.
+    pub fn refusals(&self, now: Duration) -> Vec<Overload> {
         if now < self.joined_at + self.settings.admission_after {
             // Further instances are likely to follow.
             return Vec::new();
         }
         let waits = self.waits();
         let long_part = (1.0 - self.short_asks.part(self.advisors, now)).max(LEAST_LONG_PART);
-        let refusal = |queue: &Queue| {
+        let overload = |queue: &Queue| {
             let before =
                 waits.iter().filter(|((priority, _), _)| *priority <= queue.policy.priority);
             let mut wait = Wait::default();
@@ -140,10 +154,13 @@
             };
             let objective_ms = *self.usual_objective_ms.get(&queue.name)?;
             let most = Duration::from_millis(objective_ms) * MOST_OBJECTIVES;
-            let excess = wait.room.max(advice).checked_sub(most.min(self.settings.most_wait))?;
-            (!excess.is_zero()).then(|| (queue.name.clone(), excess))
+            let most = most.min(self.settings.most_wait);
+            let after = wait.room.max(advice).checked_sub(most)?;
+            let queue = queue.name.clone();
+            let overload = Overload { queue, after, room: wait.room, advice, most };
+            (!after.is_zero()).then_some(overload)
         };
-        self.config.queues.iter().filter_map(refusal).collect()
+        self.config.queues.iter().filter_map(overload).collect()
     }
 
     /// Learns the usual objective of a queue's jobs.
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -30,6 +30,7 @@
 mod target;
 
 pub use action::{Action, Ask, AskLength, Start, Stop};
+pub use admit::Overload;
 pub use batch::{Batch, Need, Record};
 pub use board::Board;
 pub use listing::{Listing, Refusal, RunEnd, RunSeen, StartAnswer};
--- a/crates/plan/tests/decisions/admission.rs
+++ b/crates/plan/tests/decisions/admission.rs
@@ -56,7 +56,7 @@
     cell.accept("job", vec![Step { count: 36, ..long() }]);
     cell.decide_starts();
     let refusals = cell.board.refusals(cell.now);
-    expect_true!(refusals.iter().all(|(_, after)| !after.is_zero()));
+    expect_true!(refusals.iter().all(|overload| !overload.after.is_zero()));
     expect_that!(cell.refusals(), is_empty());
 }
 
--- a/crates/plan/tests/decisions/cell.rs
+++ b/crates/plan/tests/decisions/cell.rs
@@ -105,7 +105,7 @@
     pub fn refusals(&mut self) -> Vec<String> {
         self.decide_starts();
         let refusals = self.board.refusals(self.now).into_iter();
-        refusals.map(|(queue, _)| queue.to_string()).collect()
+        refusals.map(|overload| overload.queue.to_string()).collect()
     }
 
     /// Has the last target be in the pool of the other queue.
--- a/crates/standin/src/cell/play/mod.rs
+++ b/crates/standin/src/cell/play/mod.rs
@@ -218,7 +218,8 @@
             }
             Happening::Recorded(batch) => self.board.recorded(batch),
             Happening::Telling => {
-                self.refusals = self.board.refusals(self.now).into_iter().collect();
+                let refusals = self.board.refusals(self.now).into_iter();
+                self.refusals = refusals.map(|told| (told.queue, told.after)).collect();
                 self.after(TELLING_PERIOD, Happening::Telling);
             }
         }
