A change of the store that is made late undoes no later one

The store's page says that a call without an answer "may be executed seconds later if its condition still holds". The placer's changes had one condition, that the lead is still held, so that a change of progress that was not answered, sent again and followed by others could come last: an ended job was running again in the record, and its states went back after the next takeover. The same held for the list of targets that runs may be on.

Each change has the condition that a further key, the guard, is as it was when the term began. After a change without an answer the next ones write the guard too, until one is answered; what comes late then finds its condition not met. If the change that wrote the guard isn't answered either, a look at the guard tells whether it was made. One read more at each takeover, nothing else while all is answered.

Test a_change_that_is_made_late_undoes_no_later_one, on a store stand-in that makes a change late: the job was not complete after the restart before, and is now.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -89,6 +89,7 @@
     LeaderChanged = 505, "leader of the cell changed";
     JobsRead = 510, "jobs read from the store";
     QueueRefuses = 511, "queue takes no new jobs for now";
+    GuardRenewed = 512, "guard of the records written anew after a change without an answer";
     RequestRefused = 520, "request refused";
     RequestUnknown = 521, "outcome of a request is unknown";
     StartSent = 530, "start sent";
--- a/crates/node/src/keys.rs
+++ b/crates/node/src/keys.rs
@@ -8,6 +8,9 @@
 /// The number of the last term.
 pub(crate) const TERM: &str = "skylarkspan/term";
 
+/// What is written anew after a change without an answer.
+pub(crate) const GUARD: &str = "skylarkspan/guard";
+
 /// The targets that runs may be on.
 pub(crate) const HELD: &str = "skylarkspan/held";
 
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -32,7 +32,7 @@
     context::{Context, Leader, RETRY_PAUSE, jitter},
     keys,
     link::{Succession, Up},
-    placer,
+    placer::{self, change::Guard},
 };
 
 /// How long one wait for a change of the lead takes.
@@ -62,6 +62,8 @@
     pub(crate) term: u64,
     /// Revision of the lead's key while it is held.
     pub(crate) revision: Revision,
+    /// Keeps changes without an answer from being made late.
+    pub(crate) guard: Guard,
     lease: Lease,
     /// Until when the lease surely holds, in milliseconds since the machine
     /// started.
@@ -254,6 +256,7 @@
     let lead = Lead {
         term: leader.term,
         revision,
+        guard: Guard::default(),
         lease,
         valid_until_ms: AtomicU64::new(0),
         confirmed_ms: AtomicU64::new(0),
--- a/crates/node/src/placer/mod.rs
+++ b/crates/node/src/placer/mod.rs
@@ -3,10 +3,11 @@
 //! [`run`] reads what is recorded, then takes in what happens in one loop.
 //! The tasks beside it follow the key-value service ([`follow`]), hold the
 //! targets ([`hold`]), carry orders ([`order`]), ask for advice ([`advice`])
-//! and record progress ([`record`]). They end with it. What the loop does is in
+//! and record progress ([`record`], [`change`]). They end with it. What the loop does is in
 //! [`run`], [`fronts`], [`targets`] and [`succession`].
 
 mod advice;
+pub(crate) mod change;
 mod event;
 mod follow;
 mod fronts;
--- a/crates/node/src/placer/read.rs
+++ b/crates/node/src/placer/read.rs
@@ -20,6 +20,8 @@
     pub(crate) ended: Vec<(Name, JobState)>,
     /// Targets that runs may be on.
     pub(crate) held: HashSet<Name>,
+    /// Revision of the guard's key.
+    pub(crate) guard: Revision,
     /// Revision after which jobs have to be followed.
     pub(crate) revision: Revision,
 }
@@ -28,10 +30,11 @@
 pub(crate) async fn read(ctx: &Context) -> Result<Recorded, Error> {
     let records = &*ctx.edges.records;
     // Progress that is written meanwhile can only be of this term.
-    let (jobs, outcomes, held) = futures::join!(
+    let (jobs, outcomes, held, guard) = futures::join!(
         read_all(records, keys::JOBS),
         read_all(records, keys::PROGRESS),
         records.get(keys::HELD),
+        records.get(keys::GUARD),
     );
     let ((entries, revision), (outcomes, _)) = (jobs?, outcomes?);
     let mut progress: HashMap<Name, Progress> = HashMap::new();
@@ -41,7 +44,8 @@
             progress.insert(Name::from(id), read);
         }
     }
-    let mut recorded = Recorded { revision, ..Recorded::default() };
+    let guard = guard?.map_or(Revision::ABSENT, |entry| entry.revision);
+    let mut recorded = Recorded { revision, guard, ..Recorded::default() };
     for entry in entries {
         match JobKey::parse(&entry.key) {
             Some(JobKey::Accepted(id)) => {
--- a/crates/node/src/placer/record.rs
+++ b/crates/node/src/placer/record.rs
@@ -5,22 +5,23 @@
 use base::{Name, clock, emit};
 use bytes::Bytes;
 use plan::{Batch, Need, Record};
-use platform::{Commit, Committed, Error, Write};
+use platform::{Commit, Write};
 use tokio::sync::mpsc;
 
-use crate::{context::Context, keys, lead::Lead, metrics::Metrics, placer::event::Event};
+use crate::{
+    context::Context,
+    keys,
+    lead::Lead,
+    metrics::Metrics,
+    placer::{
+        change::{self, Unwritten, write},
+        event::Event,
+    },
+};
 
-/// Entries of one change beside the condition on the lead; the key-value
-/// service takes 32.
-const ENTRIES: usize = 31;
-
-/// An `Unwritten` is why a change was not made for certain.
-enum Unwritten {
-    /// Another instance leads.
-    Lost,
-    /// The key-value service did not answer as it should.
-    Failed(Error),
-}
+/// Entries of one change beside the conditions on the lead and the guard, and
+/// the guard itself; the key-value service takes 32.
+const ENTRIES: usize = 29;
 
 /// Records a batch.
 pub(crate) async fn record(
@@ -82,7 +83,7 @@
     let write =
         Write { key: keys::HELD.to_owned(), value: Bytes::from(work::encode(&held)), lease: None };
     let commit = Commit { writes: vec![write], ..Commit::default() };
-    let event = match self::write(&ctx, &lead, commit).await {
+    let event = match change::write(&ctx, &lead, commit).await {
         Ok(()) => Event::Held(Some(held)),
         Err(Unwritten::Lost) => Event::Fenced("the lead has changed hands"),
         Err(Unwritten::Failed(error)) => {
@@ -105,13 +106,3 @@
         let _ = write(&ctx, &lead, Commit { removals, ..Commit::default() }).await;
     }
 }
-
-/// Makes a change under the condition that the lead is still held.
-async fn write(ctx: &Context, lead: &Lead, mut commit: Commit) -> Result<(), Unwritten> {
-    commit.expected.push((keys::LEAD.to_owned(), lead.revision));
-    match ctx.edges.records.commit(commit).await {
-        Ok(Committed::Done(_)) => Ok(()),
-        Ok(Committed::Conflict(_)) => Err(Unwritten::Lost),
-        Err(error) => Err(Unwritten::Failed(error)),
-    }
-}
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -142,6 +142,7 @@
             ..defaults
         };
         let lease = settings.target_lease;
+        lead.guard.begin(recorded.guard);
         let mut board = Board::new(settings, lead.term as u32, recorded.held.clone(), now);
         board.configure(ctx.configs.current());
         for (id, spec, progress) in recorded.jobs {
--- a/crates/node/tests/faults.rs
+++ b/crates/node/tests/faults.rs
@@ -165,6 +165,24 @@
     cell.wait_for(0, "job", JobState::Complete);
 }
 
+#[gtest]
+fn a_change_that_is_made_late_undoes_no_later_one() {
+    const LATE: Duration = Duration::from_millis(2500);
+    let mut cell = Cell::start(1, 1);
+    // The second half of the tasks starts when the first one has ended.
+    expect_that!(cell.nodes[0].submit("job", "work:700", step(16)), ok(eq(&())));
+    wait("running tasks", || cell.world.targets.running("job") == 8);
+    cell.world.store.fail("node-0", store::Fault::Late(LATE));
+    cell.wait_for(0, "job", JobState::Complete);
+    std::thread::sleep(LATE);
+    cell.nodes[0].kill();
+    cell.nodes[0] = Node::start(&cell.world, "node-0");
+    cell.leader();
+    cell.wait_for(0, "job", JobState::Complete);
+    expect_that!(cell.world.targets.starts("job"), eq(16));
+    expect_that!(cell.world.targets.broken(), is_empty());
+}
+
 #[gtest]
 fn an_older_configuration_is_never_put_in_force_again() {
     let cell = Cell::start(1, 1);
--- a/crates/standin/src/cell/store.rs
+++ b/crates/standin/src/cell/store.rs
@@ -19,6 +19,9 @@
 /// Time for an answer.
 const LATENCY: Duration = Duration::from_millis(2);
 
+/// Time after which an instance no longer waits for a lost answer.
+const LOST_ANSWER: Duration = Duration::from_millis(300);
+
 /// A `Fault` is how the service fails an instance.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Fault {
@@ -35,6 +38,9 @@
     LosingAnswers(u32),
     /// It answers late by this time.
     Slow(Duration),
+    /// It doesn't answer the next change, and makes it after this time if its
+    /// condition still holds.
+    Late(Duration),
 }
 
 /// A `Store` is the service.
@@ -115,6 +121,17 @@
         self.changed.notify_waiters();
     }
 
+    /// Makes a change after some time, also if the instance has ended.
+    fn commit_late(self: &Arc<Self>, commit: Commit, time: Duration) {
+        let store = Arc::clone(self);
+        std::thread::spawn(move || {
+            std::thread::sleep(time);
+            // Nobody waits for the answer.
+            let _ = store.lock().commit(commit);
+            store.changed.notify_waiters();
+        });
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         let mut state = self.state.lock().expect("no holder of the lock panics");
         state.lapse();
@@ -213,7 +230,9 @@
     async fn arrive(&self) -> Result<()> {
         time::sleep(LATENCY).await;
         match self.fault() {
-            Fault::None | Fault::LosingAnswers(_) | Fault::RefusingChanges => Ok(()),
+            Fault::None | Fault::LosingAnswers(_) | Fault::RefusingChanges | Fault::Late(_) => {
+                Ok(())
+            }
             Fault::Refusing => Err(Error::NotRun { reason: "refused".to_owned() }),
             Fault::Silent => {
                 time::sleep(Duration::from_millis(800)).await;
@@ -241,7 +260,7 @@
             state.changes.is_multiple_of(every)
         };
         if is_lost {
-            time::sleep(Duration::from_millis(300)).await;
+            time::sleep(LOST_ANSWER).await;
             return Err(Error::Unknown { reason: "the answer is lost".to_owned() });
         }
         answer
@@ -279,6 +298,12 @@
             if self.fault() == Fault::RefusingChanges {
                 return Err(Error::NotRun { reason: "refused".to_owned() });
             }
+            if let Fault::Late(time) = self.fault() {
+                self.store.fail(&self.instance, Fault::None);
+                self.store.commit_late(commit, time);
+                time::sleep(LOST_ANSWER).await;
+                return Err(Error::Unknown { reason: "no answer".to_owned() });
+            }
             let answer = self.store.lock().commit(commit);
             self.store.changed.notify_waiters();
             self.answer(answer).await
