Takeovers don't wait for targets that got no work before them

After a takeover nothing of a job that was there before starts, and of other jobs only what the limits of teams leave, until each target that runs may be on has answered or 6.3 s are over. One that hands over tells its successor what may run on silent targets; one that is killed, or all of them at once, told nobody.

Silent and draining targets are closed: the placer records them with the runs that may be on them, and gives them no work until it is recorded that they are open again. The next placer counts just those runs, until the target answers or the lease has lapsed, and goes on with the rest. The record holds for the next term only, as others may have opened them since.

Ruled out: the read of jobs (0.1 s), the room (most of it was free), the number of instances (38 linked within a second).

Tests: a closed target gets nothing until it is recorded as open (fails without that), one that is silent for a moment isn't closed, a draining one is closed with what runs there, only once its ends are recorded; on whole nodes a killed leader holds up nothing (fails when the record isn't read).

--- a/crates/node/src/keys.rs
+++ b/crates/node/src/keys.rs
@@ -14,6 +14,9 @@
 /// The targets that runs may be on.
 pub(crate) const HELD: &str = "skylarkspan/held";
 
+/// The targets that get no work for now, with all runs that may be on them.
+pub(crate) const CLOSED: &str = "skylarkspan/closed";
+
 /// Accepted jobs and their cancellations, written by fronts.
 pub(crate) const JOBS: &str = "skylarkspan/in/";
 
--- a/crates/node/src/placer/event.rs
+++ b/crates/node/src/placer/event.rs
@@ -9,6 +9,7 @@
 use crate::{
     edge::Listed,
     link::{Joined, Up},
+    placer::holding::Names,
 };
 
 /// An `Event` is something that a placer takes in.
@@ -22,8 +23,9 @@
     Targets(Listed),
     /// The configuration has changed.
     Config(Arc<Config>),
-    /// The targets that runs may be on were recorded, or could not be.
-    Held(Option<Vec<Name>>),
+    /// What the next placer has to know of the targets was recorded, or could
+    /// not be.
+    Held(Option<Names>),
     /// A target answered what it runs.
     Listed {
         /// The target.
--- a/crates/node/src/placer/mod.rs
+++ b/crates/node/src/placer/mod.rs
@@ -12,6 +12,7 @@
 mod follow;
 mod fronts;
 mod hold;
+mod holding;
 mod order;
 mod read;
 mod record;
--- a/crates/node/src/placer/read.rs
+++ b/crates/node/src/placer/read.rs
@@ -9,6 +9,7 @@
 use crate::{
     context::Context,
     keys::{self, JobKey},
+    placer::holding,
 };
 
 /// A `Recorded` is all that is recorded of a cell.
@@ -20,6 +21,8 @@
     pub(crate) ended: Vec<(Name, JobState)>,
     /// Targets that runs may be on.
     pub(crate) held: HashSet<Name>,
+    /// The targets that the placer before gave no work.
+    pub(crate) closed: holding::Record,
     /// Revision of the guard's key.
     pub(crate) guard: Revision,
     /// Revision after which jobs have to be followed.
@@ -30,10 +33,11 @@
 pub(crate) async fn read(ctx: &Context) -> Result<Recorded, Error> {
     let records = &*ctx.edges.records;
     // Progress that is written meanwhile can only be of this term.
-    let (jobs, outcomes, held, guard) = futures::join!(
+    let (jobs, outcomes, held, closed, guard) = futures::join!(
         read_all(records, keys::JOBS),
         read_all(records, keys::PROGRESS),
         records.get(keys::HELD),
+        records.get(keys::CLOSED),
         records.get(keys::GUARD),
     );
     let ((entries, revision), (outcomes, _)) = (jobs?, outcomes?);
@@ -63,6 +67,9 @@
     if let Some(entry) = held? {
         recorded.held = decode::<Vec<Name>>(ctx, &entry).unwrap_or_default().into_iter().collect();
     }
+    if let Some(entry) = closed? {
+        recorded.closed = decode::<holding::Record>(ctx, &entry).unwrap_or_default();
+    }
     Ok(recorded)
 }
 
--- a/crates/node/src/placer/record.rs
+++ b/crates/node/src/placer/record.rs
@@ -14,7 +14,7 @@
     lead::Lead,
     metrics::Metrics,
     placer::{
-        change::{self, Unwritten, write},
+        change::{Unwritten, write},
         event::Event,
     },
 };
@@ -73,27 +73,6 @@
     commits
 }
 
-/// Records the targets that runs may be on.
-pub(crate) async fn record_held(
-    ctx: Arc<Context>,
-    lead: Arc<Lead>,
-    held: Vec<Name>,
-    events: mpsc::UnboundedSender<Event>,
-) {
-    let write =
-        Write { key: keys::HELD.to_owned(), value: Bytes::from(work::encode(&held)), lease: None };
-    let commit = Commit { writes: vec![write], ..Commit::default() };
-    let event = match change::write(&ctx, &lead, commit).await {
-        Ok(()) => Event::Held(Some(held)),
-        Err(Unwritten::Lost) => Event::Fenced("the lead has changed hands"),
-        Err(Unwritten::Failed(error)) => {
-            emit!(ctx.log, warn, RecordFailed; "targets" => held.len(), "error" => %error);
-            Event::Held(None)
-        }
-    };
-    let _ = events.send(event);
-}
-
 /// Removes what is recorded of jobs that ended long ago.
 pub(crate) async fn forget(ctx: Arc<Context>, lead: Arc<Lead>, jobs: Vec<Name>) {
     /// Keys of each job; most have only the last one left.
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -25,6 +25,7 @@
         event::Event,
         follow, hold,
         hold::{Holder, Pace},
+        holding::Names,
         order, read,
         read::Recorded,
         record,
@@ -78,6 +79,8 @@
     pub(super) listed: Listed,
     /// Targets that are recorded as holding runs.
     pub(super) held: HashSet<Name>,
+    /// The targets that are recorded as closed in this term.
+    pub(super) closed: HashSet<Name>,
     pub(super) is_recording_held: bool,
     /// Whether the last record of those failed or is under way.
     pub(super) is_held_unrecorded: bool,
@@ -151,7 +154,10 @@
         for (id, state) in recorded.ended {
             board.inherit_ended(&id, state, now);
         }
-        for (target, runs) in &lead.silent {
+        // Those of an earlier term than the last one may have been opened since.
+        let is_of_last = recorded.closed.term + 1 == lead.term;
+        let closed = recorded.closed.closed.iter().filter(|_| is_of_last);
+        for (target, runs) in lead.silent.iter().chain(closed) {
             board.adopt_silent(target, runs, now);
         }
         for id in recorded.cancelled {
@@ -173,6 +179,7 @@
             pace: Arc::default(),
             listed: Listed::new(),
             held: recorded.held,
+            closed: HashSet::new(),
             is_recording_held: false,
             is_held_unrecorded: false,
             recording: 0,
@@ -327,9 +334,11 @@
             Event::Held(held) => {
                 self.is_recording_held = false;
                 // What could not be recorded is tried again after a while.
-                if let Some(held) = held {
+                if let Some(Names { held, closed }) = held {
                     self.is_held_unrecorded = false;
-                    self.held = held.into_iter().collect();
+                    self.held = held;
+                    self.board.recorded_closed(&closed);
+                    self.closed = closed;
                     self.hold_targets();
                 }
             }
--- a/crates/node/src/placer/succession.rs
+++ b/crates/node/src/placer/succession.rs
@@ -56,7 +56,7 @@
             self.wind_down(events).await;
         }
         self.lead.end();
-        let silent = self.board.silent_targets();
+        let silent = self.board.silent_targets(clock::now());
         tell(down, Down::Succeed(Succession { revision: self.lead.revision.0, silent }));
         // The frame is sent before the links are closed.
         time::sleep(FAREWELL_TIME).await;
--- a/crates/node/src/placer/targets.rs
+++ b/crates/node/src/placer/targets.rs
@@ -6,7 +6,12 @@
 
 use crate::{
     edge::Target,
-    placer::{hold, hold::Holder, record, run::Placer},
+    placer::{
+        hold,
+        hold::Holder,
+        holding::{self, Holding},
+        run::Placer,
+    },
 };
 
 impl Placer {
@@ -38,11 +43,14 @@
     /// Records anew which targets runs may be on, if that has changed: the next
     /// placer is not to wait for targets that are gone for certain.
     pub(super) fn update_held(&mut self) {
-        let held = self.board.held_targets(clock::now());
+        let now = clock::now();
+        self.board.note_silent();
+        let held = self.board.held_targets(now);
         let is_missing = self.listed.keys().any(|name| !self.held.contains(name));
         if is_missing
             || self.is_held_unrecorded
             || self.held.iter().any(|name| !held.contains(name))
+            || self.board.is_closed_outdated(&self.closed, now)
         {
             self.record_held();
         }
@@ -67,8 +75,8 @@
             }
             is_kept
         });
-        let held = held.into_iter().collect();
+        let holding = Holding { held, closed: self.board.close_targets(clock::now()) };
         let (ctx, lead) = (Arc::clone(&self.ctx), Arc::clone(&self.lead));
-        self.tasks.spawn(record::record_held(ctx, lead, held, self.events.clone()));
+        self.tasks.spawn(holding::record(ctx, lead, holding, self.events.clone()));
     }
 }
--- a/crates/node/tests/faults.rs
+++ b/crates/node/tests/faults.rs
@@ -113,6 +113,31 @@
     expect_that!(cell.world.targets.broken(), is_empty());
 }
 
+#[gtest]
+fn a_leader_that_is_killed_holds_up_nothing_for_targets_that_were_silent() {
+    const SILENT: &str = "target-0";
+    let mut cell = Cell::start(1, 4);
+    expect_that!(cell.nodes[0].submit("running", "work:30000", step(24)), ok(eq(&())));
+    wait("running tasks", || cell.world.targets.running("running") == 24);
+    cell.world.targets.fail(&target(0), targets::Fault::Silent);
+    wait("a record of the silent target", || {
+        let record = cell.world.store.value("skylarkspan/closed").unwrap_or_default();
+        record.windows(SILENT.len()).any(|part| part == SILENT.as_bytes())
+    });
+    cell.nodes[0].kill();
+    cell.nodes[0] = Node::start(&cell.world, "node-0");
+    cell.leader();
+    let led = Instant::now();
+    expect_that!(cell.nodes[0].submit("job", "work:300", step(8)), ok(eq(&())));
+    cell.wait_for(0, "job", JobState::Complete);
+    // Without the record nothing of a job that was there before starts, and of
+    // other jobs what the limits of teams allow, until leases of 6 s have lapsed.
+    expect_that!(led.elapsed(), lt(Duration::from_secs(3)));
+    // What may run on the silent target has not been started elsewhere.
+    expect_that!(cell.world.targets.starts("running"), eq(24));
+    expect_that!(cell.world.targets.broken(), is_empty());
+}
+
 #[gtest]
 fn a_leader_that_the_store_fails_hands_over_to_one_that_it_serves() {
     let cell = Cell::start(3, 4);
--- a/crates/plan/src/adopt.rs
+++ b/crates/plan/src/adopt.rs
@@ -1,6 +1,6 @@
 //! Taking over what an earlier placer left.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use base::Name;
 use work::{StepKey, TaskKey};
@@ -12,20 +12,70 @@
     target::{Availability, Phase, Run, Target, TargetId},
 };
 
+/// Times in a row that a target has to be noted as silent before it is closed:
+/// most are back sooner.
+const SILENT_NOTES: u32 = 2;
+
+/// A `Closed` is a target that gets no new work, with the numbers of all runs
+/// that may be on it.
+pub type Closed = (Name, Vec<(TaskKey, u32)>);
+
 impl Board {
     /// Gets the targets that don't answer, with all that may run on them, as far
     /// as all their ends are recorded.
-    pub fn silent_targets(&self) -> Vec<(Name, Vec<(TaskKey, u32)>)> {
-        let known = |target: &&Target| {
-            target.heard.is_none()
-                && target.seen == target.recorded
-                && !self.unclaimed.contains(&target.facts.id)
-        };
-        let runs = |target: &Target| {
-            target.runs.iter().map(|(task, run)| (task.clone(), run.number)).collect()
+    pub fn silent_targets(&self, now: Duration) -> Vec<Closed> {
+        let silent = self.targets.iter().filter(|target| target.heard.is_none());
+        silent.filter(|target| self.knows_runs(target, now)).map(closed).collect()
+    }
+
+    /// Notes which targets are silent, from time to time.
+    pub fn note_silent(&mut self) {
+        for target in &mut self.targets {
+            target.silent_notes = if target.heard.is_some() { 0 } else { target.silent_notes + 1 };
+        }
+    }
+
+    /// Tells whether others are to be recorded as closed than these.
+    pub fn is_closed_outdated(&self, recorded: &HashSet<Name>, now: Duration) -> bool {
+        let is_outdated = |target: &Target| match recorded.contains(&target.facts.id) {
+            true => !is_out_of_work(target),
+            false => is_out_of_work(target) && self.knows_runs(target, now),
         };
-        let silent = self.targets.iter().filter(known);
-        silent.map(|target| (target.facts.id.clone(), runs(target))).collect()
+        self.targets.iter().any(is_outdated)
+    }
+
+    /// Closes the targets that can be, and gets them. They get no work until it
+    /// is recorded that they are open again, also if they answer, so that what
+    /// is recorded of them stays true.
+    pub fn close_targets(&mut self, now: Duration) -> Vec<Closed> {
+        let mut left = self.settings.most_closed_runs;
+        let mut closing = Vec::new();
+        for number in 0..self.targets.len() {
+            let target = &self.targets[number];
+            let can_close = is_out_of_work(target) && self.knows_runs(target, now);
+            if can_close && target.runs.len() <= left {
+                left -= target.runs.len();
+                closing.push(closed(target));
+                self.targets[number].is_closed = true;
+            }
+        }
+        closing
+    }
+
+    /// Takes in that just these targets are recorded as closed.
+    pub fn recorded_closed(&mut self, closed: &HashSet<Name>) {
+        for target in &mut self.targets {
+            let is_closed = closed.contains(&target.facts.id);
+            self.is_changed |= target.is_closed && !is_closed;
+            target.is_closed = is_closed;
+        }
+    }
+
+    /// Tells whether all that may run on a target is known, and all that ended
+    /// there is recorded.
+    fn knows_runs(&self, target: &Target, now: Duration) -> bool {
+        let is_claimed = !self.unclaimed.contains(&target.facts.id) || now >= self.settled_at;
+        is_claimed && target.seen == target.recorded && !target.has_unknown
     }
 
     /// Takes over what the placer before knew of a target that didn't answer it.
@@ -93,3 +143,14 @@
         }
     }
 }
+
+/// Tells whether a target gets no work for some time to come.
+fn is_out_of_work(target: &Target) -> bool {
+    let is_silent = target.heard.is_none() && target.silent_notes >= SILENT_NOTES;
+    is_silent || target.facts.availability == Availability::Draining
+}
+
+fn closed(target: &Target) -> Closed {
+    let runs = target.runs.iter().map(|(task, run)| (task.clone(), run.number));
+    (target.facts.id.clone(), runs.collect())
+}
--- a/crates/plan/src/settings.rs
+++ b/crates/plan/src/settings.rs
@@ -46,6 +46,9 @@
     pub long_ask: Duration,
     /// Most targets that one request for advice names.
     pub targets_per_ask: usize,
+    /// Most runs that are recorded of closed targets; each takes about 80 bytes
+    /// of a value, which may have 1 MiB.
+    pub most_closed_runs: usize,
     /// Time without a further instance until jobs may be refused, which needs
     /// the number of instances. They all look for the new leader at once, so
     /// that their links come within a fraction of it.
@@ -81,6 +84,7 @@
             advice_backlog: Duration::from_millis(150),
             long_ask: Duration::from_millis(150),
             targets_per_ask: 100,
+            most_closed_runs: 1000,
             admission_after: Duration::from_secs(1),
             most_wait: Duration::from_secs(7),
         }
--- a/crates/plan/src/target.rs
+++ b/crates/plan/src/target.rs
@@ -129,6 +129,10 @@
     pub(crate) speed: Speed,
     /// Whether it lists runs that aren't in its account.
     pub(crate) has_unknown: bool,
+    /// Times in a row that it was noted as silent.
+    pub(crate) silent_notes: u32,
+    /// Whether it may be recorded as closed.
+    pub(crate) is_closed: bool,
     /// Starts in a row that weren't answered.
     pub(crate) unanswered: u32,
     /// Until when it gets no work after those.
@@ -160,6 +164,7 @@
         self.facts.availability == Availability::Ready
             && self.heard.is_some_and(|heard| now.saturating_sub(heard) < silence)
             && !self.has_unknown
+            && !self.is_closed
             && now >= self.paused_until
             && (!self.health.is_suspected() || self.health.is_probe_due(now))
             && !self.speed.is_slow(now)
--- a/crates/plan/tests/decisions/cell.rs
+++ b/crates/plan/tests/decisions/cell.rs
@@ -319,6 +319,21 @@
         self.lives.get(target).copied().unwrap_or(1)
     }
 
+    /// Has a target be silent for so long that it is closed; gets all that are.
+    pub fn fall_silent_and_close(&mut self, target: &str) -> Vec<String> {
+        self.fall_silent(target);
+        self.board.note_silent();
+        self.board.note_silent();
+        let closed = self.board.close_targets(self.now);
+        closed.into_iter().map(|(name, _)| name.to_string()).collect()
+    }
+
+    /// Tells whether others are to be recorded as closed.
+    pub fn is_closed_outdated(&self, recorded: &[String]) -> bool {
+        let recorded = recorded.iter().map(|name| Name::from(name.as_str())).collect();
+        self.board.is_closed_outdated(&recorded, self.now)
+    }
+
     pub fn fall_silent(&mut self, target: &str) {
         self.board.silent(target);
     }
--- a/crates/plan/tests/decisions/takeover.rs
+++ b/crates/plan/tests/decisions/takeover.rs
@@ -1,9 +1,9 @@
 //! What a placer takes over from the one before.
 
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
 use googletest::prelude::*;
-use plan::StartAnswer;
+use plan::{Availability, StartAnswer};
 use work::{End, JobState, Step};
 
 use crate::cell::{ATTEMPTS, Cell, step};
@@ -53,7 +53,7 @@
     cell.fall_silent(&starts[0].target);
     cell.accept("waiting", vec![step(1)]);
     let lost = starts[0].target.clone();
-    let silent = cell.board.silent_targets();
+    let silent = cell.board.silent_targets(cell.now);
     let mut next = cell.take_over_unheard();
     for (target, runs) in &silent {
         next.board.adopt_silent(target, runs, next.now);
@@ -76,6 +76,52 @@
     expect_that!(&*starts[0].task.step.job, eq("running"));
 }
 
+#[gtest]
+fn a_closed_target_gets_nothing_until_it_is_recorded_as_open() {
+    let mut cell = Cell::new(1);
+    let silent = cell.fall_silent_and_close("target-0");
+    expect_that!(silent, elements_are![eq("target-0")]);
+    cell.hear_others("");
+    cell.accept("job", vec![step(1)]);
+    // The next placer would take it to have nothing.
+    expect_that!(cell.decide_starts(), is_empty());
+    expect_that!(cell.is_closed_outdated(&silent), eq(true));
+    expect_that!(cell.board.close_targets(cell.now), is_empty());
+    cell.board.recorded_closed(&HashSet::new());
+    expect_that!(cell.decide_starts().len(), eq(1));
+}
+
+#[gtest]
+fn a_target_that_is_silent_for_a_moment_is_not_closed() {
+    let mut cell = Cell::new(1);
+    cell.board.silent("target-0");
+    cell.board.note_silent();
+    expect_that!(cell.board.close_targets(cell.now), is_empty());
+    cell.hear_others("");
+    cell.board.note_silent();
+    cell.board.silent("target-0");
+    cell.board.note_silent();
+    expect_that!(cell.board.close_targets(cell.now), is_empty());
+}
+
+#[gtest]
+fn a_draining_target_is_closed_with_what_runs_there() {
+    let mut cell = Cell::new(1);
+    cell.accept("job", vec![step(2)]);
+    let starts = cell.decide_starts();
+    cell.answer_all(&starts, &StartAnswer::Started);
+    cell.list_targets_with(|facts| facts.availability = Availability::Draining);
+    let closed = cell.board.close_targets(cell.now);
+    expect_that!(closed.len(), eq(1));
+    expect_that!(closed[0].1.len(), eq(2));
+    // An end that isn't recorded would be forgotten with it.
+    cell.board.recorded_closed(&HashSet::new());
+    cell.end(&starts[0], End::Done);
+    expect_that!(cell.board.close_targets(cell.now), is_empty());
+    cell.record();
+    expect_that!(cell.board.close_targets(cell.now)[0].1.len(), eq(1));
+}
+
 #[gtest]
 fn an_adopted_run_lapses_though_its_placer_never_granted_a_lease() {
     let mut cell = Cell::new(2);
--- a/crates/standin/src/cell/store.rs
+++ b/crates/standin/src/cell/store.rs
@@ -108,6 +108,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Gets the value of a key, as others than the instances do.
+    pub fn value(&self, key: &str) -> Option<Bytes> {
+        self.lock().items.get(key).map(|item| item.value.clone())
+    }
+
     /// Counts the requests for the changes of what begins with a prefix.
     pub fn looks(&self, prefix: &str) -> u32 {
         self.lock().looks.get(prefix).copied().unwrap_or_default()
