A gang asks for targets that have room, beside those it waits for

Reviews are gangs, which learn which targets they may have until those would hold three times the gang when empty, and then wait for just these: some eight targets, which others fill as well, while a quarter of all 350 targets would do.

A gang whose known targets would hold it when empty asks again if targets that it knows nothing of, by the usual share, have the room now. In a full cell it waits as before.

Test seen failing first (no request went out).

--- a/crates/plan/tests/decisions/advice.rs
+++ b/crates/plan/tests/decisions/advice.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
+use base::Name;
 use googletest::prelude::*;
-use plan::{Ask, AskLength};
-use work::Advice;
+use plan::{Ask, AskLength, StartAnswer};
+use work::{Advice, End, Step};
 
 use crate::cell::{Cell, OTHER_QUEUE, QUEUE, step};
 
@@ -59,3 +60,33 @@
     expect_that!(part(long), le(LEAST_LONG_PART * 2.0));
     expect_that!(part(short), ge(1.0 - LEAST_LONG_PART * 2.0));
 }
+
+#[gtest]
+fn a_gang_asks_for_targets_that_have_room_while_those_it_knows_are_full() {
+    // Seen on trouble-3 of the grown firm: reviews waited for eight allowed
+    // targets, while four tenths of the cell were free.
+    let mut cell = Cell::new(20);
+    cell.add_queue(OTHER_QUEUE, LONG);
+    cell.board.set_advisors(1, cell.now);
+    cell.accept_in(OTHER_QUEUE, "gang", vec![Step { gang: true, ..step(2) }]);
+    cell.decide_starts();
+    let first = cell.take_asks().remove(0);
+    expect_that!(first.targets.len(), lt(20));
+    cell.accept("filler", vec![step(160)]);
+    let fillers = cell.decide_starts();
+    expect_that!(fillers.len(), eq(160));
+    cell.answer_all(&fillers, &StartAnswer::Started);
+    let allowed = first.targets.iter().map(|name| (name.clone(), Name::from("ticket"))).collect();
+    cell.board.advised(&first.step, &first.targets, Some(allowed), cell.now);
+    cell.decide_starts();
+    // While all are full, it waits for those it knows.
+    expect_that!(cell.take_asks().len(), eq(0));
+    for start in fillers.iter().filter(|start| !first.targets.contains(&start.target)) {
+        cell.end(start, End::Done);
+    }
+    cell.decide_starts();
+    let asks = cell.take_asks();
+    expect_that!(asks.len(), eq(1));
+    let is_new = |name: &&Name| !first.targets.contains(name);
+    expect_that!(asks[0].targets.iter().filter(is_new).count(), ge(2));
+}
