Only held targets are closed, and as many as may be recorded

Found on reading the change: targets that are gone for good stayed in the list of closed ones for ever, as the account keeps their names; and with more runs on closed targets than may be recorded the same record was written each half second. Both now go by one choice: held targets, in order, as far as their runs fit.

--- a/crates/node/src/placer/targets.rs
+++ b/crates/node/src/placer/targets.rs
@@ -50,7 +50,7 @@
         if is_missing
             || self.is_held_unrecorded
             || self.held.iter().any(|name| !held.contains(name))
-            || self.board.is_closed_outdated(&self.closed, now)
+            || self.board.is_closed_outdated(&held, &self.closed, now)
         {
             self.record_held();
         }
@@ -75,7 +75,8 @@
             }
             is_kept
         });
-        let holding = Holding { held, closed: self.board.close_targets(clock::now()) };
+        let closed = self.board.close_targets(&held, clock::now());
+        let holding = Holding { held, closed };
         let (ctx, lead) = (Arc::clone(&self.ctx), Arc::clone(&self.lead));
         self.tasks.spawn(holding::record(ctx, lead, holding, self.events.clone()));
     }
--- a/crates/plan/src/adopt.rs
+++ b/crates/plan/src/adopt.rs
@@ -35,33 +35,47 @@
         }
     }
 
-    /// Tells whether others are to be recorded as closed than these.
-    pub fn is_closed_outdated(&self, recorded: &HashSet<Name>, now: Duration) -> bool {
-        let is_outdated = |target: &Target| match recorded.contains(&target.facts.id) {
-            true => !is_out_of_work(target),
-            false => is_out_of_work(target) && self.knows_runs(target, now),
-        };
-        self.targets.iter().any(is_outdated)
+    /// Tells whether others of the held targets are to be recorded as closed
+    /// than these.
+    pub fn is_closed_outdated(
+        &self,
+        held: &HashSet<Name>,
+        recorded: &HashSet<Name>,
+        now: Duration,
+    ) -> bool {
+        let is_open_again =
+            |target: &Target| recorded.contains(&target.facts.id) && !is_out_of_work(target);
+        self.targets.iter().any(is_open_again)
+            || self.closing(held, now).any(|target| !recorded.contains(&target.facts.id))
     }
 
-    /// Closes the targets that can be, and gets them. They get no work until it
-    /// is recorded that they are open again, also if they answer, so that what
-    /// is recorded of them stays true.
-    pub fn close_targets(&mut self, now: Duration) -> Vec<Closed> {
-        let mut left = self.settings.most_closed_runs;
-        let mut closing = Vec::new();
-        for number in 0..self.targets.len() {
-            let target = &self.targets[number];
-            let can_close = is_out_of_work(target) && self.knows_runs(target, now);
-            if can_close && target.runs.len() <= left {
-                left -= target.runs.len();
-                closing.push(closed(target));
-                self.targets[number].is_closed = true;
-            }
+    /// Closes those of the held targets that can be, and gets them. They get no
+    /// work until it is recorded that they are open again, also if they answer,
+    /// so that what is recorded of them stays true.
+    pub fn close_targets(&mut self, held: &HashSet<Name>, now: Duration) -> Vec<Closed> {
+        let closing: Vec<Closed> = self.closing(held, now).map(closed).collect();
+        for (name, _) in &closing {
+            let id = self.target_id(name);
+            self.targets[id.0 as usize].is_closed = true;
         }
         closing
     }
 
+    /// Gets the targets that can be closed, as many as may be recorded.
+    fn closing(&self, held: &HashSet<Name>, now: Duration) -> impl Iterator<Item = &Target> {
+        let can_close = move |target: &&Target| {
+            is_out_of_work(target)
+                && held.contains(&target.facts.id)
+                && self.knows_runs(target, now)
+        };
+        let mut left = self.settings.most_closed_runs;
+        self.targets.iter().filter(can_close).take_while(move |target| {
+            let fits = target.runs.len() <= left;
+            left = left.saturating_sub(target.runs.len());
+            fits
+        })
+    }
+
     /// Takes in that just these targets are recorded as closed.
     pub fn recorded_closed(&mut self, closed: &HashSet<Name>) {
         for target in &mut self.targets {
--- a/crates/plan/tests/decisions/cell.rs
+++ b/crates/plan/tests/decisions/cell.rs
@@ -8,7 +8,8 @@
 
 use base::{Name, Resources};
 use plan::{
-    Action, Ask, Board, Facts, Listing, Need, RunEnd, RunSeen, Settings, Start, StartAnswer, Stop,
+    Action, Ask, Board, Closed, Facts, Listing, Need, RunEnd, RunSeen, Settings, Start,
+    StartAnswer, Stop,
 };
 use work::{
     Advice, Config, End, JobState, Policy, Progress, Queue, Schedule, Service, Spec, Step, Team,
@@ -324,14 +325,19 @@
         self.fall_silent(target);
         self.board.note_silent();
         self.board.note_silent();
-        let closed = self.board.close_targets(self.now);
-        closed.into_iter().map(|(name, _)| name.to_string()).collect()
+        self.close_targets().into_iter().map(|(name, _)| name.to_string()).collect()
+    }
+
+    /// Closes the targets that can be, and gets them.
+    pub fn close_targets(&mut self) -> Vec<Closed> {
+        self.board.close_targets(&self.board.held_targets(self.now), self.now)
     }
 
     /// Tells whether others are to be recorded as closed.
     pub fn is_closed_outdated(&self, recorded: &[String]) -> bool {
         let recorded = recorded.iter().map(|name| Name::from(name.as_str())).collect();
-        self.board.is_closed_outdated(&recorded, self.now)
+        let held = self.board.held_targets(self.now);
+        self.board.is_closed_outdated(&held, &recorded, self.now)
     }
 
     pub fn fall_silent(&mut self, target: &str) {
--- a/crates/plan/tests/decisions/takeover.rs
+++ b/crates/plan/tests/decisions/takeover.rs
@@ -86,7 +86,7 @@
     // The next placer would take it to have nothing.
     expect_that!(cell.decide_starts(), is_empty());
     expect_that!(cell.is_closed_outdated(&silent), eq(true));
-    expect_that!(cell.board.close_targets(cell.now), is_empty());
+    expect_that!(cell.close_targets(), is_empty());
     cell.board.recorded_closed(&HashSet::new());
     expect_that!(cell.decide_starts().len(), eq(1));
 }
@@ -96,12 +96,12 @@
     let mut cell = Cell::new(1);
     cell.board.silent("target-0");
     cell.board.note_silent();
-    expect_that!(cell.board.close_targets(cell.now), is_empty());
+    expect_that!(cell.close_targets(), is_empty());
     cell.hear_others("");
     cell.board.note_silent();
     cell.board.silent("target-0");
     cell.board.note_silent();
-    expect_that!(cell.board.close_targets(cell.now), is_empty());
+    expect_that!(cell.close_targets(), is_empty());
 }
 
 #[gtest]
@@ -111,15 +111,25 @@
     let starts = cell.decide_starts();
     cell.answer_all(&starts, &StartAnswer::Started);
     cell.list_targets_with(|facts| facts.availability = Availability::Draining);
-    let closed = cell.board.close_targets(cell.now);
+    let closed = cell.close_targets();
     expect_that!(closed.len(), eq(1));
     expect_that!(closed[0].1.len(), eq(2));
     // An end that isn't recorded would be forgotten with it.
     cell.board.recorded_closed(&HashSet::new());
     cell.end(&starts[0], End::Done);
-    expect_that!(cell.board.close_targets(cell.now), is_empty());
+    expect_that!(cell.close_targets(), is_empty());
     cell.record();
-    expect_that!(cell.board.close_targets(cell.now)[0].1.len(), eq(1));
+    expect_that!(cell.close_targets()[0].1.len(), eq(1));
+}
+
+#[gtest]
+fn a_target_that_is_gone_for_good_is_not_recorded_as_closed() {
+    let mut cell = Cell::new(2);
+    let gone = "target-1";
+    expect_that!(cell.fall_silent_and_close(gone), elements_are![eq(gone)]);
+    cell.list_targets_without(gone);
+    expect_that!(cell.is_closed_outdated(&[]), eq(false));
+    expect_that!(cell.close_targets(), is_empty());
 }
 
 #[gtest]
