A gang's known room is counted once, and targets are sorted when it asks

Found on reading the whole change: gang_targets counted the free room of the known targets three times, and sorted the unknown ones also where it asks for none, which is the usual case in a full cell.

--- a/crates/plan/src/ask.rs
+++ b/crates/plan/src/ask.rs
@@ -224,7 +224,8 @@
 fn gang_targets(state: &StepState, slots: &[Slot], wanted: u32, share_milli: u32) -> Vec<TargetId> {
     let (mut known, mut unknown): (Vec<&Slot>, Vec<&Slot>) =
         slots.iter().partition(|slot| state.allows(slot.target));
-    if free_tasks(known.iter().copied()) >= wanted {
+    let known_free = free_tasks(known.iter().copied());
+    if known_free >= wanted {
         known.sort_by_key(|slot| Reverse((slot.tasks, slot.free_ppm)));
         let mut left = wanted;
         let enough = known.iter().take_while(|slot| {
@@ -235,17 +236,16 @@
         return enough.map(|slot| slot.target).collect();
     }
     let known_whole: u32 = known.iter().map(|slot| slot.whole).fold(0, u32::saturating_add);
-    unknown.sort_by_key(|slot| Reverse((slot.tasks, slot.free_ppm)));
     if known_whole >= wanted * WHOLE_FACTOR {
         // The room that they need will be there some time; further targets only
         // help if they have it now.
-        let known_free = free_tasks(known.iter().copied());
         let likely = free_tasks(unknown.iter().copied()).saturating_mul(share_milli) / 1000;
         if known_free.saturating_add(likely) < wanted * SURPLUS_MILLI / 1000 {
             return Vec::new();
         }
     }
-    let mut free_milli = free_tasks(known.iter().copied()) * 1000;
+    unknown.sort_by_key(|slot| Reverse((slot.tasks, slot.free_ppm)));
+    let mut free_milli = known_free * 1000;
     let mut whole_milli = known_whole * 1000;
     let mut chosen: Vec<TargetId> =
         known.iter().filter(|slot| slot.tasks > 0).map(|slot| slot.target).collect();
