A task is shown as running once its worker has started it

The status counted each task that had a worker as running, also while its start was being recorded and sent, so up to three tasks of the last step started after the count. Ruled out: teams that move each other in turn (none of those starts was of the first team); load (16 runs of limits.rs, four side by side, did not show it).

Change: status has 'starting' (a worker was chosen, which has not shown the start yet) and 'stopping'; 'running' is what workers have started. The command line shows both; a cancelled service no longer looks as if nothing happened.

Two tests, seen failing first: running 1 with 0 starts seen. The wait of the gang's test counts 'starting' as well, as it did before.

--- a/crates/cli/src/jobs.rs
+++ b/crates/cli/src/jobs.rs
@@ -26,11 +26,13 @@
 /// Workers that a row names at most.
 const MOST_WORKERS_NAMED: usize = 4;
 
-const HEAD: [&str; 11] = [
+const HEAD: [&str; 13] = [
     "job",
     "name",
     "pending",
+    "starting",
     "running",
+    "stopping",
     "succeeded",
     "failed",
     "stopped",
@@ -174,10 +176,12 @@
     loop {
         let status = get(access, client, job.clone()).await?;
         let progress = format!(
-            "{}: {} pending, {} running, {} done {}",
+            "{}: {} pending, {} starting, {} running, {} stopping, {} done {}",
             status.name,
             status.pending,
+            status.starting,
             status.running,
+            status.stopping,
             status.succeeded + status.failed + status.stopped + status.may_have_run,
             status.waiting
         );
@@ -206,7 +210,9 @@
             job.job,
             job.name,
             job.pending.to_string(),
+            job.starting.to_string(),
             job.running.to_string(),
+            job.stopping.to_string(),
             job.succeeded.to_string(),
             job.failed.to_string(),
             job.stopped.to_string(),
--- a/crates/daemon/src/version/placer/job.rs
+++ b/crates/daemon/src/version/placer/job.rs
@@ -217,7 +217,15 @@
             match &task.state {
                 TaskState::Pending => status.pending += 1,
                 TaskState::Assigned(assigned) => {
-                    status.running += 1;
+                    match assigned.phase {
+                        Phase::Running | Phase::Sent { confirmed: true, .. } => status.running += 1,
+                        Phase::Recording | Phase::Sending | Phase::Sent { .. } => {
+                            status.starting += 1;
+                        }
+                    }
+                    if assigned.evicted {
+                        status.stopping += 1;
+                    }
                     if status.workers.len() < MOST_WORKERS_NAMED {
                         status.workers.push(assigned.worker.to_string());
                     }
--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -78,10 +78,24 @@
 
 /// Starts a rig with an instance in each of `regions`.
 pub async fn start_in(regions: &[&str], workers: Vec<Group>, runners: Vec<Group>) -> Rig {
+    start_rig(regions, quick(), workers, runners).await
+}
+
+/// Starts a rig of three instances in one region, with settings.
+pub async fn start_with(settings: Value, workers: Vec<Group>, runners: Vec<Group>) -> Rig {
+    start_rig(&["r1"; 3], settings, workers, runners).await
+}
+
+async fn start_rig(
+    regions: &[&str],
+    settings: Value,
+    workers: Vec<Group>,
+    runners: Vec<Group>,
+) -> Rig {
     let options = Options {
         layout: Layout { workers, runners, ..Default::default() },
         regions: regions.iter().map(|region| (*region).to_owned()).collect(),
-        settings: quick(),
+        settings,
         daemon: daemon(),
         ..Default::default()
     };
--- a/crates/daemon/tests/limits.rs
+++ b/crates/daemon/tests/limits.rs
@@ -108,7 +108,7 @@
     // More small tasks than there is room for, none of which may be moved.
     let small = pb::Job { idempotent: false, ..batch(600, 1000, 400) };
     let small = client.submit("small", small).await.unwrap().job;
-    wait_job(&client, &small, SOON, |s| s.running == 16).await;
+    wait_job(&client, &small, SOON, |s| s.starting + s.running == 16).await;
     let gang =
         |size| pb::Job { kind: pb::JobKind::Gang.into(), idempotent: false, ..batch(2, size, 300) };
     let a = client.submit("gang-a", gang(4000)).await.unwrap().job;
--- a/crates/daemon/tests/whole_path.rs
+++ b/crates/daemon/tests/whole_path.rs
@@ -65,6 +65,52 @@
     expect_that!(status.stopped, eq(2));
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_task_is_shown_as_running_once_its_worker_has_started_it() {
+    // The record of a start is written late, so that its task has a worker for
+    // long before it runs.
+    let mut settings = quick();
+    settings["ledger"]["flush_ms"] = 1500.into();
+    let rig = start_with(settings, vec![workers("r1", 2, 4000)], vec![]).await;
+    let key = rig.team("clerks", "r1", u32::MAX).await;
+    let client = rig.client(0, &key);
+    // The page is written at once the first time, and late from then on.
+    let first = client.submit("first", batch(1, 1000, 600_000)).await.unwrap().job;
+    wait_job(&client, &first, SOON, |s| s.running == 1).await;
+    let second = client.submit("second", batch(4, 1000, 600_000)).await.unwrap().job;
+    let mut most_starting = 0;
+    let all = Rig::until(SOON, async || {
+        let Ok(status) = client.job(&second).await else {
+            return false;
+        };
+        // What the observer sees now is at least what had started then.
+        let started = rig.world.observer().seen().starts;
+        expect_that!(status.running + 1, le(started), "{status:?}");
+        most_starting = most_starting.max(status.starting);
+        status.running == 4
+    });
+    expect_that!(all.await, some(anything()));
+    expect_that!(most_starting, ge(1));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cancelled_service_is_shown_as_stopping_until_it_is_gone() {
+    let rig = start(vec![workers("r1", 2, 4000)], vec![]).await;
+    let key = rig.team("clerks", "r1", u32::MAX).await;
+    let client = rig.client(0, &key);
+    let service =
+        pb::Job { kind: pb::JobKind::Service.into(), declared_run_ms: 0, ..batch(2, 1000, 0) };
+    let service = client.submit("service", service).await.unwrap().job;
+    wait_job(&client, &service, SOON, |s| s.running == 2).await;
+    let status = client.cancel(&service).await.unwrap();
+    expect_that!(status.running, eq(status.stopping), "{status:?}");
+    expect_that!(status.pending + status.starting, eq(0), "{status:?}");
+    let status = wait_job(&client, &service, SOON, |s| s.ended).await;
+    expect_that!((status.stopped, status.stopping, status.running), eq((2, 0, 0)));
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_job_that_fits_nowhere_is_told_so_at_once_and_a_repeat_gets_the_same_job() {
--- a/crates/wire/src/gen/skylarkspan.v1.rs
+++ b/crates/wire/src/gen/skylarkspan.v1.rs
@@ -2007,6 +2007,7 @@
     pub region: ::prost::alloc::string::String,
     #[prost(uint32, tag = "5")]
     pub pending: u32,
+    /// Tasks that their workers have started.
     #[prost(uint32, tag = "6")]
     pub running: u32,
     #[prost(uint32, tag = "7")]
@@ -2029,6 +2030,12 @@
     /// Time from acceptance to the first start, in milliseconds.
     #[prost(uint32, tag = "14")]
     pub first_start_ms: u32,
+    /// Tasks that have a worker which has not shown yet that it started them.
+    #[prost(uint32, tag = "15")]
+    pub starting: u32,
+    /// Those of the running and starting tasks that are being stopped.
+    #[prost(uint32, tag = "16")]
+    pub stopping: u32,
 }
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, ::prost::Enumeration)]
 #[repr(i32)]
