A record that can't be read is not taken for an empty one

Reading on from there, two more: progress that doesn't decode let a job begin anew (its tasks ran again), or was told as no such job; a number of the last term that doesn't decode began the terms at 1 again.

Now: unknown held targets count until all leases have lapsed; such a job is not run on, and its state is answered with 'come back'; no node leads below a term that it can't read. Event 552 names the key.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -100,6 +100,7 @@
     AdviceFailed = 541, "advice not given";
     RecordFailed = 550, "progress not recorded";
     WatchFailed = 551, "watch of the store failed";
+    RecordUnread = 552, "record can't be read";
     TargetListed = 560, "target listed";
     TargetLost = 561, "target does not answer";
     LinkUp = 570, "link to the leader opened";
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     context::{Context, RESEND_PAUSE, RETRY_AFTER},
+    decode::decode,
     keys,
     metrics::Metrics,
     writes,
@@ -253,9 +254,11 @@
         let (job, progress) = time::timeout(time_left.saturating_sub(ANSWER_TIME), read)
             .await
             .map_err(|_| Failure::busy(RETRY_AFTER, "the key-value service does not answer"))?;
-        let progress = progress.and_then(|entry| work::decode::<Progress>(&entry.value).ok());
         Ok(match (job, progress) {
-            (_, Some(progress)) => Some(progress.state),
+            (_, Some(entry)) => match decode::<Progress>(&self.ctx, &entry) {
+                Some(progress) => Some(progress.state),
+                None => return Err(Failure::busy(RETRY_AFTER, "the job's record can't be read")),
+            },
             (Some(_), None) => Some(JobState::Queued),
             (None, None) => None,
         })
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -30,6 +30,7 @@
 
 use crate::{
     context::{Context, Leader, RETRY_PAUSE, jitter},
+    decode::decode,
     keys,
     link::{Succession, Up},
     placer::{self, change::Guard},
@@ -221,7 +222,17 @@
 ) -> Result<Option<(Lead, Leader)>, Error> {
     let records = &ctx.edges.records;
     let Candidate { last_term: last, lease, ttl: granted, sent } = candidate;
-    let term = last.as_ref().and_then(|entry| work::decode::<u64>(&entry.value).ok()).unwrap_or(0);
+    let term = match &last {
+        None => 0,
+        Some(entry) => match decode::<u64>(ctx, entry) {
+            Some(term) => term,
+            // Targets may have seen any number, and a lower one must not lead.
+            None => {
+                time::sleep(UNFIT_PAUSE).await;
+                return Ok(None);
+            }
+        },
+    };
     let leader = Leader {
         instance: Name::from(ctx.settings.name.as_str()),
         links: ctx.links_address.clone(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod configs;
 mod context;
+mod decode;
 pub mod edge;
 mod front;
 mod helper;
--- a/crates/node/src/placer/follow.rs
+++ b/crates/node/src/placer/follow.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     context::{Context, RETRY_PAUSE},
+    decode::decode,
     edge::Listed,
     keys::{self, JobKey},
     placer::{event::Event, read::read_all},
@@ -93,12 +94,9 @@
         return;
     };
     let event = match JobKey::parse(&entry.key) {
-        Some(JobKey::Accepted(id)) => match work::decode::<Spec>(&entry.value) {
-            Ok(spec) => Event::Accepted(id, Box::new(spec)),
-            Err(error) => {
-                emit!(ctx.log, error, RecordFailed; "key" => &entry.key, "error" => %error);
-                return;
-            }
+        Some(JobKey::Accepted(id)) => match decode::<Spec>(ctx, &entry) {
+            Some(spec) => Event::Accepted(id, Box::new(spec)),
+            None => return,
         },
         Some(JobKey::Cancelled(id)) => Event::Cancelled(id),
         None => return,
--- a/crates/node/src/placer/read.rs
+++ b/crates/node/src/placer/read.rs
@@ -2,12 +2,14 @@
 
 use std::collections::{HashMap, HashSet};
 
-use base::{Name, emit};
+use base::Name;
+use plan::UNKNOWN_TARGETS;
 use platform::{Entry, Error, Records, Revision};
 use work::{JobState, Progress, Spec};
 
 use crate::{
     context::Context,
+    decode::decode,
     keys::{self, JobKey},
     placer::holding,
 };
@@ -42,16 +44,20 @@
     );
     let ((entries, revision), (outcomes, _)) = (jobs?, outcomes?);
     let mut progress: HashMap<Name, Progress> = HashMap::new();
+    // What has ended of these jobs isn't known, so nothing of them may start.
+    let mut unread: HashSet<Name> = HashSet::new();
     for entry in outcomes {
-        let id = entry.key.strip_prefix(keys::PROGRESS).unwrap_or_default();
-        if let Some(read) = decode::<Progress>(ctx, &entry) {
-            progress.insert(Name::from(id), read);
+        let id = Name::from(entry.key.strip_prefix(keys::PROGRESS).unwrap_or_default());
+        match decode::<Progress>(ctx, &entry) {
+            Some(read) => drop(progress.insert(id, read)),
+            None => drop(unread.insert(id)),
         }
     }
     let guard = guard?.map_or(Revision::ABSENT, |entry| entry.revision);
     let mut recorded = Recorded { revision, guard, ..Recorded::default() };
     for entry in entries {
         match JobKey::parse(&entry.key) {
+            Some(JobKey::Accepted(id)) if unread.contains(&id) => {}
             Some(JobKey::Accepted(id)) => {
                 if let Some(spec) = decode::<Spec>(ctx, &entry) {
                     let progress = progress.remove(&id);
@@ -65,9 +71,12 @@
     // What is left has no job any more.
     recorded.ended = progress.into_iter().map(|(id, progress)| (id, progress.state)).collect();
     if let Some(entry) = held? {
-        recorded.held = decode::<Vec<Name>>(ctx, &entry).unwrap_or_default().into_iter().collect();
+        let held = decode::<Vec<Name>>(ctx, &entry);
+        recorded.held =
+            held.unwrap_or_else(|| vec![Name::from(UNKNOWN_TARGETS)]).into_iter().collect();
     }
     if let Some(entry) = closed? {
+        // Without it, closed targets count as held, and are waited for.
         recorded.closed = decode::<holding::Record>(ctx, &entry).unwrap_or_default();
     }
     Ok(recorded)
@@ -92,11 +101,3 @@
         }
     }
 }
-
-fn decode<T: serde::de::DeserializeOwned>(ctx: &Context, entry: &Entry) -> Option<T> {
-    work::decode(&entry.value)
-        .inspect_err(|error| {
-            emit!(ctx.log, error, RecordFailed; "key" => &entry.key, "error" => %error);
-        })
-        .ok()
-}
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -48,10 +48,7 @@
     pub fn leader(&self) -> usize {
         let mut found = None;
         wait("a leader", || {
-            found = self
-                .nodes
-                .iter()
-                .position(|node| node.running.as_ref().is_some_and(|running| running.is_leading()));
+            found = self.nodes.iter().position(Node::leads);
             found.is_some()
         });
         found.expect("it was waited for")
@@ -146,6 +143,11 @@
         self.front().admit("host", "/queue/", Some(key)).map(|_| ())
     }
 
+    /// Tells whether the node leads.
+    pub fn leads(&self) -> bool {
+        self.running.as_ref().is_some_and(|running| running.is_leading())
+    }
+
     fn front(&self) -> Front {
         self.running.as_ref().expect("the node runs").front()
     }
--- a/crates/node/tests/faults.rs
+++ b/crates/node/tests/faults.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use base::Name;
+use bytes::Bytes;
 use common::{Cell, Node, step, wait};
 use googletest::prelude::*;
 use standin::cell::{store, targets};
@@ -27,6 +28,9 @@
     expect_that!(id, eq("accepted"));
 }
 
+/// Bytes that no record decodes from.
+const UNREADABLE: &[u8] = &[0xff, 0x00, 0x17];
+
 fn target(number: u32) -> Name {
     Name::from(format!("target-{number}"))
 }
@@ -208,6 +212,63 @@
     expect_that!(cell.world.targets.broken(), is_empty());
 }
 
+#[gtest]
+fn a_takeover_that_cannot_read_which_targets_are_held_waits_for_their_leases() {
+    let mut cell = Cell::start(1, 2);
+    expect_that!(cell.nodes[0].submit("job", "work:60000", step(4)), ok(eq(&())));
+    wait("running tasks", || cell.world.targets.running("job") == 4);
+    for number in 0..2 {
+        cell.world.targets.fail(&target(number), targets::Fault::Silent);
+    }
+    cell.nodes[0].kill();
+    for key in ["skylarkspan/held", "skylarkspan/closed"] {
+        cell.world.store.put(key, Bytes::from_static(UNREADABLE));
+    }
+    // The silent targets are no longer listed, and another one has come.
+    for number in 0..2 {
+        cell.world.remove_target(&target(number));
+    }
+    cell.world.add_target(&target(7), common::SIZE, 8);
+    cell.nodes[0] = Node::start(&cell.world, "node-0");
+    cell.leader();
+    wait("the job elsewhere", || cell.world.targets.starts("job") > 4);
+    expect_that!(cell.world.targets.broken(), is_empty());
+}
+
+#[gtest]
+fn a_job_whose_progress_cannot_be_read_runs_nothing_again_and_is_not_told_as_unknown() {
+    let mut cell = Cell::start(1, 2);
+    let second = Step { after: [0].into_iter().collect(), ..step(1) };
+    let steps = vec![step(2), second];
+    expect_that!(cell.nodes[0].submit_steps("job", "work:700", steps), ok(eq(&())));
+    // The first step has ended and that is recorded.
+    wait("the second step", || cell.world.targets.starts("job") == 3);
+    cell.nodes[0].kill();
+    cell.world.store.put("skylarkspan/out/job", Bytes::from_static(UNREADABLE));
+    cell.nodes[0] = Node::start(&cell.world, "node-0");
+    cell.leader();
+    expect_that!(cell.nodes[0].submit("next", "work:10", step(1)), ok(eq(&())));
+    cell.wait_for(0, "next", JobState::Complete);
+    expect_that!(cell.nodes[0].state("job"), err(anything()));
+    expect_that!(cell.world.targets.starts("job"), eq(3));
+    expect_that!(cell.world.targets.broken(), is_empty());
+}
+
+#[gtest]
+fn a_number_of_the_last_term_that_cannot_be_read_is_not_begun_anew() {
+    let mut cell = Cell::start(1, 2);
+    cell.nodes[0].kill();
+    cell.world.store.put("skylarkspan/term", Bytes::from_static(UNREADABLE));
+    cell.nodes[0] = Node::start(&cell.world, "node-0");
+    std::thread::sleep(Duration::from_secs(3));
+    // Targets refuse the orders of a lower term, if it isn't an earlier one's.
+    expect_that!(cell.nodes[0].leads(), eq(false));
+    expect_that!(
+        cell.world.store.value("skylarkspan/term"),
+        some(eq(&Bytes::from_static(UNREADABLE)))
+    );
+}
+
 #[gtest]
 fn an_older_configuration_is_never_put_in_force_again() {
     let cell = Cell::start(1, 1);
--- a/crates/plan/src/adopt.rs
+++ b/crates/plan/src/adopt.rs
@@ -16,6 +16,10 @@
 /// most are back sooner.
 const SILENT_NOTES: u32 = 2;
 
+/// Stands among the held targets for those whose names are not known. It never
+/// answers, so that all leases have to lapse before it is settled.
+pub const UNKNOWN_TARGETS: &str = "?";
+
 /// A `Closed` is a target that gets no new work, with the numbers of all runs
 /// that may be on it.
 pub type Closed = (Name, Vec<(TaskKey, u32)>);
@@ -88,7 +92,9 @@
     /// Tells whether all that may run on a target is known, and all that ended
     /// there is recorded.
     fn knows_runs(&self, target: &Target, now: Duration) -> bool {
-        let is_claimed = !self.unclaimed.contains(&target.facts.id) || now >= self.settled_at;
+        let is_unclaimed = |id: &str| self.unclaimed.contains(id);
+        let is_claimed = now >= self.settled_at
+            || !is_unclaimed(&target.facts.id) && !is_unclaimed(UNKNOWN_TARGETS);
         is_claimed && target.seen == target.recorded && !target.has_unknown
     }
 
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -31,7 +31,7 @@
 
 pub use action::{Action, Ask, AskLength, Start, Stop};
 pub use admit::Overload;
-pub use adopt::Closed;
+pub use adopt::{Closed, UNKNOWN_TARGETS};
 pub use batch::{Batch, Need, Record};
 pub use board::Board;
 pub use listing::{Listing, Refusal, RunEnd, RunSeen, StartAnswer};
--- a/crates/standin/src/cell/world.rs
+++ b/crates/standin/src/cell/world.rs
@@ -61,23 +61,27 @@
     pub fn new(targets: u32, size: Resources, slots: u32) -> Self {
         let world = Self { store: Arc::default(), targets: Arc::default(), known: Arc::default() };
         for number in 0..targets {
-            let id = Name::from(format!("target-{number}"));
-            world.targets.add(&id, size, slots);
-            let facts = Facts {
-                id: id.clone(),
-                service: Name::from(SERVICE),
-                capacity: size * slots,
-                ..Facts::default()
-            };
-            let mut known = world.known.facts.lock().expect("no holder of the lock panics");
-            known.push(facts);
-            let value = Bytes::from((known.len() - 1).to_string());
-            world.store.put(&format!("{TARGET_PREFIX}{id}"), value);
+            world.add_target(&Name::from(format!("target-{number}")), size, slots);
         }
         world.configure(&[("key", "team")]);
         world
     }
 
+    /// Has a new target come.
+    pub fn add_target(&self, id: &Name, size: Resources, slots: u32) {
+        self.targets.add(id, size, slots);
+        let facts = Facts {
+            id: id.clone(),
+            service: Name::from(SERVICE),
+            capacity: size * slots,
+            ..Facts::default()
+        };
+        let mut known = self.known.facts.lock().expect("no holder of the lock panics");
+        known.push(facts);
+        let value = Bytes::from((known.len() - 1).to_string());
+        self.store.put(&format!("{TARGET_PREFIX}{id}"), value);
+    }
+
     /// Has a target say of itself what it said before, as it does for its
     /// heartbeat.
     pub fn beat(&self, number: usize) {
