--- a/crates/gauge/src/day.rs
+++ b/crates/gauge/src/day.rs
@@ -12,6 +12,7 @@
 pub(crate) enum Sheet {
     Firm,
     Association,
+    AssociationHeavy,
 }
 
 impl FromStr for Sheet {
@@ -21,6 +22,7 @@
         match text {
             "firm" => Ok(Self::Firm),
             "association" => Ok(Self::Association),
+            "association-heavy" => Ok(Self::AssociationHeavy),
             _ => Err(format!("there is no sheet {text}")),
         }
     }
@@ -32,6 +34,7 @@
         match self {
             Self::Firm => Load::firm(),
             Self::Association => Load::association(),
+            Self::AssociationHeavy => Load::association_heavy(),
         }
     }
 }
--- a/crates/plan/src/ask.rs
+++ b/crates/plan/src/ask.rs
@@ -14,7 +14,8 @@
     action::{Action, Ask, AskLength},
     board::Board,
     decide::{Round, Slot},
-    step::{Permission, StepState},
+    permission::Permission,
+    step::StepState,
     target::TargetId,
 };
 
@@ -91,7 +92,7 @@
         };
         let state = self.step_state(step);
         let is_new =
-            |id: &&TargetId| state.is_some_and(|state| !state.permissions.contains_key(id));
+            |id: &&TargetId| state.is_some_and(|state| state.permissions.get(**id).is_none());
         // Targets that were known to be allowed say nothing about the others.
         let new = asked.iter().filter(is_new).count();
         if new == 0 || new < asked.len() {
@@ -117,7 +118,8 @@
         let Some(state) = self.step_state(key) else {
             return;
         };
-        let with_ticket = slots.iter().filter(|slot| self.has_ticket(key, slot.target, now));
+        let usable_until = now + self.settings.ticket_margin;
+        let with_ticket = slots.iter().filter(|slot| state.has_ticket(slot.target, usable_until));
         let usable = free_tasks(with_ticket);
         if usable >= wanted {
             return;
@@ -201,8 +203,8 @@
     let with_room = slots.iter().filter(|slot| slot.tasks > 0);
     let (mut known, mut unknown): (Vec<&Slot>, Vec<&Slot>) =
         with_room.partition(|slot| state.allows(slot.target));
-    known.sort_by_key(|slot| Reverse((slot.tasks, slot.free_ppm)));
-    unknown.sort_by_key(|slot| Reverse((slot.tasks, slot.free_ppm)));
+    known.sort_by_cached_key(|slot| Reverse((slot.tasks, slot.free_ppm())));
+    unknown.sort_by_cached_key(|slot| Reverse((slot.tasks, slot.free_ppm())));
     let cheap = advice.request_us / CHEAP_PART / advice.target_us.max(1);
     let mut expected_milli = 0;
     let mut chosen = Vec::new();
@@ -226,7 +228,7 @@
         slots.iter().partition(|slot| state.allows(slot.target));
     let known_free = free_tasks(known.iter().copied());
     if known_free >= wanted {
-        known.sort_by_key(|slot| Reverse((slot.tasks, slot.free_ppm)));
+        known.sort_by_cached_key(|slot| Reverse((slot.tasks, slot.free_ppm())));
         let mut left = wanted;
         let enough = known.iter().take_while(|slot| {
             let is_needed = left > 0;
@@ -244,7 +246,7 @@
             return Vec::new();
         }
     }
-    unknown.sort_by_key(|slot| Reverse((slot.tasks, slot.free_ppm)));
+    unknown.sort_by_cached_key(|slot| Reverse((slot.tasks, slot.free_ppm())));
     let mut free_milli = known_free * 1000;
     let mut whole_milli = known_whole * 1000;
     let mut chosen: Vec<TargetId> =
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -9,18 +9,19 @@
     action::{Action, Start, Stop},
     board::Board,
     job::Origin,
-    step::{Permission, StepState, TaskState},
-    target::{Phase, Run, TargetId},
+    permission::Permission,
+    step::{StepState, TaskState},
+    target::{Phase, Run, Target, TargetId},
 };
 
 /// A `Round` is what one round of decisions keeps for steps that come first in
 /// its order.
 #[derive(Debug)]
 pub(crate) struct Round {
-    /// The targets that get work.
-    open: Vec<TargetId>,
-    /// Room that is kept, by target.
-    kept: Vec<Resources>,
+    /// The targets that get work, by pool, in their order.
+    open: HashMap<Name, Vec<TargetId>>,
+    /// Room that is neither promised nor kept, by target.
+    free: Vec<Resources>,
     /// What may run of each team though it isn't known where.
     unknown: HashMap<Name, Resources>,
     /// Short requests for advice that have to wait.
@@ -39,7 +40,7 @@
         for slot in slots {
             let tasks = slot.tasks.min(left);
             if tasks > 0 {
-                self.kept[slot.target.0 as usize] += step.size * tasks;
+                self.free[slot.target.0 as usize] -= step.size * tasks;
                 left -= tasks;
             }
         }
@@ -51,10 +52,19 @@
 pub(crate) struct Slot {
     pub(crate) target: TargetId,
     pub(crate) tasks: u32,
-    /// How many it takes when it is empty.
+    /// How many it takes when it is empty; only gangs count them.
     pub(crate) whole: u32,
-    /// What is free beside them, as the smallest fraction, in millionths.
-    pub(crate) free_ppm: u64,
+    /// What is free beside one of them.
+    left: Resources,
+    capacity: Resources,
+}
+
+impl Slot {
+    /// Gets what is free beside one task, as the smallest fraction, in
+    /// millionths.
+    pub(crate) fn free_ppm(&self) -> u64 {
+        self.left.least_ppm(&self.capacity)
+    }
 }
 
 impl Board {
@@ -68,13 +78,15 @@
             return;
         }
         let (silence, idle) = (self.settings.silence, self.idle_silence);
-        let numbered = (0..).map(TargetId).zip(&self.targets);
+        let mut open: HashMap<Name, Vec<TargetId>> = HashMap::new();
+        for (id, target) in (0..).map(TargetId).zip(&self.targets) {
+            if target.is_open(now, silence, idle) {
+                open.entry(target.facts.service.clone()).or_default().push(id);
+            }
+        }
         let mut round = Round {
-            open: numbered
-                .filter(|(_, t)| t.is_open(now, silence, idle))
-                .map(|(id, _)| id)
-                .collect(),
-            kept: vec![Resources::ZERO; self.targets.len()],
+            open,
+            free: self.targets.iter().map(Target::free).collect(),
             unknown: HashMap::new(),
             short_asks_waiting: 0,
         };
@@ -216,13 +228,18 @@
         let mut slots = self.slots(key, step, &service, round);
         if needs_advice {
             self.ask_for_step(key, &spec, &slots, wanted, round, now);
-            slots.retain(|slot| self.has_ticket(key, slot.target, now));
+            let usable_until = now + self.settings.ticket_margin;
+            let state = self.step_state(key);
+            slots.retain(|slot| {
+                state.is_some_and(|state| state.has_ticket(slot.target, usable_until))
+            });
         }
         let chosen = choose(step, slots, wanted, self);
         if step.gang && (chosen.len() as u32) < wanted {
             return;
         }
         for target in chosen {
+            round.free[target.0 as usize] -= step.size;
             self.start_next(key, &spec, target, now);
         }
         if self.step_state(key).is_some_and(|state| state.waiting.is_empty()) {
@@ -272,17 +289,25 @@
     fn slots(&self, key: &StepKey, step: &Step, service: &Name, round: &Round) -> Vec<Slot> {
         let has_place = step.label.is_some() || step.data_rack.is_some() || step.same_rack;
         let most = if has_place { usize::MAX } else { self.settings.slots_per_step };
-        let state = self.step_state(key);
-        let mut slots = Vec::new();
+        let Some(state) = self.step_state(key) else {
+            return Vec::new();
+        };
+        let mut permissions = state.permissions.walk();
+        let open = round.open.get(service).map_or(&[][..], Vec::as_slice);
+        let mut slots = Vec::with_capacity(open.len());
         let mut with_room = 0;
-        for &id in &round.open {
-            let permission = state.and_then(|state| state.permissions.get(&id));
-            let is_needed = match permission {
+        for &id in open {
+            let free = round.free[id.0 as usize];
+            // Gangs also ask about targets without room.
+            if !step.gang && !step.size.fits(&free) {
+                continue;
+            }
+            let is_needed = match permissions.next(id) {
                 Some(Permission::Refused) => false,
                 Some(Permission::Allowed { .. }) => true,
                 None => with_room < most,
             };
-            if is_needed && let Some(slot) = self.slot(id, step, service, state, round) {
+            if is_needed && let Some(slot) = self.slot(id, step, state, free) {
                 with_room += usize::from(slot.tasks > 0);
                 slots.push(slot);
             }
@@ -291,39 +316,24 @@
     }
 
     /// Gets how many tasks of a step a target takes, if it suits the step.
-    fn slot(
-        &self,
-        id: TargetId,
-        step: &Step,
-        service: &Name,
-        state: Option<&StepState>,
-        round: &Round,
-    ) -> Option<Slot> {
+    fn slot(&self, id: TargetId, step: &Step, state: &StepState, free: Resources) -> Option<Slot> {
         let target = &self.targets[id.0 as usize];
-        let free = target.free() - round.kept[id.0 as usize];
-        // Gangs also ask about targets without room.
-        if (!step.gang && !step.size.fits(&free)) || !target.suits(service, step) {
+        if !target.suits(step) {
             return None;
         }
-        let mut tasks = if target.may_share_with(step) { free.times(&step.size) } else { 0 };
-        let mut whole = target.facts.capacity.times(&step.size);
+        let capacity = target.facts.capacity;
+        let has_room = step.size.fits(&free) && target.may_share_with(step);
+        let mut tasks = if has_room { free.times(&step.size) } else { 0 };
+        let mut whole = if step.gang { capacity.times(&step.size) } else { 0 };
         if let Some(most) = step.most_per_target {
-            let there = state.map_or(0, |state| state.count_on(id));
-            tasks = tasks.min(most.saturating_sub(there));
+            tasks = tasks.min(most.saturating_sub(state.count_on(id)));
             whole = whole.min(most);
         }
         if target.health.is_suspected() {
             // One task is the probe.
             tasks = tasks.min(1);
         }
-        let free_ppm = (free - step.size).least_ppm(&target.facts.capacity);
-        Some(Slot { target: id, tasks, whole, free_ppm })
-    }
-
-    pub(crate) fn has_ticket(&self, key: &StepKey, target: TargetId, now: Duration) -> bool {
-        let permission = self.step_state(key).and_then(|state| state.permissions.get(&target));
-        matches!(permission, Some(Permission::Allowed { until, .. })
-            if now + self.settings.ticket_margin < *until)
+        Some(Slot { target: id, tasks, whole, left: free - step.size, capacity })
     }
 
     /// Starts the next waiting task of a step on a target.
@@ -352,7 +362,7 @@
             state.tasks[index as usize].run
         };
         let run = last.max(first_run) + 1;
-        let ticket = match state.permissions.get(&target) {
+        let ticket = match state.permissions.get(target) {
             Some(Permission::Allowed { ticket, .. }) => Some(ticket.clone()),
             Some(Permission::Refused) | None => None,
         };
@@ -382,11 +392,11 @@
     if step.same_rack
         && let Some(rack) = widest_rack(&slots, board)
     {
-        slots.sort_by_key(|slot| (*rack_of(slot) != rack, slot.free_ppm));
+        slots.sort_by_cached_key(|slot| (*rack_of(slot) != rack, slot.free_ppm()));
     } else {
         let is_far =
             |slot: &Slot| step.data_rack.as_ref().is_some_and(|rack| rack_of(slot) != rack);
-        slots.sort_by_key(|slot| (is_far(slot), slot.free_ppm));
+        slots.sort_by_cached_key(|slot| (is_far(slot), slot.free_ppm()));
     }
     let each = slots.iter().flat_map(|slot| (0..slot.tasks).map(|_| slot.target));
     each.take(wanted as usize).collect()
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -21,6 +21,7 @@
 mod ends;
 mod job;
 mod listing;
+mod permission;
 mod progress;
 mod rank;
 mod settings;
--- a/crates/plan/src/listing.rs
+++ b/crates/plan/src/listing.rs
@@ -110,7 +110,7 @@
                 if *refusal == Refusal::Ticket
                     && let Some(state) = self.step_state_mut(&task.step)
                 {
-                    state.permissions.remove(&id);
+                    state.permissions.remove(id);
                 }
                 if matches!(refusal, Refusal::NoRoom | Refusal::Unable) {
                     // It gets no more until it has listed what it runs.
--- a/crates/plan/src/step.rs
+++ b/crates/plan/src/step.rs
@@ -1,7 +1,7 @@
 //! The tasks of one step.
 
 use std::{
-    collections::{BTreeSet, HashMap, HashSet},
+    collections::{BTreeSet, HashSet},
     time::Duration,
 };
 
@@ -9,7 +9,10 @@
 use smallvec::SmallVec;
 use work::{Step, StepProgress};
 
-use crate::target::TargetId;
+use crate::{
+    permission::{Permission, Permissions},
+    target::TargetId,
+};
 
 /// A `TaskState` is where a task is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,20 +41,6 @@
     pub(crate) checkpoint: Option<Name>,
 }
 
-/// A `Permission` is what is known of a target's right to run a step.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Permission {
-    /// It may not, which doesn't change.
-    Refused,
-    /// It may, with this ticket until then.
-    Allowed {
-        /// The ticket.
-        ticket: Name,
-        /// When the ticket ends.
-        until: Duration,
-    },
-}
-
 /// A `StepState` is how far a step is.
 #[derive(Debug)]
 pub(crate) struct StepState {
@@ -60,7 +49,7 @@
     pub(crate) waiting: BTreeSet<u32>,
     /// Tasks that are done.
     pub(crate) done: u32,
-    pub(crate) permissions: HashMap<TargetId, Permission>,
+    pub(crate) permissions: Permissions,
     /// The targets that are being asked about.
     pub(crate) asked: Option<Vec<TargetId>>,
     /// Whether all earlier steps are done.
@@ -79,7 +68,7 @@
             tasks: vec![task; step.count as usize],
             waiting: (0..step.count).collect(),
             done: 0,
-            permissions: HashMap::new(),
+            permissions: Permissions::default(),
             asked: None,
             is_open: false,
         };
@@ -149,7 +138,14 @@
 
     /// Tells whether a target is known to be allowed.
     pub(crate) fn allows(&self, target: TargetId) -> bool {
-        matches!(self.permissions.get(&target), Some(Permission::Allowed { .. }))
+        matches!(self.permissions.get(target), Some(Permission::Allowed { .. }))
+    }
+
+    /// Tells whether there is a ticket for a target that lasts longer than up to
+    /// a time.
+    pub(crate) fn has_ticket(&self, target: TargetId, up_to: Duration) -> bool {
+        matches!(self.permissions.get(target), Some(Permission::Allowed { until, .. })
+            if up_to < *until)
     }
 
     /// Tells whether any task may have a run.
--- a/crates/plan/src/target.rs
+++ b/crates/plan/src/target.rs
@@ -151,10 +151,10 @@
         sharing == Sharing::Any || self.runs.values().all(|run| run.sharing.suits(sharing))
     }
 
-    /// Tells whether the target could run tasks of a step if it were empty.
-    pub(crate) fn suits(&self, service: &Name, step: &Step) -> bool {
-        self.facts.service == *service
-            && step.label.as_ref().is_none_or(|label| self.facts.labels.contains(label))
+    /// Tells whether the target, which is of the step's pool, could run tasks of
+    /// the step if it were empty.
+    pub(crate) fn suits(&self, step: &Step) -> bool {
+        step.label.as_ref().is_none_or(|label| self.facts.labels.contains(label))
             && step.size.fits(&self.facts.capacity)
     }
 
--- a/crates/standin/src/cell/play/load.rs
+++ b/crates/standin/src/cell/play/load.rs
@@ -159,6 +159,14 @@
         }
     }
 
+    /// The association's heaviest day on its larger site: one team sends many
+    /// times its usual, and many lookups come at once.
+    pub fn association_heavy() -> Self {
+        let seconds = Duration::from_secs;
+        let burst = |kind, factor| Burst { kind, at: seconds(9), time: seconds(6), factor };
+        Self { bursts: vec![burst(0, 4.2), burst(1, 1.8), burst(2, 1.8)], ..Self::association() }
+    }
+
     /// The association's calm day on its larger site, with its bursts.
     pub fn association() -> Self {
         let advice = |request_us, target_us| Advice { request_us, target_us, valid_ms: 2500 };
