--- a/crates/plan/src/ask.rs
+++ b/crates/plan/src/ask.rs
@@ -126,9 +126,13 @@
         }
         if step.gang {
             // It is kept until it is enough; what isn't known to be allowed
-            // would keep too much from the others.
-            let allowed = slots.iter().filter(|slot| state.allows(slot.target));
-            round.keep_tasks(allowed, step, wanted);
+            // would keep too much from the others. What can't hold the gang even
+            // when it is empty is kept only as long as further targets may help.
+            let allowed = || slots.iter().filter(|slot| state.allows(slot.target));
+            let has_further = slots.iter().any(|slot| !state.allows(slot.target));
+            if has_further || whole_tasks(allowed()) >= wanted {
+                round.keep_tasks(allowed(), step, wanted);
+            }
         }
         if let Some(asked) = &state.asked {
             if !step.gang {
@@ -237,7 +241,7 @@
         });
         return enough.map(|slot| slot.target).collect();
     }
-    let known_whole: u32 = known.iter().map(|slot| slot.whole).fold(0, u32::saturating_add);
+    let known_whole = whole_tasks(known.iter().copied());
     if known_whole >= wanted * WHOLE_FACTOR {
         // The room that they need will be there some time; further targets only
         // help if they have it now.
@@ -268,6 +272,10 @@
     slots.map(|slot| slot.tasks).fold(0, u32::saturating_add)
 }
 
+fn whole_tasks<'a>(slots: impl Iterator<Item = &'a Slot>) -> u32 {
+    slots.map(|slot| slot.whole).fold(0, u32::saturating_add)
+}
+
 /// Gets the time of a request about so many targets, in microseconds.
 pub(crate) fn cost_us(advice: Advice, targets: usize) -> u64 {
     u64::from(advice.request_us) + u64::from(advice.target_us) * targets as u64
--- a/crates/plan/tests/decisions/advice.rs
+++ b/crates/plan/tests/decisions/advice.rs
@@ -90,3 +90,31 @@
     let is_new = |name: &&Name| !first.targets.contains(name);
     expect_that!(asks[0].targets.iter().filter(is_new).count(), ge(2));
 }
+
+#[gtest]
+fn a_gang_that_its_targets_cannot_hold_keeps_no_room_from_others() {
+    // Found in plays of the firm's calm day: gangs whose allowed targets are too
+    // few kept all of these for themselves, for good.
+    for (members, free) in [(20, 23), (16, 8)] {
+        let mut cell = Cell::new(3);
+        cell.add_queue(OTHER_QUEUE, LONG);
+        cell.board.set_advisors(1, cell.now);
+        cell.accept("first", vec![step(1)]);
+        let first = cell.decide_starts();
+        cell.answer_all(&first, &StartAnswer::Started);
+        let gang = Step { gang: true, ..step(members) };
+        cell.accept_in(OTHER_QUEUE, "gang", vec![gang]);
+        cell.decide_starts();
+        // Two targets of eight are allowed, one of which runs something.
+        let ask = cell.take_asks().remove(0);
+        let others = ask.targets.iter().filter(|name| **name != first[0].target).take(1);
+        let allowed = others.chain([&first[0].target]);
+        let allowed = allowed.map(|name| (name.clone(), Name::from("ticket"))).collect();
+        cell.board.advised(&ask.step, &ask.targets, Some(allowed), cell.now);
+        expect_that!(cell.decide_starts(), is_empty());
+        cell.accept("small", vec![step(24)]);
+        // All that is free beside what the gang waits for.
+        let started = cell.decide_starts().len();
+        expect_that!(started, eq(free), "{members} members");
+    }
+}
