What is of no use any more has no new job refused

Now such work counts only against a bound of its own, 21 s of the cell for all that waits: what was accepted is to be done some time. Advice counts as before: at a single instance it is what is short, and jobs wait for it while the cell has room.

--- a/crates/plan/src/admit.rs
+++ b/crates/plan/src/admit.rs
@@ -8,8 +8,8 @@
 //! waits of its priority and of more urgent ones takes longer than its jobs may.
 //! What was accepted is carried through. The wait is the least that it can be:
 //! what runs is taken to end at once, and what holds up no others (the work of
-//! teams at their limit or beyond what they are owed, and tasks that no target
-//! can hold) doesn't count.
+//! teams at their limit or beyond what they are owed, tasks that no target can
+//! hold, and jobs that are of no use any more, up to a bound) doesn't count.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -52,8 +52,10 @@
     pub queue: Name,
     /// Time after which it would take them, more than zero.
     pub after: Duration,
-    /// Time that what waits takes of the room.
+    /// Time that what goes before new jobs takes of the room.
     pub room: Duration,
+    /// Time that all that waits takes of the room.
+    pub backlog: Duration,
     /// Time that what waits takes of the advice.
     pub advice: Duration,
     /// Longest wait for which it takes jobs.
@@ -64,6 +66,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Wait {
     room: Duration,
+    /// What is of no use any more, which goes after what comes.
+    useless_room: Duration,
     short_advice: Duration,
     long_advice: Duration,
 }
@@ -142,6 +146,7 @@
             for ((_, service), earlier) in before {
                 if *service == queue.policy.service {
                     wait.room += earlier.room;
+                    wait.useless_room += earlier.useless_room;
                 }
                 wait.short_advice += earlier.short_advice;
                 wait.long_advice += earlier.long_advice;
@@ -155,9 +160,11 @@
             let objective_ms = *self.usual_objective_ms.get(&queue.name)?;
             let most = Duration::from_millis(objective_ms) * MOST_OBJECTIVES;
             let most = most.min(self.settings.most_wait);
-            let after = wait.room.max(advice).checked_sub(most)?;
+            let backlog = wait.room + wait.useless_room;
+            let after = wait.room.max(advice).saturating_sub(most);
+            let after = after.max(backlog.saturating_sub(self.settings.most_backlog));
             let queue = queue.name.clone();
-            let overload = Overload { queue, after, room: wait.room, advice, most };
+            let overload = Overload { queue, after, room: wait.room, backlog, advice, most };
             (!after.is_zero()).then_some(overload)
         };
         self.config.queues.iter().filter_map(overload).collect()
@@ -189,7 +196,12 @@
             };
             let wait = waits.entry((policy.priority, policy.service.clone())).or_default();
             let time = Duration::from_millis(u64::from(step.estimate_ms));
-            wait.room += time.mul_f64(room.part(step.size) * state.waiting.len() as f64);
+            let room = time.mul_f64(room.part(step.size) * state.waiting.len() as f64);
+            if self.is_useless(key, self.decided_unix_ms) {
+                wait.useless_room += room;
+            } else {
+                wait.room += room;
+            }
             let asks = if step.gang { ASKS_OF_GANG } else { 1 };
             let advice = Duration::from_micros(usual_ask_us(policy)) * asks / self.advisors.max(1);
             if self.is_long_ask(policy) {
--- a/crates/plan/src/board.rs
+++ b/crates/plan/src/board.rs
@@ -79,6 +79,8 @@
     pub(crate) usual: HashMap<Name, Usual>,
     /// Share of targets that are allowed, by queue, in thousandths.
     pub(crate) allowed_milli: HashMap<Name, u32>,
+    /// Time of day of the last round.
+    pub(crate) decided_unix_ms: u64,
     /// Whether anything has changed since the last round.
     pub(crate) is_changed: bool,
 }
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -70,6 +70,7 @@
 impl Board {
     /// Places what can be placed. `unix_ms` is the time of day.
     pub fn decide(&mut self, now: Duration, unix_ms: u64) {
+        self.decided_unix_ms = unix_ms;
         self.end_lapsed_runs(now);
         self.clear_ended_jobs(now);
         self.repeat_stops(now);
--- a/crates/plan/src/settings.rs
+++ b/crates/plan/src/settings.rs
@@ -57,6 +57,10 @@
     /// client has left is to be done within `finishS` of the users, 14 s, of
     /// which the work itself takes a part.
     pub most_wait: Duration,
+    /// Longest time that all that waits may take for jobs to be accepted, with
+    /// what is of no use any more. New work goes before that, so it holds up
+    /// nobody; but what was accepted is to be done some time.
+    pub most_backlog: Duration,
 }
 
 /// The defaults fit leases of at most 10 s and links of 20 ms.
@@ -87,6 +91,7 @@
             most_closed_runs: 1000,
             admission_after: Duration::from_secs(1),
             most_wait: Duration::from_secs(7),
+            most_backlog: Duration::from_secs(21),
         }
     }
 }
