What can only be late has no new job refused either

Now only what can be in time counts as what a new job waits for; all that waits may take 14 s of the cell, the time after which the users ask for what is left when no more comes (21 s before).

--- a/crates/plan/src/admit.rs
+++ b/crates/plan/src/admit.rs
@@ -9,7 +9,7 @@
 //! What was accepted is carried through. The wait is the least that it can be:
 //! what runs is taken to end at once, and what holds up no others (the work of
 //! teams at their limit or beyond what they are owed, tasks that no target can
-//! hold, and jobs that are of no use any more, up to a bound) doesn't count.
+//! hold, and jobs that can only be late, up to a bound) doesn't count.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -66,8 +66,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Wait {
     room: Duration,
-    /// What is of no use any more, which goes after what comes.
-    useless_room: Duration,
+    /// What can only be late, which goes after what comes.
+    late_room: Duration,
     short_advice: Duration,
     long_advice: Duration,
 }
@@ -146,7 +146,7 @@
             for ((_, service), earlier) in before {
                 if *service == queue.policy.service {
                     wait.room += earlier.room;
-                    wait.useless_room += earlier.useless_room;
+                    wait.late_room += earlier.late_room;
                 }
                 wait.short_advice += earlier.short_advice;
                 wait.long_advice += earlier.long_advice;
@@ -160,7 +160,7 @@
             let objective_ms = *self.usual_objective_ms.get(&queue.name)?;
             let most = Duration::from_millis(objective_ms) * MOST_OBJECTIVES;
             let most = most.min(self.settings.most_wait);
-            let backlog = wait.room + wait.useless_room;
+            let backlog = wait.room + wait.late_room;
             let after = wait.room.max(advice).saturating_sub(most);
             let after = after.max(backlog.saturating_sub(self.settings.most_backlog));
             let queue = queue.name.clone();
@@ -197,8 +197,8 @@
             let wait = waits.entry((policy.priority, policy.service.clone())).or_default();
             let time = Duration::from_millis(u64::from(step.estimate_ms));
             let room = time.mul_f64(room.part(step.size) * state.waiting.len() as f64);
-            if self.is_useless(key, self.decided_unix_ms) {
-                wait.useless_room += room;
+            if self.is_late(key, self.decided_unix_ms) {
+                wait.late_room += room;
             } else {
                 wait.room += room;
             }
--- a/crates/plan/src/rank.rs
+++ b/crates/plan/src/rank.rs
@@ -76,9 +76,10 @@
         used * 1000 < whole * SPARE_BELOW_MILLI
     }
 
-    /// Tells whether a step is so late that its job is of no use any more.
-    pub(crate) fn is_useless(&self, key: &StepKey, unix_ms: u64) -> bool {
-        self.rank(key, unix_ms).is_some_and(|rank| rank.timeliness == Timeliness::Useless)
+    /// Tells whether a step can only be late, so that what can be in time goes
+    /// before it.
+    pub(crate) fn is_late(&self, key: &StepKey, unix_ms: u64) -> bool {
+        self.rank(key, unix_ms).is_some_and(|rank| rank.timeliness > Timeliness::InTime)
     }
 
     fn rank(&self, key: &StepKey, unix_ms: u64) -> Option<Rank> {
--- a/crates/plan/src/settings.rs
+++ b/crates/plan/src/settings.rs
@@ -61,8 +61,9 @@
     /// which the work itself takes a part.
     pub most_wait: Duration,
     /// Longest time that all that waits may take for jobs to be accepted, with
-    /// what is of no use any more. New work goes before that, so it holds up
-    /// nobody; but what was accepted is to be done some time.
+    /// what can only be late. New work goes before that, so it holds up nobody;
+    /// but what was accepted is to be done within `finishS` of the users, 14 s,
+    /// when no more comes.
     pub most_backlog: Duration,
 }
 
@@ -95,7 +96,7 @@
             most_closed_runs: 1000,
             admission_after: Duration::from_secs(1),
             most_wait: Duration::from_secs(7),
-            most_backlog: Duration::from_secs(21),
+            most_backlog: Duration::from_secs(14),
         }
     }
 }
