A round of decisions looks at little of each target

Profile of what the earlier change left: 45% of a round's time was one load, a target's capacity in its large account, and 10% looked each ticket up again. Now a round copies what counts for most steps of each target side by side, and a slot carries when its ticket ends.

--- a/crates/plan/src/ask.rs
+++ b/crates/plan/src/ask.rs
@@ -15,7 +15,6 @@
     board::Board,
     decide::{Round, Slot},
     permission::Permission,
-    step::StepState,
     target::TargetId,
 };
 
@@ -130,7 +129,7 @@
             return;
         };
         let usable_until = now + self.settings.ticket_margin;
-        let with_ticket = slots.iter().filter(|slot| state.has_ticket(slot.target, usable_until));
+        let with_ticket = slots.iter().filter(|slot| slot.has_ticket(usable_until));
         let usable = free_tasks(with_ticket);
         if usable >= wanted {
             return;
@@ -139,8 +138,8 @@
             // It is kept until it is enough; what isn't known to be allowed
             // would keep too much from the others. What can't hold the gang even
             // when it is empty is kept only as long as further targets may help.
-            let allowed = || slots.iter().filter(|slot| state.allows(slot.target));
-            let has_further = slots.iter().any(|slot| !state.allows(slot.target));
+            let allowed = || slots.iter().filter(|slot| slot.is_allowed());
+            let has_further = slots.iter().any(|slot| !slot.is_allowed());
             if has_further || whole_tasks(allowed()) >= wanted {
                 round.keep_tasks(allowed(), step, wanted);
             }
@@ -155,9 +154,9 @@
         let share = self.allowed_milli.get(&spec.queue).copied().unwrap_or(FIRST_ALLOWED_MILLI);
         let advice = self.config.policy(&spec.queue, &spec.policy).advice.unwrap_or_default();
         let mut targets = if step.gang {
-            gang_targets(state, slots, wanted, share.max(1))
+            gang_targets(slots, wanted, share.max(1))
         } else {
-            targets(state, slots, wanted - usable, share.max(1), advice)
+            targets(slots, wanted - usable, share.max(1), advice)
         };
         targets.truncate(self.settings.targets_per_ask);
         let cost_us = cost_us(advice, targets.len());
@@ -208,16 +207,10 @@
 /// Gets the targets that a step whose tasks start one by one asks about: with
 /// room, those that are allowed first, as many as are likely to give it what it
 /// wants, and further ones that hardly make the answer later.
-fn targets(
-    state: &StepState,
-    slots: &[Slot],
-    wanted: u32,
-    share_milli: u32,
-    advice: Advice,
-) -> Vec<TargetId> {
+fn targets(slots: &[Slot], wanted: u32, share_milli: u32, advice: Advice) -> Vec<TargetId> {
     let with_room = slots.iter().filter(|slot| slot.tasks > 0);
     let (mut known, mut unknown): (Vec<&Slot>, Vec<&Slot>) =
-        with_room.partition(|slot| state.allows(slot.target));
+        with_room.partition(|slot| slot.is_allowed());
     known.sort_by_cached_key(|slot| Reverse((slot.tasks, slot.free_ppm())));
     unknown.sort_by_cached_key(|slot| Reverse((slot.tasks, slot.free_ppm())));
     let cheap = advice.request_us / CHEAP_PART / advice.target_us.max(1);
@@ -238,9 +231,9 @@
 /// Gets the targets that a gang asks about: those that are allowed if their
 /// room is enough now; else, unless they would be enough when empty, further
 /// ones with or without room, as what is allowed doesn't change.
-fn gang_targets(state: &StepState, slots: &[Slot], wanted: u32, share_milli: u32) -> Vec<TargetId> {
+fn gang_targets(slots: &[Slot], wanted: u32, share_milli: u32) -> Vec<TargetId> {
     let (mut known, mut unknown): (Vec<&Slot>, Vec<&Slot>) =
-        slots.iter().partition(|slot| state.allows(slot.target));
+        slots.iter().partition(|slot| slot.is_allowed());
     let known_free = free_tasks(known.iter().copied());
     if known_free >= wanted {
         known.sort_by_cached_key(|slot| Reverse((slot.tasks, slot.free_ppm())));
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -11,7 +11,7 @@
     job::Origin,
     permission::Permission,
     step::{StepState, TaskState},
-    target::{Phase, Run, Target, TargetId},
+    target::{Phase, Run, Sharing, Target, TargetId},
 };
 
 /// A `Round` is what one round of decisions keeps for steps that come first in
@@ -20,14 +20,35 @@
 pub(crate) struct Round {
     /// The targets that get work, by pool, in their order.
     open: HashMap<Name, Vec<TargetId>>,
-    /// Room that is neither promised nor kept, by target.
-    free: Vec<Resources>,
+    /// What of each target counts for most steps, by target.
+    rooms: Vec<Room>,
     /// What may run of each team though it isn't known where.
     unknown: HashMap<Name, Resources>,
     /// Short requests for advice that have to wait.
     pub(crate) short_asks_waiting: u32,
 }
 
+/// A `Room` is what of a target counts for most steps; small, as each round
+/// looks at it for each step and target.
+#[derive(Clone, Copy, Debug)]
+struct Room {
+    /// What is neither promised nor kept.
+    free: Resources,
+    capacity: Resources,
+    /// Whether the target gets one task at most, as a probe.
+    is_probed: bool,
+}
+
+impl Room {
+    fn of(target: &Target) -> Self {
+        Self {
+            free: target.free(),
+            capacity: target.facts.capacity,
+            is_probed: target.health.is_suspected(),
+        }
+    }
+}
+
 impl Round {
     /// Keeps room for as many tasks of a step that can't start yet.
     pub(crate) fn keep_tasks<'a>(
@@ -40,7 +61,7 @@
         for slot in slots {
             let tasks = slot.tasks.min(left);
             if tasks > 0 {
-                self.free[slot.target.0 as usize] -= step.size * tasks;
+                self.rooms[slot.target.0 as usize].free -= step.size * tasks;
                 left -= tasks;
             }
         }
@@ -57,9 +78,21 @@
     /// What is free beside one of them.
     left: Resources,
     capacity: Resources,
+    /// When its ticket for the step ends, if it is known to be allowed.
+    ticket_until: Option<Duration>,
 }
 
 impl Slot {
+    /// Tells whether the target is known to be allowed.
+    pub(crate) fn is_allowed(&self) -> bool {
+        self.ticket_until.is_some()
+    }
+
+    /// Tells whether there is a ticket that lasts longer than up to a time.
+    pub(crate) fn has_ticket(&self, up_to: Duration) -> bool {
+        self.ticket_until.is_some_and(|until| up_to < until)
+    }
+
     /// Gets what is free beside one task, as the smallest fraction, in
     /// millionths.
     pub(crate) fn free_ppm(&self) -> u64 {
@@ -87,7 +120,7 @@
         }
         let mut round = Round {
             open,
-            free: self.targets.iter().map(Target::free).collect(),
+            rooms: self.targets.iter().map(Room::of).collect(),
             unknown: HashMap::new(),
             short_asks_waiting: 0,
         };
@@ -230,17 +263,14 @@
         if needs_advice {
             self.ask_for_step(key, &spec, &slots, wanted, round, now);
             let usable_until = now + self.settings.ticket_margin;
-            let state = self.step_state(key);
-            slots.retain(|slot| {
-                state.is_some_and(|state| state.has_ticket(slot.target, usable_until))
-            });
+            slots.retain(|slot| slot.has_ticket(usable_until));
         }
         let chosen = choose(step, slots, wanted, self);
         if step.gang && (chosen.len() as u32) < wanted {
             return;
         }
         for target in chosen {
-            round.free[target.0 as usize] -= step.size;
+            round.rooms[target.0 as usize].free -= step.size;
             self.start_next(key, &spec, target, now);
         }
         if self.step_state(key).is_some_and(|state| state.waiting.is_empty()) {
@@ -298,17 +328,19 @@
         let mut slots = Vec::with_capacity(open.len());
         let mut with_room = 0;
         for &id in open {
-            let free = round.free[id.0 as usize];
+            let room = &round.rooms[id.0 as usize];
             // Gangs also ask about targets without room.
-            if !step.gang && !step.size.fits(&free) {
+            if !step.gang && !step.size.fits(&room.free) {
                 continue;
             }
-            let is_needed = match permissions.next(id) {
-                Some(Permission::Refused) => false,
-                Some(Permission::Allowed { .. }) => true,
-                None => with_room < most,
+            let ticket_until = match permissions.next(id) {
+                Some(Permission::Refused) => continue,
+                Some(Permission::Allowed { until, .. }) => Some(*until),
+                None if with_room >= most => continue,
+                None => None,
             };
-            if is_needed && let Some(slot) = self.slot(id, step, state, free) {
+            if let Some(slot) = self.slot(id, step, state, room) {
+                let slot = Slot { ticket_until, ..slot };
                 with_room += usize::from(slot.tasks > 0);
                 slots.push(slot);
             }
@@ -316,25 +348,29 @@
         slots
     }
 
-    /// Gets how many tasks of a step a target takes, if it suits the step.
-    fn slot(&self, id: TargetId, step: &Step, state: &StepState, free: Resources) -> Option<Slot> {
-        let target = &self.targets[id.0 as usize];
-        if !target.suits(step) {
+    /// Gets how many tasks of a step a target of its pool takes, if it suits the
+    /// step.
+    fn slot(&self, id: TargetId, step: &Step, state: &StepState, room: &Room) -> Option<Slot> {
+        let Room { free, capacity, is_probed } = *room;
+        let target = || &self.targets[id.0 as usize];
+        let suits = step.size.fits(&capacity)
+            && step.label.as_ref().is_none_or(|label| target().facts.labels.contains(label));
+        if !suits {
             return None;
         }
-        let capacity = target.facts.capacity;
-        let has_room = step.size.fits(&free) && target.may_share_with(step);
+        let shares = Sharing::of(step) == Sharing::Any || target().may_share_with(step);
+        let has_room = step.size.fits(&free) && shares;
         let mut tasks = if has_room { free.times(&step.size) } else { 0 };
         let mut whole = if step.gang { capacity.times(&step.size) } else { 0 };
         if let Some(most) = step.most_per_target {
             tasks = tasks.min(most.saturating_sub(state.count_on(id)));
             whole = whole.min(most);
         }
-        if target.health.is_suspected() {
-            // One task is the probe.
+        if is_probed {
             tasks = tasks.min(1);
         }
-        Some(Slot { target: id, tasks, whole, left: free - step.size, capacity })
+        let left = free - step.size;
+        Some(Slot { target: id, tasks, whole, left, capacity, ticket_until: None })
     }
 
     /// Starts the next waiting task of a step on a target.
--- a/crates/plan/src/step.rs
+++ b/crates/plan/src/step.rs
@@ -1,18 +1,12 @@
 //! The tasks of one step.
 
-use std::{
-    collections::{BTreeSet, HashSet},
-    time::Duration,
-};
+use std::collections::{BTreeSet, HashSet};
 
 use base::Name;
 use smallvec::SmallVec;
 use work::{Step, StepProgress};
 
-use crate::{
-    permission::{Permission, Permissions},
-    target::TargetId,
-};
+use crate::{permission::Permissions, target::TargetId};
 
 /// A `TaskState` is where a task is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -136,18 +130,6 @@
         runs.collect::<HashSet<_>>().len() as u32
     }
 
-    /// Tells whether a target is known to be allowed.
-    pub(crate) fn allows(&self, target: TargetId) -> bool {
-        matches!(self.permissions.get(target), Some(Permission::Allowed { .. }))
-    }
-
-    /// Tells whether there is a ticket for a target that lasts longer than up to
-    /// a time.
-    pub(crate) fn has_ticket(&self, target: TargetId, up_to: Duration) -> bool {
-        matches!(self.permissions.get(target), Some(Permission::Allowed { until, .. })
-            if up_to < *until)
-    }
-
     /// Tells whether any task may have a run.
     pub(crate) fn has_runs(&self) -> bool {
         self.tasks.iter().any(|task| matches!(task.state, TaskState::Assigned { .. }))
--- a/crates/plan/src/target.rs
+++ b/crates/plan/src/target.rs
@@ -151,13 +151,6 @@
         sharing == Sharing::Any || self.runs.values().all(|run| run.sharing.suits(sharing))
     }
 
-    /// Tells whether the target, which is of the step's pool, could run tasks of
-    /// the step if it were empty.
-    pub(crate) fn suits(&self, step: &Step) -> bool {
-        step.label.as_ref().is_none_or(|label| self.facts.labels.contains(label))
-            && step.size.fits(&self.facts.capacity)
-    }
-
     /// Tells whether the target may get new work.
     pub(crate) fn is_open(&self, now: Duration, silence: Duration, idle: Duration) -> bool {
         let silence = if self.runs.is_empty() { idle } else { silence };
