--- a/crates/node/src/placer/fronts.rs
+++ b/crates/node/src/placer/fronts.rs
@@ -127,9 +127,10 @@
         let ms = |time: Duration| time.as_millis() as u64;
         for overload in &overloads {
             emit!(self.ctx.log, warn, QueueRefuses; "queue" => %overload.queue,
-                "after_ms" => ms(overload.after), "room_ms" => ms(overload.room), "backlog_ms" => ms(overload.backlog),
-                "advice_ms" => ms(overload.advice), "most_ms" => ms(overload.most),
-                "instances" => self.helpers.len(), "term" => self.lead.term);
+                "after_ms" => ms(overload.after), "room_ms" => ms(overload.room),
+                "backlog_ms" => ms(overload.backlog), "advice_ms" => ms(overload.advice),
+                "most_ms" => ms(overload.most), "instances" => self.helpers.len(),
+                "term" => self.lead.term);
         }
         self.helpers.tell(&Down::Queues(self.queues(overloads)));
     }
