--- a/crates/node/tests/faults.rs
+++ b/crates/node/tests/faults.rs
@@ -564,3 +564,28 @@
         contains_substring(r#"requests_total{kind="submit",outcome="refused"} 3"#)
     );
 }
+
+#[gtest]
+fn records_go_on_at_once_after_answers_were_lost_to_many_of_them() {
+    // Seen on trouble-3 of pilares-sched-large: after an outage each of 16
+    // records side by side found the guard changed by another of them, for as
+    // long as the day lasted.
+    const JOBS: usize = 150;
+    let cell = Cell::start(2, 24);
+    let (leader, follower) = (cell.leader(), cell.follower());
+    let id = |number: usize| format!("job-{number}");
+    for number in 0..JOBS {
+        expect_that!(cell.nodes[follower].submit(&id(number), "work:900", step(1)), ok(eq(&())));
+    }
+    wait("all run", || (0..JOBS).all(|number| cell.world.targets.starts(&id(number)) > 0));
+    cell.world.store.fail(&cell.nodes[leader].name, store::Fault::LosingAnswers(2));
+    wait("all have ended", || (0..JOBS).all(|number| cell.world.targets.running(&id(number)) == 0));
+    std::thread::sleep(Duration::from_millis(200));
+    cell.world.store.fail(&cell.nodes[leader].name, store::Fault::None);
+    let healed = Instant::now();
+    for number in 0..JOBS {
+        cell.wait_for(follower, &id(number), JobState::Complete);
+    }
+    // A lost answer is waited for and a record tried again once.
+    expect_that!(healed.elapsed(), le(Duration::from_millis(1500)));
+}
