--- a/crates/gauge/src/day.rs
+++ b/crates/gauge/src/day.rs
@@ -3,6 +3,7 @@
 use std::{str::FromStr, time::Instant};
 
 use comfy_table::Table;
+use plan::Settings;
 use standin::cell::play::{Admission, Load, Player};
 
 use crate::figures::Figures;
@@ -13,6 +14,8 @@
     Firm,
     Association,
     AssociationHeavy,
+    FirmLarge,
+    RackDeskRush,
 }
 
 impl FromStr for Sheet {
@@ -23,6 +26,8 @@
             "firm" => Ok(Self::Firm),
             "association" => Ok(Self::Association),
             "association-heavy" => Ok(Self::AssociationHeavy),
+            "firm-large" => Ok(Self::FirmLarge),
+            "rack-desk-rush" => Ok(Self::RackDeskRush),
             _ => Err(format!("there is no sheet {text}")),
         }
     }
@@ -35,15 +40,17 @@
             Self::Firm => Load::firm(),
             Self::Association => Load::association(),
             Self::AssociationHeavy => Load::association_heavy(),
+            Self::FirmLarge => Load::firm_large(),
+            Self::RackDeskRush => Load::rack_desk_rush(),
         }
     }
 }
 
 /// Plays a day of a load; prints what callers got.
-pub(crate) fn measure(figures: &mut Figures, load: Load, seed: u64) {
+pub(crate) fn measure(figures: &mut Figures, load: Load, settings: Settings, seed: u64) {
     let day_s = load.time.as_secs_f64();
     let began = Instant::now();
-    let reports = Player::new(load, Admission::AsTold, seed).play();
+    let reports = Player::with_settings(load, Admission::AsTold, settings, seed).play();
     figures.add("day_processor_s_per_day_s", began.elapsed().as_secs_f64() / day_s);
     let mut table = Table::new();
     table.set_header(["kind", "jobs", "in time", "late", "no use", "refused", "p50 s", "p99 s"]);
--- a/crates/gauge/src/main.rs
+++ b/crates/gauge/src/main.rs
@@ -40,10 +40,13 @@
         targets: Option<u32>,
         /// Number of instances that ask for advice, if not the sheet's
         instances: Option<usize>,
+        /// Times that a task is moved for gangs at most
+        moves: Option<u32>,
         /// The same seed makes the same day
         #[bpaf(fallback(1))]
         seed: u64,
-        /// The sheet: firm or association
+        /// The sheet: firm, association, association-heavy, firm-large or
+        /// rack-desk-rush
         #[bpaf(positional("SHEET"))]
         sheet: Sheet,
     },
@@ -88,11 +91,14 @@
             decisions::measure(figures);
             Ok(())
         }
-        Command::Day { targets, instances, seed, sheet } => {
+        Command::Day { targets, instances, moves, seed, sheet } => {
             let mut load = sheet.load();
             load.targets = targets.unwrap_or(load.targets);
             load.instances = instances.unwrap_or(load.instances);
-            day::measure(figures, load, seed);
+            let mut settings = plan::Settings::default();
+            let usual = settings.preemption.moves_per_task;
+            settings.preemption.moves_per_task = moves.unwrap_or(usual);
+            day::measure(figures, load, settings, seed);
             Ok(())
         }
         Command::Path => path::measure(figures).await,
--- a/crates/node/src/placer/order.rs
+++ b/crates/node/src/placer/order.rs
@@ -87,7 +87,7 @@
     stop: Stop,
     events: mpsc::UnboundedSender<Event>,
 ) {
-    let Stop { target, task, run } = stop;
+    let Stop { target, task, run, cause } = stop;
     if !lead.is_valid(clock::now()) {
         return;
     }
@@ -96,7 +96,7 @@
     Metrics::count(&ctx.metrics.orders, "stop", outcome);
     emit!(ctx.log, info, StopSent; "job" => %task.step.job, "step" => task.step.step,
         "task" => task.index, "run" => run, "target" => %target,
-        "answered" => answer.is_ok());
+        "why" => ?cause, "answered" => answer.is_ok());
     let event = match answer {
         Ok(((), clock_ms)) => {
             holder.note_clock(clock_ms, clock::now());
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -146,6 +146,11 @@
         let defaults = plan::Settings::default();
         let settings = plan::Settings {
             entries_per_batch: record::ENTRIES,
+            preemption: plan::Preemption {
+                moves_per_task: ctx.settings.preemption.moves_per_task,
+                slack: Duration::from_millis(ctx.settings.preemption.slack_ms),
+                ..defaults.preemption
+            },
             target_lease: defaults.target_lease.min(hold_max),
             keep_ended: Duration::from_secs_f64(ctx.settings.bounds.status_s.max(0.0) + 30.0),
             ..defaults
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -35,6 +35,8 @@
     pub bounds: Bounds,
     /// Times of the lead.
     pub lead: Lead,
+    /// Moving runs to make room for tasks that start together.
+    pub preemption: Preemption,
     /// Logs.
     pub log: Log,
 }
@@ -100,6 +102,25 @@
     }
 }
 
+/// Moving runs to make room for tasks that start together.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Preemption {
+    /// Times that a task is moved at most while one instance leads; 0 if none
+    /// ever is.
+    pub moves_per_task: u32,
+    /// Time that a job must have left beyond its work for its tasks to be moved,
+    /// in milliseconds.
+    pub slack_ms: u64,
+}
+
+impl Default for Preemption {
+    fn default() -> Self {
+        let plan::Preemption { moves_per_task, slack, .. } = plan::Preemption::default();
+        Self { moves_per_task, slack_ms: slack.as_millis() as u64 }
+    }
+}
+
 /// Logs.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
--- a/crates/plan/src/action.rs
+++ b/crates/plan/src/action.rs
@@ -42,6 +42,27 @@
     pub task: TaskKey,
     /// Number of the run.
     pub run: u32,
+    /// Why.
+    pub cause: StopCause,
+}
+
+/// A `StopCause` is why a run is told to stop.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StopCause {
+    /// Its job has ended.
+    JobEnded,
+    /// Its task is done, or another run of it is wanted.
+    Needless,
+    /// Another member of its gang has ended.
+    GangBroken,
+    /// It makes no progress.
+    Stuck,
+    /// Its start wasn't answered, and it isn't listed.
+    Unsure,
+    /// It makes room for a gang of this job.
+    Moved(Name),
+    /// An earlier order had no effect.
+    Repeated,
 }
 
 /// An `Ask` is the request for the targets that may run a step.
--- a/crates/plan/src/admit.rs
+++ b/crates/plan/src/admit.rs
@@ -120,7 +120,7 @@
     }
 
     /// Gets the part of the time that they take of so many instances.
-    fn part(&self, advisors: u32, now: Duration) -> f64 {
+    pub(crate) fn part(&self, advisors: u32, now: Duration) -> f64 {
         self.faded(now).div_duration_f64(FADE * advisors.max(1))
     }
 
--- a/crates/plan/src/ask.rs
+++ b/crates/plan/src/ask.rs
@@ -3,7 +3,9 @@
 //! An answer takes long, holds for good, and its tickets only for a short time.
 //! So a step asks for the targets that have room for it now: those that are
 //! allowed already, then those that it knows nothing of, as many as are likely
-//! to give it what it wants.
+//! to give it what it wants. In a full cell it also asks for some that have none:
+//! room that comes free is then taken at once by whoever has a ticket for it,
+//! and none is kept unused for those who ask.
 
 use std::{cmp::Reverse, time::Duration};
 
@@ -12,6 +14,7 @@
 
 use crate::{
     action::{Action, Ask, AskLength},
+    admit::AskRate,
     board::Board,
     decide::{Round, Slot},
     permission::Permission,
@@ -33,8 +36,14 @@
 const WHOLE_FACTOR: u32 = 3;
 
 /// Further targets are named as long as they make the answer later by at most
-/// this part of its fixed time.
-const CHEAP_PART: u32 = 4;
+/// this part of its fixed time, if the instances have time to spare.
+const CHEAP_PART: u32 = 1;
+
+/// The same if they don't.
+const SCARCE_CHEAP_PART: u32 = 4;
+
+/// Part of the instances' time from which on advice is scarce.
+const SCARCE_PART: f64 = 0.5;
 
 impl Board {
     /// Takes in how many instances can ask at the same time.
@@ -67,15 +76,15 @@
         until: Duration,
     ) {
         self.is_changed = true;
-        self.asking.remove(step);
+        self.end_asking(step, asked.len());
         let ids = |names: &mut dyn Iterator<Item = &Name>| -> Vec<TargetId> {
             names.filter_map(|name| self.ids.get(name).copied()).collect()
         };
         let asked = ids(&mut asked.iter());
+        if let Some(state) = self.step_state_mut(step) {
+            state.answered(&asked);
+        }
         let Some(allowed) = allowed else {
-            if let Some(state) = self.step_state_mut(step) {
-                state.asked = None;
-            }
             return;
         };
         let tickets: Vec<(TargetId, Name)> = allowed
@@ -86,7 +95,6 @@
         let Some(state) = self.step_state_mut(step) else {
             return;
         };
-        state.asked = None;
         for id in asked {
             state.permissions.insert(id, Permission::Refused);
         }
@@ -144,11 +152,7 @@
                 round.keep_tasks(allowed(), step, wanted);
             }
         }
-        if let Some(asked) = &state.asked {
-            if !step.gang {
-                let asked = slots.iter().filter(|slot| asked.contains(&slot.target));
-                round.keep_tasks(asked, step, wanted - usable);
-            }
+        if state.asked.is_some() {
             return;
         }
         let share = self.allowed_milli.get(&spec.queue).copied().unwrap_or(FIRST_ALLOWED_MILLI);
@@ -156,39 +160,80 @@
         let mut targets = if step.gang {
             gang_targets(slots, wanted, share.max(1))
         } else {
-            targets(slots, wanted - usable, share.max(1), advice)
+            let part = if self.is_advice_scarce(now) { SCARCE_CHEAP_PART } else { CHEAP_PART };
+            targets(slots, wanted - usable, share.max(1), advice, part)
         };
-        targets.truncate(self.settings.targets_per_ask);
-        let cost_us = cost_us(advice, targets.len());
-        if targets.is_empty() {
-            return;
+        if !step.gang {
+            targets.truncate(self.settings.targets_per_ask);
         }
-        if !self.may_ask(cost_us, round, now) {
-            round.short_asks_waiting += u32::from(!self.settings.is_long_ask(cost_us));
-            return;
+        self.request_advice(key, &targets, advice, round, now);
+    }
+
+    /// Requests advice on targets for a step, in as many requests side by side as
+    /// may be made; tells whether there is any.
+    pub(crate) fn request_advice(
+        &mut self,
+        key: &StepKey,
+        targets: &[TargetId],
+        advice: Advice,
+        round: &mut Round,
+        now: Duration,
+    ) -> bool {
+        let mut asked = Vec::new();
+        let targets_in_request = if self.is_advice_scarce(now) {
+            self.settings.targets_per_ask
+        } else {
+            self.settings.targets_in_request(advice, targets.len())
+        };
+        for part in targets.chunks(targets_in_request) {
+            let cost_us = cost_us(advice, part.len());
+            if !self.may_ask(cost_us, round, now) {
+                round.short_asks_waiting += u32::from(!self.settings.is_long_ask(cost_us));
+                break;
+            }
+            let names = part.iter().map(|id| self.targets[id.0 as usize].facts.id.clone());
+            let (length, asks) = match self.settings.is_long_ask(cost_us) {
+                true => (AskLength::Long, &mut self.long_asks),
+                false => (AskLength::Short, &mut self.short_asks),
+            };
+            asks.add(Duration::from_micros(cost_us), now);
+            let ask = Ask { step: key.clone(), targets: names.collect(), cost_us, length };
+            self.actions.push(Action::Ask(ask));
+            self.asking.entry(key.clone()).or_default().push((part.len(), cost_us));
+            asked.extend_from_slice(part);
         }
-        if !step.gang {
-            let asked = slots.iter().filter(|slot| targets.contains(&slot.target));
-            round.keep_tasks(asked, step, wanted - usable);
+        let has_asked = !asked.is_empty();
+        if let Some(state) = self.step_state_mut(key).filter(|_| has_asked) {
+            state.asked = Some(asked);
         }
-        let names = targets.iter().map(|id| self.targets[id.0 as usize].facts.id.clone()).collect();
-        let (length, asks) = match self.settings.is_long_ask(cost_us) {
-            true => (AskLength::Long, &mut self.long_asks),
-            false => (AskLength::Short, &mut self.short_asks),
+        has_asked
+    }
+
+    /// Tells whether requests for advice take much of the instances' time.
+    pub(crate) fn is_advice_scarce(&self, now: Duration) -> bool {
+        let part = |asks: AskRate| asks.part(self.advisors, now);
+        part(self.short_asks) + part(self.long_asks) > SCARCE_PART
+    }
+
+    /// Takes note that a request about so many targets is no longer under way.
+    fn end_asking(&mut self, step: &StepKey, targets: usize) {
+        let Some(requests) = self.asking.get_mut(step) else {
+            return;
         };
-        asks.add(Duration::from_micros(cost_us), now);
-        self.actions.push(Action::Ask(Ask { step: key.clone(), targets: names, cost_us, length }));
-        self.asking.insert(key.clone(), cost_us);
-        if let Some(state) = self.step_state_mut(key) {
-            state.asked = Some(targets);
+        if let Some(position) = requests.iter().position(|(asked, _)| *asked == targets) {
+            requests.swap_remove(position);
+        }
+        if requests.is_empty() {
+            self.asking.remove(step);
         }
     }
 
     /// Tells whether one more request for advice may be made. Too many would
     /// only wait for one another, while the room that they are for goes unused.
     fn may_ask(&self, cost_us: u64, round: &Round, now: Duration) -> bool {
+        let costs = self.asking.values().flatten().map(|(_, cost_us)| *cost_us);
         let (long, short): (Vec<u64>, Vec<u64>) =
-            self.asking.values().partition(|cost_us| self.settings.is_long_ask(**cost_us));
+            costs.partition(|cost_us| self.settings.is_long_ask(*cost_us));
         if self.settings.is_long_ask(cost_us) {
             let most = self.settings.long_asks(self.advisors);
             // Without an instance that makes short requests only, a long one
@@ -204,16 +249,21 @@
     }
 }
 
-/// Gets the targets that a step whose tasks start one by one asks about: with
-/// room, those that are allowed first, as many as are likely to give it what it
-/// wants, and further ones that hardly make the answer later.
-fn targets(slots: &[Slot], wanted: u32, share_milli: u32, advice: Advice) -> Vec<TargetId> {
-    let with_room = slots.iter().filter(|slot| slot.tasks > 0);
+/// Gets the targets that a step whose tasks start one by one asks about: those
+/// that are allowed first, and with room first, as many as are likely to give it
+/// what it wants, and further ones that hardly make the answer later.
+fn targets(
+    slots: &[Slot],
+    wanted: u32,
+    share_milli: u32,
+    advice: Advice,
+    cheap_part: u32,
+) -> Vec<TargetId> {
     let (mut known, mut unknown): (Vec<&Slot>, Vec<&Slot>) =
-        with_room.partition(|slot| slot.is_allowed());
+        slots.iter().partition(|slot| slot.is_allowed());
     known.sort_by_cached_key(|slot| Reverse((slot.tasks, slot.free_ppm())));
     unknown.sort_by_cached_key(|slot| Reverse((slot.tasks, slot.free_ppm())));
-    let cheap = advice.request_us / CHEAP_PART / advice.target_us.max(1);
+    let cheap = advice.request_us / cheap_part / advice.target_us.max(1);
     let mut expected_milli = 0;
     let mut chosen = Vec::new();
     let numbered =
@@ -230,7 +280,8 @@
 
 /// Gets the targets that a gang asks about: those that are allowed if their
 /// room is enough now; else, unless they would be enough when empty, further
-/// ones with or without room, as what is allowed doesn't change.
+/// ones with or without room, as what is allowed doesn't change. Room that can be
+/// made counts.
 fn gang_targets(slots: &[Slot], wanted: u32, share_milli: u32) -> Vec<TargetId> {
     let (mut known, mut unknown): (Vec<&Slot>, Vec<&Slot>) =
         slots.iter().partition(|slot| slot.is_allowed());
@@ -246,26 +297,27 @@
         return enough.map(|slot| slot.target).collect();
     }
     let known_whole = whole_tasks(known.iter().copied());
+    let known_reach = reach_tasks(known.iter().copied());
     if known_whole >= wanted * WHOLE_FACTOR {
         // The room that they need will be there some time; further targets only
         // help if they have it now.
-        let likely = free_tasks(unknown.iter().copied()).saturating_mul(share_milli) / 1000;
-        if known_free.saturating_add(likely) < wanted * SURPLUS_MILLI / 1000 {
+        let likely = reach_tasks(unknown.iter().copied()).saturating_mul(share_milli) / 1000;
+        if known_reach.saturating_add(likely) < wanted * SURPLUS_MILLI / 1000 {
             return Vec::new();
         }
     }
-    unknown.sort_by_cached_key(|slot| Reverse((slot.tasks, slot.free_ppm())));
-    let mut free_milli = known_free * 1000;
+    unknown.sort_by_cached_key(|slot| Reverse((slot.reach, slot.tasks, slot.free_ppm())));
+    let mut free_milli = known_reach.saturating_mul(1000);
     let mut whole_milli = known_whole * 1000;
     let mut chosen: Vec<TargetId> =
-        known.iter().filter(|slot| slot.tasks > 0).map(|slot| slot.target).collect();
+        known.iter().filter(|slot| slot.reach > 0).map(|slot| slot.target).collect();
     let mut has_new = false;
     for slot in unknown {
         if free_milli >= wanted * SURPLUS_MILLI && whole_milli >= wanted * WHOLE_FACTOR * 1000 {
             break;
         }
         chosen.push(slot.target);
-        free_milli += slot.tasks.min(wanted) * share_milli;
+        free_milli += slot.reach.min(wanted) * share_milli;
         whole_milli += slot.whole.min(wanted) * share_milli;
         has_new = true;
     }
@@ -276,6 +328,10 @@
     slots.map(|slot| slot.tasks).fold(0, u32::saturating_add)
 }
 
+fn reach_tasks<'a>(slots: impl Iterator<Item = &'a Slot>) -> u32 {
+    slots.map(|slot| slot.reach).fold(0, u32::saturating_add)
+}
+
 fn whole_tasks<'a>(slots: impl Iterator<Item = &'a Slot>) -> u32 {
     slots.map(|slot| slot.whole).fold(0, u32::saturating_add)
 }
--- a/crates/plan/src/board.rs
+++ b/crates/plan/src/board.rs
@@ -12,9 +12,10 @@
 use work::{Config, JobState, Progress, Spec, StepKey, TaskKey};
 
 use crate::{
-    action::{Action, Stop},
+    action::{Action, Stop, StopCause},
     admit::AskRate,
     job::{Job, Origin},
+    preempt::Reservation,
     settings::Settings,
     share::Bucket,
     speed::Usual,
@@ -37,9 +38,11 @@
     pub(crate) used: Order,
     /// Steps with tasks that wait.
     pub(crate) ready: BTreeSet<StepKey>,
-    /// Requests for advice under way, with the time that they take, in
-    /// microseconds.
-    pub(crate) asking: HashMap<StepKey, u64>,
+    /// Room that is being made for gangs.
+    pub(crate) reservations: BTreeMap<StepKey, Reservation>,
+    /// Requests for advice under way: the number of targets of each, and the
+    /// time that it takes, in microseconds.
+    pub(crate) asking: HashMap<StepKey, Vec<(usize, u64)>>,
     /// How much of the instances' time the short ones of them take.
     pub(crate) short_asks: AskRate,
     pub(crate) long_asks: AskRate,
@@ -81,6 +84,8 @@
     pub(crate) usual: HashMap<Name, Usual>,
     /// Share of targets that are allowed, by queue, in thousandths.
     pub(crate) allowed_milli: HashMap<Name, u32>,
+    /// When the last round was.
+    pub(crate) decided_at: Duration,
     /// Time of day of the last round.
     pub(crate) decided_unix_ms: u64,
     /// Whether anything has changed since the last round.
@@ -205,7 +210,8 @@
                 self.unqueue_step(&key);
                 for (index, task) in (0..).zip(state.tasks) {
                     if let TaskState::Assigned { target, run } = task.state {
-                        self.stop_run(target, &TaskKey { step: key.clone(), index }, run, now);
+                        let task = TaskKey { step: key.clone(), index };
+                        self.stop_run(target, &task, run, StopCause::JobEnded, now);
                     }
                 }
             }
@@ -233,7 +239,14 @@
     }
 
     /// Tells a run to stop. It counts until its end is certain.
-    pub(crate) fn stop_run(&mut self, target: TargetId, task: &TaskKey, run: u32, now: Duration) {
+    pub(crate) fn stop_run(
+        &mut self,
+        target: TargetId,
+        task: &TaskKey,
+        run: u32,
+        cause: StopCause,
+        now: Duration,
+    ) {
         let target = &mut self.targets[target.0 as usize];
         if let Some(known) = target.runs.get_mut(task)
             && known.number == run
@@ -242,7 +255,7 @@
             known.phase = Phase::Stopping(now);
         }
         let target = target.facts.id.clone();
-        self.actions.push(Action::Stop(Stop { target, task: task.clone(), run }));
+        self.actions.push(Action::Stop(Stop { target, task: task.clone(), run, cause }));
     }
 
     /// Takes in what the targets say of themselves. Those that aren't named
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -1,15 +1,22 @@
 //! Rounds of decisions.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    hash::{DefaultHasher, Hash, Hasher},
+    ops::Range,
+    sync::Arc,
+    time::Duration,
+};
 
 use base::{Name, Resources};
 use work::{JobState, Spec, Step, StepKey, TaskKey};
 
 use crate::{
-    action::{Action, Start, Stop},
+    action::{Action, Start, Stop, StopCause},
     board::Board,
     job::Origin,
     permission::Permission,
+    preempt::Movable,
     step::{StepState, TaskState},
     target::{Phase, Run, Sharing, Target, TargetId},
 };
@@ -26,6 +33,7 @@
     unknown: HashMap<Name, Resources>,
     /// Short requests for advice that have to wait.
     pub(crate) short_asks_waiting: u32,
+    pub(crate) movable: Movable,
 }
 
 /// A `Room` is what of a target counts for most steps; small, as each round
@@ -50,6 +58,16 @@
 }
 
 impl Round {
+    /// Gets what of a target is neither promised nor kept.
+    pub(crate) fn free(&self, id: TargetId) -> Resources {
+        self.rooms[id.0 as usize].free
+    }
+
+    /// Takes room of a target.
+    pub(crate) fn take_room(&mut self, id: TargetId, size: Resources) {
+        self.rooms[id.0 as usize].free -= size;
+    }
+
     /// Keeps room for as many tasks of a step that can't start yet.
     pub(crate) fn keep_tasks<'a>(
         &mut self,
@@ -61,7 +79,7 @@
         for slot in slots {
             let tasks = slot.tasks.min(left);
             if tasks > 0 {
-                self.rooms[slot.target.0 as usize].free -= step.size * tasks;
+                self.take_room(slot.target, step.size * tasks);
                 left -= tasks;
             }
         }
@@ -75,6 +93,9 @@
     pub(crate) tasks: u32,
     /// How many it takes when it is empty; only gangs count them.
     pub(crate) whole: u32,
+    /// How many it would take if all runs were moved that may be; only gangs
+    /// count them.
+    pub(crate) reach: u32,
     /// What is free beside one of them.
     left: Resources,
     capacity: Resources,
@@ -104,6 +125,7 @@
     /// Places what can be placed. `unix_ms` is the time of day.
     pub fn decide(&mut self, now: Duration, unix_ms: u64) {
         self.decided_unix_ms = unix_ms;
+        self.decided_at = now;
         self.end_lapsed_runs(now);
         self.clear_ended_jobs(now);
         self.repeat_stops(now);
@@ -123,10 +145,15 @@
             rooms: self.targets.iter().map(Room::of).collect(),
             unknown: HashMap::new(),
             short_asks_waiting: 0,
+            movable: Movable::default(),
         };
         if !self.is_settled(now) {
             round.unknown = self.unknown_runs();
         }
+        let reserved: Vec<StepKey> = self.reservations.keys().cloned().collect();
+        for key in reserved {
+            self.place_reserved(&key, &mut round, now);
+        }
         for key in self.ordered_steps(unix_ms) {
             self.place_step(&key, &mut round, now);
         }
@@ -228,6 +255,7 @@
                         target: target.facts.id.clone(),
                         task: task.clone(),
                         run: run.number,
+                        cause: StopCause::Repeated,
                     }));
                 }
             }
@@ -241,6 +269,9 @@
         if job.origin == Origin::Inherited && !self.is_settled(now) {
             return;
         }
+        if self.reservations.contains_key(key) {
+            return;
+        }
         let spec = Arc::clone(&job.spec);
         let step = &spec.steps[usize::from(key.step)];
         let Some(state) = self.step_state(key) else {
@@ -261,9 +292,12 @@
             return;
         }
         let policy = self.config.policy(&spec.queue, &spec.policy);
-        let (service, needs_advice) = (policy.service.clone(), policy.advice.is_some());
+        let (service, advice) = (policy.service.clone(), policy.advice);
         let mut slots = self.slots(key, step, &service, round);
-        if needs_advice {
+        if self.reserve_room(key, step, &slots, advice, round, now) {
+            return;
+        }
+        if advice.is_some() {
             self.ask_for_step(key, &spec, &slots, wanted, round, now);
             let usable_until = now + self.settings.ticket_margin;
             slots.retain(|slot| slot.has_ticket(usable_until));
@@ -273,7 +307,7 @@
             return;
         }
         for target in chosen {
-            round.rooms[target.0 as usize].free -= step.size;
+            round.take_room(target, step.size);
             self.start_next(key, &spec, target, now);
         }
         if self.step_state(key).is_some_and(|state| state.waiting.is_empty()) {
@@ -282,7 +316,7 @@
     }
 
     /// Gets how many tasks of a size a team may start.
-    fn team_allows(&self, team: &Name, size: Resources, round: &Round) -> u32 {
+    pub(crate) fn team_allows(&self, team: &Name, size: Resources, round: &Round) -> u32 {
         let Some(left) = self.team_left(team) else {
             return u32::MAX;
         };
@@ -320,20 +354,27 @@
     /// known that they are not allowed to run it. In a large cell the first
     /// ones with room are enough, so that a decision costs the same however many
     /// targets there are; what runs then keeps to the same targets.
-    fn slots(&self, key: &StepKey, step: &Step, service: &Name, round: &Round) -> Vec<Slot> {
+    fn slots(&self, key: &StepKey, step: &Step, service: &Name, round: &mut Round) -> Vec<Slot> {
         let has_place = step.label.is_some() || step.data_rack.is_some() || step.same_rack;
         let most = if has_place { usize::MAX } else { self.settings.slots_per_step };
         let Some(state) = self.step_state(key) else {
             return Vec::new();
         };
+        let movable = if self.may_make_room(key, step) {
+            self.movable_rooms(self.priority(key), &mut round.movable)
+        } else {
+            &[]
+        };
         let mut permissions = state.permissions.walk();
         let open = round.open.get(service).map_or(&[][..], Vec::as_slice);
         let mut slots = Vec::with_capacity(open.len());
         let mut with_room = 0;
-        for &id in open {
+        let full = self.full_targets(key, step, state, open.len());
+        for (position, &id) in open.iter().enumerate() {
             let room = &round.rooms[id.0 as usize];
             // Gangs also ask about targets without room.
-            if !step.gang && !step.size.fits(&room.free) {
+            let is_passed_over = !step.gang && !step.size.fits(&room.free);
+            if is_passed_over && !full.contains(&position) {
                 continue;
             }
             let ticket_until = match permissions.next(id) {
@@ -342,7 +383,8 @@
                 None if with_room >= most => continue,
                 None => None,
             };
-            if let Some(slot) = self.slot(id, step, state, room) {
+            let movable = movable.get(id.0 as usize).copied().unwrap_or_default();
+            if let Some(slot) = self.slot(id, step, state, room, movable) {
                 let slot = Slot { ticket_until, ..slot };
                 with_room += usize::from(slot.tasks > 0);
                 slots.push(slot);
@@ -351,9 +393,37 @@
         slots
     }
 
+    /// Gets which of the open targets a step asks about without room, by
+    /// position: each step others, so that all have somebody who waits for them.
+    fn full_targets(
+        &self,
+        key: &StepKey,
+        step: &Step,
+        state: &StepState,
+        open: usize,
+    ) -> Range<usize> {
+        let usable_until = self.decided_at + self.settings.ticket_margin;
+        let has_tickets = state.asked.is_some() || state.permissions.has_ticket(usable_until);
+        if step.gang || has_tickets || self.is_advice_scarce(self.decided_at) {
+            return 0..0;
+        }
+        let mut hasher = DefaultHasher::new();
+        key.hash(&mut hasher);
+        let first =
+            hasher.finish() as usize % open.saturating_sub(self.settings.full_targets).max(1);
+        first..first + self.settings.full_targets
+    }
+
     /// Gets how many tasks of a step a target of its pool takes, if it suits the
     /// step.
-    fn slot(&self, id: TargetId, step: &Step, state: &StepState, room: &Room) -> Option<Slot> {
+    fn slot(
+        &self,
+        id: TargetId,
+        step: &Step,
+        state: &StepState,
+        room: &Room,
+        movable: Resources,
+    ) -> Option<Slot> {
         let Room { free, capacity, is_probed } = *room;
         let target = || &self.targets[id.0 as usize];
         let suits = step.size.fits(&capacity)
@@ -365,19 +435,30 @@
         let has_room = step.size.fits(&free) && shares;
         let mut tasks = if has_room { free.times(&step.size) } else { 0 };
         let mut whole = if step.gang { capacity.times(&step.size) } else { 0 };
+        let with_moves = free + movable;
+        let may_reach = step.gang && shares && step.size.fits(&with_moves);
+        let mut reach = if may_reach { with_moves.times(&step.size) } else { 0 };
         if let Some(most) = step.most_per_target {
             tasks = tasks.min(most.saturating_sub(state.count_on(id)));
             whole = whole.min(most);
+            reach = reach.min(most);
         }
         if is_probed {
             tasks = tasks.min(1);
+            reach = reach.min(1);
         }
         let left = free - step.size;
-        Some(Slot { target: id, tasks, whole, left, capacity, ticket_until: None })
+        Some(Slot { target: id, tasks, whole, reach, left, capacity, ticket_until: None })
     }
 
     /// Starts the next waiting task of a step on a target.
-    fn start_next(&mut self, key: &StepKey, spec: &Arc<Spec>, target: TargetId, now: Duration) {
+    pub(crate) fn start_next(
+        &mut self,
+        key: &StepKey,
+        spec: &Arc<Spec>,
+        target: TargetId,
+        now: Duration,
+    ) {
         let step = &spec.steps[usize::from(key.step)];
         let first_run = match self.jobs.get(&key.job).map(|job| job.origin) {
             Some(Origin::Inherited) => self.first_run,
@@ -430,7 +511,7 @@
 fn choose(step: &Step, mut slots: Vec<Slot>, wanted: u32, board: &Board) -> Vec<TargetId> {
     let rack_of = |slot: &Slot| &board.targets[slot.target.0 as usize].facts.rack;
     if step.same_rack
-        && let Some(rack) = widest_rack(&slots, board)
+        && let Some(rack) = widest_rack(&slots, |slot| slot.tasks, board)
     {
         slots.sort_by_cached_key(|slot| (*rack_of(slot) != rack, slot.free_ppm()));
     } else {
@@ -443,11 +524,15 @@
 }
 
 /// Gets the rack whose targets take the most tasks.
-fn widest_rack(slots: &[Slot], board: &Board) -> Option<Name> {
+pub(crate) fn widest_rack<'a>(
+    slots: impl IntoIterator<Item = &'a Slot>,
+    count: impl Fn(&Slot) -> u32,
+    board: &Board,
+) -> Option<Name> {
     let mut tasks: HashMap<&Name, u32> = HashMap::new();
     for slot in slots {
         let rack = &board.targets[slot.target.0 as usize].facts.rack;
-        *tasks.entry(rack).or_default() += slot.tasks;
+        *tasks.entry(rack).or_default() += count(slot);
     }
     tasks.into_iter().max_by_key(|(rack, tasks)| (*tasks, *rack)).map(|(rack, _)| rack.clone())
 }
--- a/crates/plan/src/ends.rs
+++ b/crates/plan/src/ends.rs
@@ -7,6 +7,7 @@
 use work::{End, JobState, Step, StepKey, TaskKey};
 
 use crate::{
+    action::StopCause,
     board::Board,
     step::TaskState,
     target::{Phase, TargetId},
@@ -61,6 +62,7 @@
         }
         if let Some(checkpoint) = &checkpoint {
             self.save_checkpoint(key, checkpoint);
+            self.note_unrecorded(&key.step.job, now);
         }
         let Some(job) = self.jobs.get(&key.step.job) else {
             return;
@@ -154,7 +156,7 @@
                 .get(&task)
                 .is_some_and(|run| matches!(run.phase, Phase::Stopping(_)));
             if !is_told {
-                self.stop_run(target, &task, run, now);
+                self.stop_run(target, &task, run, StopCause::GangBroken, now);
             }
         }
     }
@@ -175,7 +177,7 @@
             if let TaskState::Assigned { target, run } = other
                 && self.targets[target.0 as usize].runs.contains_key(key)
             {
-                self.stop_run(target, key, run, now);
+                self.stop_run(target, key, run, StopCause::Needless, now);
             }
         }
         self.note_unrecorded(&key.step.job, now);
--- a/crates/plan/src/listing.rs
+++ b/crates/plan/src/listing.rs
@@ -6,7 +6,7 @@
 use work::{End, TaskKey};
 
 use crate::{
-    action::Action,
+    action::{Action, StopCause},
     board::Board,
     target::{Phase, TargetId},
 };
@@ -194,7 +194,7 @@
             .map(|(task, run)| (task.clone(), run.number))
             .collect();
         for (task, run) in unsure {
-            self.stop_run(id, &task, run, now);
+            self.stop_run(id, &task, run, StopCause::Unsure, now);
         }
     }
 
@@ -217,7 +217,7 @@
         if self.adopt_run(id, seen, now) {
             return;
         }
-        self.stop_run(id, &seen.task, seen.run, now);
+        self.stop_run(id, &seen.task, seen.run, StopCause::Needless, now);
     }
 
     /// Ends the runs that a target no longer has: their starts were settled
--- a/crates/plan/src/permission.rs
+++ b/crates/plan/src/permission.rs
@@ -54,6 +54,12 @@
         }
     }
 
+    /// Tells whether there is a ticket that lasts longer than up to a time.
+    pub(crate) fn has_ticket(&self, up_to: Duration) -> bool {
+        let is_usable = |permission: &Permission| matches!(permission, Permission::Allowed { until, .. } if up_to < *until);
+        self.rows.iter().any(|(_, permission)| is_usable(permission))
+    }
+
     pub(crate) fn walk(&self) -> Walk<'_> {
         Walk { rest: &self.rows }
     }
--- /dev/null
+++ b/crates/plan/src/preempt.rs
@@ -0,0 +1,440 @@
+//! Making room for gangs by moving runs that lose nothing by it.
+//!
+//! It answers a full cell in which gangs wait for room on the targets that they
+//! are allowed, beside tasks that save checkpoints and whose jobs have time left.
+//! Waiting for such tasks to end has each gang keep part of the room that it
+//! needs, unused, for seconds. A task that is stopped saves what it has done, and
+//! goes on later or elsewhere: that costs the time to stop and to resume.
+//!
+//! A run is moved only for a gang that is owed and can still meet its objective,
+//! if its own queue is less urgent and its job stays in time all the same, or if
+//! its job can't be in time or isn't owed. Each task is moved a few times at
+//! most, so that none goes back and forth for ever. The room that a gang needs is
+//! made whole or not at all, where it takes the fewest cores to be moved, and is
+//! kept for it until it starts or some seconds have passed.
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use base::{Name, Resources};
+use work::{Advice, Step, StepKey, TaskKey};
+
+use crate::{
+    action::StopCause,
+    board::Board,
+    decide::{Round, Slot, widest_rack},
+    permission::Permission,
+    step::TaskState,
+    target::{Phase, Run, Sharing, TargetId},
+};
+
+/// A `Reservation` is room that is being made for a gang.
+#[derive(Clone, Debug)]
+pub(crate) struct Reservation {
+    /// How many members each target is to take.
+    places: Vec<(TargetId, u32)>,
+    /// When it is given up.
+    until: Duration,
+}
+
+/// A `Movable` is what may be moved for steps of one priority, in one round.
+#[derive(Debug, Default)]
+pub(crate) struct Movable {
+    /// For each step, the priority below which others may have its runs moved.
+    steps: HashMap<StepKey, Option<u32>>,
+    /// What the runs that may be moved take of each target, by the priority that
+    /// they may be moved for.
+    rooms: HashMap<u32, Vec<Resources>>,
+}
+
+/// A `Victim` is a run that may be moved.
+#[derive(Clone, Debug)]
+struct Victim {
+    task: TaskKey,
+    run: u32,
+    size: Resources,
+}
+
+/// An `Offer` is the room that a target has for a gang, and could have.
+#[derive(Debug)]
+struct Offer {
+    target: TargetId,
+    /// Whether the step is slower there.
+    is_far: bool,
+    free: Resources,
+    /// The smallest first.
+    victims: Vec<Victim>,
+    /// Members that it may take besides.
+    most: u32,
+    members: u32,
+    moved: Vec<Victim>,
+}
+
+/// A `Cost` is what one more member costs on a target, the least first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Cost {
+    is_far: bool,
+    /// What is moved, in thousandths of a core.
+    moved_milli: u64,
+}
+
+impl Offer {
+    /// Gets the runs to be moved for one more member, by position, with what that
+    /// costs.
+    fn next(&self, size: Resources) -> Option<(Cost, Vec<usize>)> {
+        if self.most == 0 {
+            return None;
+        }
+        let mut room = self.free;
+        let mut left: Vec<usize> = (0..self.victims.len()).collect();
+        let mut chosen = Vec::new();
+        while !size.fits(&room) {
+            let suffices = |index: &usize| size.fits(&(room + self.victims[*index].size));
+            let position = left.iter().position(suffices).or(left.len().checked_sub(1))?;
+            let index = left.remove(position);
+            room += self.victims[index].size;
+            chosen.push(index);
+        }
+        let moved = chosen.iter().map(|index| u64::from(self.victims[*index].size.cpu_milli)).sum();
+        Some((Cost { is_far: self.is_far, moved_milli: moved }, chosen))
+    }
+
+    /// Takes one more member.
+    fn take(&mut self, size: Resources, mut chosen: Vec<usize>) {
+        chosen.sort_unstable_by_key(|index| Reverse(*index));
+        for index in chosen {
+            let victim = self.victims.remove(index);
+            self.free += victim.size;
+            self.moved.push(victim);
+        }
+        self.free -= size;
+        self.members += 1;
+        self.most -= 1;
+    }
+}
+
+/// A `Hold` is what is kept for a gang that lacks tickets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Hold {
+    /// It has tickets for all that it needs.
+    WithTickets,
+    /// Its room is kept until they come.
+    MeanwhileAsking,
+    /// Nothing is kept: its room can be made when they come.
+    Nothing,
+}
+
+/// Room that can be made, against what a gang needs, from which on nothing is
+/// kept while it asks for tickets.
+const AMPLE_FACTOR: u32 = 2;
+
+/// One of so many members more is asked for, in that case.
+const SPARE_PART: u32 = 3;
+
+impl Board {
+    /// Tells whether runs may be moved for a step.
+    pub(crate) fn may_make_room(&self, key: &StepKey, step: &Step) -> bool {
+        step.gang
+            && self.settings.preemption.moves_per_task > 0
+            && self.is_pressing(key, self.decided_unix_ms)
+    }
+
+    /// Keeps the room that a gang needs until it has tickets for it, if its
+    /// targets have that room or can be made to have it; tells whether it does.
+    pub(crate) fn reserve_room(
+        &mut self,
+        key: &StepKey,
+        step: &Step,
+        slots: &[Slot],
+        advice: Option<Advice>,
+        round: &mut Round,
+        now: Duration,
+    ) -> bool {
+        if !step.gang {
+            return false;
+        }
+        let usable_until = now + self.settings.ticket_margin;
+        let has_ticket = |slot: &&Slot| advice.is_none() || slot.has_ticket(usable_until);
+        let with_ticket: Vec<&Slot> = slots.iter().filter(has_ticket).collect();
+        if tasks(&with_ticket, |slot| slot.tasks) >= step.count {
+            // It can start now.
+            return false;
+        }
+        let allowed: Vec<&Slot> = slots.iter().filter(|slot| slot.is_allowed()).collect();
+        let may_move = self.may_make_room(key, step).then(|| self.priority(key));
+        let reach = tasks(&allowed, |slot| slot.reach);
+        let (usable, hold) = if tasks(&with_ticket, |slot| slot.reach) >= step.count {
+            (with_ticket, Hold::WithTickets)
+        } else if may_move.is_some()
+            && reach >= step.count * AMPLE_FACTOR
+            && !self.is_advice_scarce(now)
+        {
+            (allowed, Hold::Nothing)
+        } else if reach >= step.count {
+            (allowed, Hold::MeanwhileAsking)
+        } else {
+            return false;
+        };
+        let near = match &step.data_rack {
+            Some(rack) => Some(rack.clone()),
+            None if step.same_rack => widest_rack(usable.iter().copied(), |slot| slot.reach, self),
+            None => None,
+        };
+        let offers: Vec<Offer> = usable
+            .into_iter()
+            .filter(|slot| slot.reach > 0)
+            .map(|slot| self.offer(slot, near.as_ref(), may_move, round))
+            .collect();
+        let members = match hold {
+            // Some of it may be taken when the tickets come.
+            Hold::Nothing => step.count + step.count.div_ceil(SPARE_PART),
+            Hold::WithTickets | Hold::MeanwhileAsking => step.count,
+        };
+        let Some(offers) = choose(offers, step.size, members) else {
+            return false;
+        };
+        let places: Vec<(TargetId, u32)> =
+            offers.iter().map(|offer| (offer.target, offer.members)).collect();
+        match hold {
+            Hold::WithTickets => {}
+            Hold::Nothing => return self.request_tickets(key, &places, advice, round, now),
+            Hold::MeanwhileAsking => {
+                if !self.request_tickets(key, &places, advice, round, now) {
+                    return false;
+                }
+            }
+        }
+        for offer in offers {
+            round.take_room(offer.target, step.size * offer.members);
+            for victim in offer.moved {
+                round.movable.take(offer.target, victim.size);
+                self.move_run(offer.target, &victim, key, now);
+            }
+        }
+        let until = now + self.settings.preemption.room_time;
+        self.reservations.insert(key.clone(), Reservation { places, until });
+        true
+    }
+
+    fn has_tickets(
+        &self,
+        key: &StepKey,
+        places: &[(TargetId, u32)],
+        advice: Option<Advice>,
+        now: Duration,
+    ) -> bool {
+        advice.is_none() || places.iter().all(|(id, _)| self.has_ticket(key, *id, now))
+    }
+
+    /// Asks for tickets, unless the step is asking already; tells whether they
+    /// may come.
+    fn request_tickets(
+        &mut self,
+        key: &StepKey,
+        places: &[(TargetId, u32)],
+        advice: Option<Advice>,
+        round: &mut Round,
+        now: Duration,
+    ) -> bool {
+        if self.is_asking(key) {
+            return true;
+        }
+        let targets: Vec<TargetId> = places.iter().map(|(id, _)| *id).collect();
+        advice.is_some_and(|advice| self.request_advice(key, &targets, advice, round, now))
+    }
+
+    fn move_run(&mut self, target: TargetId, victim: &Victim, key: &StepKey, now: Duration) {
+        if let Some(state) = self.step_state_mut(&victim.task.step) {
+            state.tasks[victim.task.index as usize].moves += 1;
+        }
+        self.stop_run(target, &victim.task, victim.run, StopCause::Moved(key.job.clone()), now);
+    }
+
+    /// Starts a gang whose room has been made, or keeps the room for it.
+    pub(crate) fn place_reserved(&mut self, key: &StepKey, round: &mut Round, now: Duration) {
+        let Some(reservation) = self.reservations.get(key).cloned() else {
+            return;
+        };
+        let spec = self.jobs.get(&key.job).map(|job| Arc::clone(&job.spec));
+        let Some(spec) = spec.filter(|_| self.is_kept(key, &reservation, now)) else {
+            self.reservations.remove(key);
+            return;
+        };
+        let step = &spec.steps[usize::from(key.step)];
+        let advice = self.config.policy(&spec.queue, &spec.policy).advice;
+        let has_tickets = self.has_tickets(key, &reservation.places, advice, now);
+        let has_room = reservation
+            .places
+            .iter()
+            .all(|(id, members)| (step.size * *members).fits(&round.free(*id)));
+        let has_right = self.team_allows(&spec.team, step.size, round) >= step.count;
+        if has_tickets && has_room && has_right {
+            self.reservations.remove(key);
+            for (id, members) in reservation.places {
+                round.take_room(id, step.size * members);
+                for _ in 0..members {
+                    self.start_next(key, &spec, id, now);
+                }
+            }
+            return self.unqueue_step(key);
+        }
+        if !has_tickets {
+            self.request_tickets(key, &reservation.places, advice, round, now);
+        }
+        for (id, members) in reservation.places {
+            round.take_room(id, step.size * members);
+        }
+    }
+
+    /// Tells whether the room that was made for a gang is still of use.
+    fn is_kept(&self, key: &StepKey, reservation: &Reservation, now: Duration) -> bool {
+        let is_whole = self
+            .step_state(key)
+            .is_some_and(|state| state.waiting.len() == state.tasks.len() && !state.has_runs());
+        let is_open = |id: TargetId| {
+            let target = &self.targets[id.0 as usize];
+            target.is_open(now, self.settings.silence, self.idle_silence)
+        };
+        is_whole
+            && (now < reservation.until || self.is_asking(key))
+            && reservation.places.iter().all(|(id, _)| is_open(*id) && !self.is_refused(key, *id))
+    }
+
+    fn is_asking(&self, key: &StepKey) -> bool {
+        self.step_state(key).is_some_and(|state| state.asked.is_some())
+    }
+
+    fn is_refused(&self, key: &StepKey, id: TargetId) -> bool {
+        let permission = self.step_state(key).and_then(|state| state.permissions.get(id));
+        permission == Some(&Permission::Refused)
+    }
+
+    fn has_ticket(&self, key: &StepKey, id: TargetId, now: Duration) -> bool {
+        let usable_until = now + self.settings.ticket_margin;
+        let permission = self.step_state(key).and_then(|state| state.permissions.get(id));
+        matches!(permission, Some(Permission::Allowed { until, .. }) if usable_until < *until)
+    }
+
+    pub(crate) fn priority(&self, key: &StepKey) -> u32 {
+        let job = self.jobs.get(&key.job);
+        job.map_or(u32::MAX, |job| self.config.policy(&job.spec.queue, &job.spec.policy).priority)
+    }
+
+    /// Gets the room of a target, with what may be moved for steps of a priority.
+    fn offer(
+        &self,
+        slot: &Slot,
+        near: Option<&Name>,
+        may_move: Option<u32>,
+        round: &mut Round,
+    ) -> Offer {
+        let mut victims: Vec<Victim> = self.targets[slot.target.0 as usize]
+            .runs
+            .iter()
+            .filter(|(task, run)| {
+                may_move
+                    .is_some_and(|priority| self.may_move(task, run, priority, &mut round.movable))
+            })
+            .map(|(task, run)| Victim { task: task.clone(), run: run.number, size: run.size })
+            .collect();
+        victims.sort_by_key(|victim| victim.size.cpu_milli);
+        let rack = &self.targets[slot.target.0 as usize].facts.rack;
+        Offer {
+            target: slot.target,
+            is_far: near.is_some_and(|near| near != rack),
+            free: round.free(slot.target),
+            victims,
+            most: slot.reach,
+            members: 0,
+            moved: Vec::new(),
+        }
+    }
+
+    /// Tells whether a run may be moved for steps of a priority.
+    fn may_move(&self, task: &TaskKey, run: &Run, priority: u32, movable: &mut Movable) -> bool {
+        if run.phase != Phase::Running || run.sharing != Sharing::Any {
+            return false;
+        }
+        if run.progress.is_some_and(|(percent, _)| percent >= self.settings.preemption.most_done) {
+            return false;
+        }
+        let below =
+            *movable.steps.entry(task.step.clone()).or_insert_with(|| self.moved_for(&task.step));
+        below.is_some_and(|below| priority < below)
+            && self.step_state(&task.step).is_some_and(|state| {
+                let task = &state.tasks[task.index as usize];
+                task.moves < self.settings.preemption.moves_per_task
+                    && matches!(task.state, TaskState::Assigned { run: current, .. } if current == run.number)
+            })
+    }
+
+    /// Gets the priority below which others may have a step's runs moved.
+    fn moved_for(&self, key: &StepKey) -> Option<u32> {
+        let job = self.jobs.get(&key.job).filter(|job| !job.state.is_final())?;
+        let step = job.spec.steps.get(usize::from(key.step))?;
+        if !step.checkpoints || step.gang || step.long_running || step.copies {
+            return None;
+        }
+        self.yields_below(key, self.decided_unix_ms)
+    }
+
+    /// Gets what the runs that may be moved for steps of a priority take of each
+    /// target.
+    pub(crate) fn movable_rooms<'a>(
+        &self,
+        priority: u32,
+        movable: &'a mut Movable,
+    ) -> &'a [Resources] {
+        if !movable.rooms.contains_key(&priority) {
+            let rooms = self.targets.iter().map(|target| {
+                let movable_runs = target
+                    .runs
+                    .iter()
+                    .filter(|(task, run)| self.may_move(task, run, priority, movable));
+                movable_runs.fold(Resources::ZERO, |sum, (_, run)| sum + run.size)
+            });
+            let rooms = rooms.collect();
+            movable.rooms.insert(priority, rooms);
+        }
+        &movable.rooms[&priority]
+    }
+}
+
+impl Movable {
+    /// Takes note that a run of a target is being moved.
+    fn take(&mut self, id: TargetId, size: Resources) {
+        for rooms in self.rooms.values_mut() {
+            rooms[id.0 as usize] -= size;
+        }
+    }
+}
+
+fn tasks(slots: &[&Slot], count: impl Fn(&Slot) -> u32) -> u32 {
+    slots.iter().map(|slot| count(slot)).fold(0, u32::saturating_add)
+}
+
+/// Chooses where the members of a gang go: near their data and one another where
+/// that matters, with the fewest cores moved; nothing if there isn't room for
+/// all.
+fn choose(mut offers: Vec<Offer>, size: Resources, members: u32) -> Option<Vec<Offer>> {
+    let mut next = BinaryHeap::new();
+    for (index, offer) in offers.iter().enumerate() {
+        if let Some((cost, chosen)) = offer.next(size) {
+            next.push(Reverse((cost, index, chosen)));
+        }
+    }
+    for _ in 0..members {
+        let Reverse((_, index, chosen)) = next.pop()?;
+        let offer = &mut offers[index];
+        offer.take(size, chosen);
+        if let Some((cost, chosen)) = offer.next(size) {
+            next.push(Reverse((cost, index, chosen)));
+        }
+    }
+    offers.retain(|offer| offer.members > 0);
+    Some(offers)
+}
--- a/crates/plan/src/progress.rs
+++ b/crates/plan/src/progress.rs
@@ -5,6 +5,7 @@
 use place::Outcome;
 
 use crate::{
+    action::StopCause,
     board::Board,
     listing::RunSeen,
     target::{Phase, TargetId},
@@ -43,7 +44,7 @@
         {
             let number = run.number;
             target.health.record(Outcome::Failed, &seen.task.step.job, now);
-            return self.stop_run(id, &seen.task, number, now);
+            return self.stop_run(id, &seen.task, number, StopCause::Stuck, now);
         }
         let (percent, sampled) = *run.sampled.get_or_insert((seen.percent, now));
         let time = now.saturating_sub(sampled);
--- a/crates/plan/src/rank.rs
+++ b/crates/plan/src/rank.rs
@@ -82,6 +82,25 @@
         self.rank(key, unix_ms).is_some_and(|rank| rank.timeliness > Timeliness::InTime)
     }
 
+    /// Tells whether a step is owed and can still meet its objective.
+    pub(crate) fn is_pressing(&self, key: &StepKey, unix_ms: u64) -> bool {
+        self.rank(key, unix_ms).is_some_and(|rank| {
+            rank.timeliness == Timeliness::InTime && rank.entitlement == Entitlement::Owed
+        })
+    }
+
+    /// Gets the priority below which other steps may take the room of a step's
+    /// runs: that of the step if its job is in time all the same, any if it can't
+    /// be or isn't owed.
+    pub(crate) fn yields_below(&self, key: &StepKey, unix_ms: u64) -> Option<u32> {
+        let rank = self.rank(key, unix_ms)?;
+        if rank.timeliness != Timeliness::InTime || rank.entitlement == Entitlement::Beyond {
+            return Some(u32::MAX);
+        }
+        let slack_ms = self.settings.preemption.slack.as_millis() as u64;
+        (unix_ms + slack_ms <= rank.latest_start_ms).then_some(rank.priority)
+    }
+
     fn rank(&self, key: &StepKey, unix_ms: u64) -> Option<Rank> {
         let job = self.jobs.get(&key.job)?;
         let spec = &job.spec;
--- a/crates/plan/src/settings.rs
+++ b/crates/plan/src/settings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use place::Caution;
+use work::Advice;
 
 /// A `Settings` is the times and bounds that decisions keep to.
 #[derive(Clone, Debug)]
@@ -38,6 +39,8 @@
     /// Targets with room that are looked at for a step; a request for advice
     /// names at most a hundred.
     pub slots_per_step: usize,
+    /// Targets without room that a step asks about beside those with room.
+    pub full_targets: usize,
     /// Most steps that one round of decisions looks at.
     pub steps_per_round: usize,
     /// Most time that the short requests for advice under way may take, for each
@@ -49,6 +52,8 @@
     pub long_ask: Duration,
     /// Most targets that one request for advice names.
     pub targets_per_ask: usize,
+    /// Moving runs to make room for gangs.
+    pub preemption: Preemption,
     /// Most keys that a record writes or removes.
     pub entries_per_batch: usize,
     /// Longest time for which progress that ends no job waits to be recorded.
@@ -71,6 +76,31 @@
     pub most_backlog: Duration,
 }
 
+/// A `Preemption` is the bounds of moving runs to make room for gangs.
+#[derive(Clone, Debug)]
+pub struct Preemption {
+    /// Times that a task is moved at most in one term; 0 if none ever is.
+    pub moves_per_task: u32,
+    /// Time that a job must have left beyond its work for its runs to be moved.
+    pub slack: Duration,
+    /// Hundredths of its work from which on a run is left to end.
+    pub most_done: u32,
+    /// Time for which the room of a gang is kept: a stop takes a second at most,
+    /// and tickets may have to be asked for again meanwhile.
+    pub room_time: Duration,
+}
+
+impl Default for Preemption {
+    fn default() -> Self {
+        Self {
+            moves_per_task: 2,
+            slack: Duration::from_secs(4),
+            most_done: 80,
+            room_time: Duration::from_secs(4),
+        }
+    }
+}
+
 /// The defaults fit leases of at most 10 s and links of 20 ms.
 impl Default for Settings {
     fn default() -> Self {
@@ -93,10 +123,12 @@
             tell_period: Duration::from_millis(40),
             runs_per_term: 1000,
             slots_per_step: 400,
+            full_targets: 64,
             steps_per_round: 256,
             advice_backlog: Duration::from_millis(150),
             long_ask: Duration::from_millis(150),
             targets_per_ask: 100,
+            preemption: Preemption::default(),
             entries_per_batch: 29,
             most_progress_wait: Duration::from_millis(300),
             most_closed_runs: 1000,
@@ -113,6 +145,15 @@
         Duration::from_micros(cost_us) > self.long_ask
     }
 
+    /// Gets how many targets one of several requests side by side names, so that
+    /// its targets take no longer than the request itself, and all name about as
+    /// many.
+    pub(crate) fn targets_in_request(&self, advice: Advice, targets: usize) -> usize {
+        let balanced = (advice.request_us / advice.target_us.max(1)) as usize;
+        let most = balanced.clamp(1, self.targets_per_ask);
+        targets.div_ceil(targets.div_ceil(most).max(1)).max(1)
+    }
+
     /// Gets how many long requests for advice may be under way.
     pub(crate) fn long_asks(&self, advisors: u32) -> usize {
         /// One instance in so many makes no long requests.
--- a/crates/plan/src/step.rs
+++ b/crates/plan/src/step.rs
@@ -33,6 +33,8 @@
     /// The runs that failed.
     pub(crate) failed_runs: SmallVec<[u32; 4]>,
     pub(crate) checkpoint: Option<Name>,
+    /// Times that it was moved for others in this term.
+    pub(crate) moves: u32,
 }
 
 /// A `StepState` is how far a step is.
@@ -57,6 +59,7 @@
             run: 0,
             failed_runs: SmallVec::new(),
             checkpoint: None,
+            moves: 0,
         };
         let mut state = Self {
             tasks: vec![task; step.count as usize],
@@ -130,6 +133,14 @@
         runs.collect::<HashSet<_>>().len() as u32
     }
 
+    /// Takes note that a request about these targets is no longer under way.
+    pub(crate) fn answered(&mut self, targets: &[TargetId]) {
+        if let Some(asked) = &mut self.asked {
+            asked.retain(|target| !targets.contains(target));
+        }
+        self.asked = self.asked.take().filter(|asked| !asked.is_empty());
+    }
+
     /// Tells whether any task may have a run.
     pub(crate) fn has_runs(&self) -> bool {
         self.tasks.iter().any(|task| matches!(task.state, TaskState::Assigned { .. }))
--- a/crates/plan/tests/decisions/cell.rs
+++ b/crates/plan/tests/decisions/cell.rs
@@ -131,6 +131,14 @@
         self.set_advice(&name, advice);
     }
 
+    /// Adds a queue in the same pool that is less urgent, and whose jobs have this
+    /// long beyond twice their work.
+    pub fn add_patient_queue(&mut self, queue: &str, objective: Duration) {
+        let policy = Policy { priority: 1, objective_ms: objective.as_millis() as u32, ..policy() };
+        self.config.queues.push(Queue { name: Name::from(queue), policy, ..Queue::default() });
+        self.board.configure(Arc::new(self.config.clone()));
+    }
+
     /// Has the steps of a queue need advice.
     pub fn set_advice(&mut self, queue: &str, advice: Advice) {
         for known in self.config.queues.iter_mut().filter(|known| *known.name == *queue) {
@@ -238,18 +246,25 @@
         let number = self.ends.entry(start.target.clone()).or_default();
         *number += 1;
         let number = *number;
-        self.list_end(start, end, number);
+        self.list_end(start, end, number, None);
+    }
+
+    /// Has a target list that a run was stopped and has saved what it had done.
+    pub fn save(&mut self, start: &Start, checkpoint: &str) {
+        let number = self.ends.entry(start.target.clone()).or_default();
+        *number += 1;
+        let (number, checkpoint) = (*number, Some(Name::from(checkpoint)));
+        self.list_end(start, End::Stopped, number, checkpoint);
     }
 
     /// Has a target list an end that it wasn't told to forget.
     pub fn list_end_again(&mut self, start: &Start, end: End) {
         let number = self.ends[&start.target];
-        self.list_end(start, end, number);
+        self.list_end(start, end, number, None);
     }
 
-    fn list_end(&mut self, start: &Start, end: End, number: u64) {
-        let ended =
-            RunEnd { number, task: start.task.clone(), run: start.run, end, checkpoint: None };
+    fn list_end(&mut self, start: &Start, end: End, number: u64, checkpoint: Option<Name>) {
+        let ended = RunEnd { number, task: start.task.clone(), run: start.run, end, checkpoint };
         let born_unix_ms = self.life(&start.target);
         let listing = Listing { born_unix_ms, running: Vec::new(), ended: vec![ended] };
         // Asked for before the starts were settled, so that it says nothing of
--- a/crates/plan/tests/decisions/main.rs
+++ b/crates/plan/tests/decisions/main.rs
@@ -6,5 +6,6 @@
 mod cell;
 mod gangs;
 mod places;
+mod preempt;
 mod takeover;
 mod targets;
--- a/crates/plan/tests/load.rs
+++ b/crates/plan/tests/load.rs
@@ -2,6 +2,7 @@
 //! days on the decisions.
 
 use googletest::prelude::*;
+use plan::{Preemption, Settings};
 use standin::cell::play::{Admission, Load, Player, Report};
 
 /// One day of each seed.
@@ -75,3 +76,30 @@
     expect_that!(in_time(&many), ge(in_time(&few) * 99 / 100));
     expect_that!(count(many.iter().flatten(), Report::waiting), eq(0));
 }
+
+/// Position of the kind whose tasks start together, and of the one with time left.
+const REVIEW: usize = 1;
+const SCHEDULE: usize = 2;
+
+#[gtest]
+fn tasks_that_save_their_work_make_room_for_gangs_and_lose_nothing() {
+    let in_time = |days: &[Vec<Report>], kind: usize| {
+        count(days.iter().map(|day| &day[kind]), Report::in_time)
+    };
+    let unmoved = Settings {
+        preemption: Preemption { moves_per_task: 0, ..Preemption::default() },
+        ..Settings::default()
+    };
+    let days = |settings: &Settings| {
+        SEEDS.map(|seed| {
+            let (load, settings) = (Load::firm_large(), settings.clone());
+            Player::with_settings(load, Admission::AsTold, settings, seed).play()
+        })
+    };
+    let (before, after) = (days(&unmoved), days(&Settings::default()));
+    expect_that!(in_time(&after, REVIEW), gt(in_time(&before, REVIEW)));
+    // Other runs fail by chance; that may cost one job in a hundred.
+    for kind in [QUOTE, SCHEDULE] {
+        expect_that!(in_time(&after, kind), ge(in_time(&before, kind) * 99 / 100));
+    }
+}
--- a/crates/standin/src/cell/play/mod.rs
+++ b/crates/standin/src/cell/play/mod.rs
@@ -23,7 +23,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use work::{Config, End, JobState, Queue, Service, Spec, StepKey, TaskKey, Team};
 
-pub use load::{Burst, Kind, Load};
+pub use load::{Burst, Crew, Kind, Load, Rush};
 pub use report::{Fate, Report};
 
 /// Time for a request to a target and its answer, across regions.
@@ -32,6 +32,12 @@
 /// Time for a request for advice to reach its instance, and back.
 const ADVICE_TIME: Duration = Duration::from_millis(45);
 
+/// Time until a run that is told to stop has ended, its state saved.
+const STOP_TIME: Duration = Duration::from_millis(400);
+
+/// Time until a run that resumes from a checkpoint goes on with its work.
+const RESTORE_TIME: Duration = Duration::from_millis(100);
+
 /// Time until progress is recorded.
 const RECORD_TIME: Duration = Duration::from_millis(60);
 
@@ -47,6 +53,10 @@
 /// Time after the requests until the day ends, from the users' `finish_s`.
 const FINISH: Duration = Duration::from_secs(14);
 
+/// How long nothing of a job may run before it counts as forgotten, from the
+/// users' rule on lost jobs; meanwhile its next step is asked for.
+const MOST_IDLE: Duration = Duration::from_secs(3);
+
 /// How long a client goes on asking, and how often; from the users' sheets.
 const PATIENCE: Duration = Duration::from_secs(3);
 const MOST_TRIES: u32 = 5;
@@ -70,6 +80,8 @@
     board: Board,
     /// What comes, whatever becomes of it.
     arrivals: StdRng,
+    /// Whose it is, and whether it saves checkpoints.
+    traits: StdRng,
     /// Which runs fail.
     failures: StdRng,
     now: Duration,
@@ -84,17 +96,44 @@
 
 #[derive(Default)]
 struct Target {
-    /// The runs, with when each began and when its work is done.
-    runs: BTreeMap<TaskKey, (u32, Duration, Duration)>,
+    runs: BTreeMap<TaskKey, Run>,
     ends: Vec<RunEnd>,
     last_end: u64,
 }
 
+struct Run {
+    number: u32,
+    began: Duration,
+    /// Work that was done before it began.
+    saved: Duration,
+    work: Duration,
+}
+
+impl Run {
+    fn new(number: u32, work: Duration, checkpoint: Option<&Name>, now: Duration) -> Self {
+        let saved_ms = checkpoint.map_or(0, |saved| saved.parse().expect("the player has made it"));
+        let restore = if saved_ms > 0 { RESTORE_TIME } else { Duration::ZERO };
+        Self { number, began: now + restore, saved: Duration::from_millis(saved_ms), work }
+    }
+
+    /// Gets how much of the work is done.
+    fn done(&self, now: Duration) -> Duration {
+        self.work.min(self.saved + now.saturating_sub(self.began))
+    }
+
+    fn ends_at(&self) -> Duration {
+        self.began + self.work.saturating_sub(self.saved)
+    }
+}
+
 struct Job {
     kind: usize,
+    team: usize,
     shape: load::Shape,
     first_sent: Duration,
     tries: u32,
+    /// When a run of it ended last.
+    ended: Option<Duration>,
     fate: Fate,
 }
 
@@ -112,20 +151,29 @@
 impl Player {
     /// Makes a day of a load; the same `seed` makes the same day.
     pub fn new(load: Load, admission: Admission, seed: u64) -> Self {
+        Self::with_settings(load, admission, Settings::default(), seed)
+    }
+
+    /// Makes a day that is decided with other settings.
+    pub fn with_settings(load: Load, admission: Admission, settings: Settings, seed: u64) -> Self {
         let now = Duration::from_secs(1);
         let names = (0..load.targets).map(|number| Name::from(format!("target-{number}")));
         let names: Vec<Name> = names.collect();
-        let mut board = Board::new(Settings::default(), 1, HashSet::new(), now);
+        let mut board = Board::new(settings, 1, HashSet::new(), now);
         let queue = |kind: &Kind| Queue {
             name: Name::from(kind.name),
             policy: kind.policy.clone(),
             ..Queue::default()
         };
+        let team = |team: &Crew| {
+            let rights = Team { weight: team.weight, most: Resources::MAX };
+            (Name::from(team.name), rights)
+        };
         board.configure(Arc::new(Config {
             version: 1,
             queues: load.kinds.iter().map(queue).collect(),
             services: [(Name::from("pool"), Service::default())].into(),
-            teams: [(Name::from("team"), Team { weight: u32::MAX, most: Resources::MAX })].into(),
+            teams: load.teams.iter().map(team).collect(),
             ..Config::default()
         }));
         let facts = |id: &Name| Facts {
@@ -143,6 +191,7 @@
             admission,
             board,
             arrivals: StdRng::seed_from_u64(seed),
+            traits: StdRng::seed_from_u64(seed),
             failures: StdRng::seed_from_u64(seed),
             now,
             happenings: BTreeMap::new(),
@@ -211,7 +260,19 @@
                 self.board.advised(&step, &asked, Some(allowed), until);
             }
             Happening::Started(start) => self.start(start),
-            Happening::Ended { target, task, run, end } => self.end(&target, &task, run, end),
+            Happening::Ended { target, task, run, end } => {
+                if end == End::Failed
+                    && self.load.kinds[self.jobs[job_number(&task.step.job)].kind].name == "review"
+                {
+                    println!(
+                        "T {:.2} FAIL {} {} run {run}",
+                        self.now.as_secs_f64(),
+                        task.step.job,
+                        task.step.step
+                    );
+                }
+                self.end(&target, &task, run, end)
+            }
             Happening::Listing(target) => {
                 self.list(&target);
                 self.after(LISTING_PERIOD, Happening::Listing(target));
@@ -234,13 +295,25 @@
             burst.kind == kind && (burst.at..burst.at + burst.time).contains(&begun)
         };
         let factor: f64 = self.load.bursts.iter().filter(is_on).map(|burst| burst.factor).product();
+        let shares = self.load.team_shares(begun);
+        let factor = factor * shares.iter().sum::<f64>();
         let rate = self.load.kinds[kind].jobs_per_s * factor;
         let gap = -self.arrivals.random_range(f64::EPSILON..1.0).ln() / rate;
         self.after(Duration::from_secs_f64(gap), Happening::Arrival(kind));
         let Load { targets, capacity, .. } = self.load;
-        let shape = self.load.kinds[kind].shape(targets, capacity, &mut self.arrivals);
+        let saves = self.traits.random_bool(self.load.kinds[kind].saving);
+        let shape = self.load.kinds[kind].shape(targets, capacity, saves, &mut self.arrivals);
+        let team = pick(&shares, &mut self.traits);
         let fate = Fate::Refused;
-        self.jobs.push(Job { kind, shape, first_sent: self.now, tries: 0, fate });
+        self.jobs.push(Job {
+            kind,
+            team,
+            shape,
+            first_sent: self.now,
+            tries: 0,
+            ended: None,
+            fate,
+        });
         self.submit(self.jobs.len() - 1);
     }
 
@@ -263,7 +336,7 @@
         let spec = Spec {
             queue: Name::from(kind.name),
             policy: kind.policy.clone(),
-            team: Name::from("team"),
+            team: Name::from(self.load.teams[job.team].name),
             accepted_unix_ms: unix_ms,
             steps: job.shape.steps.clone(),
             ..Spec::default()
@@ -273,12 +346,40 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Start(start) => self.after(TARGET_TIME / 2, Happening::Started(start)),
-            Action::Stop(Stop { target, task, run }) => {
+            Action::Start(start) => {
+                if start.task.index == 0
+                    && self.load.kinds[self.jobs[job_number(&start.task.step.job)].kind].name
+                        == "review"
+                {
+                    println!(
+                        "T {:.2} start {} {} run {}",
+                        self.now.as_secs_f64(),
+                        start.task.step.job,
+                        start.task.step.step,
+                        start.run
+                    );
+                }
+                self.after(TARGET_TIME / 2, Happening::Started(start))
+            }
+            Action::Stop(Stop { target, task, run, .. }) => {
                 let end = End::Stopped;
-                self.after(TARGET_TIME / 2, Happening::Ended { target, task, run, end });
+                self.after(
+                    TARGET_TIME / 2 + STOP_TIME,
+                    Happening::Ended { target, task, run, end },
+                );
+            }
+            Action::Ask(ask) => {
+                if self.load.kinds[self.jobs[job_number(&ask.step.job)].kind].name == "review" {
+                    println!(
+                        "T {:.2} ask {} {} n {}",
+                        self.now.as_secs_f64(),
+                        ask.step.job,
+                        ask.step.step,
+                        ask.targets.len()
+                    );
+                }
+                self.advise(ask)
             }
-            Action::Ask(ask) => self.advise(ask),
             Action::Look(target) => self.after(TARGET_TIME, Happening::Listing(target)),
         }
     }
@@ -300,17 +401,19 @@
     }
 
     fn start(&mut self, start: Start) {
-        let Start { target, task, run, .. } = start;
+        let Start { target, task, run, checkpoint, .. } = start;
         let job = &self.jobs[job_number(&task.step.job)];
         let work = job.shape.work[usize::from(task.step.step)];
         let is_failing = self.failures.random_bool(self.load.kinds[job.kind].failing);
+        let begun = Run::new(run, work, checkpoint.as_ref(), self.now);
+        let time = begun.ends_at() - self.now;
         let (time, end) = if is_failing {
-            (work.mul_f64(self.failures.random()), End::Failed)
+            (time.mul_f64(self.failures.random()), End::Failed)
         } else {
-            (work, End::Done)
+            (time, End::Done)
         };
         if let Some(target) = self.targets.get_mut(&target) {
-            target.runs.insert(task.clone(), (run, self.now, self.now + work));
+            target.runs.insert(task.clone(), begun);
         }
         self.board.start_answered(&target, &task, run, &StartAnswer::Started, self.now);
         self.after(time, Happening::Ended { target, task, run, end });
@@ -320,13 +423,21 @@
         let Some(account) = self.targets.get_mut(target) else {
             return;
         };
-        if account.runs.get(task).is_none_or(|(known, ..)| *known != run) {
+        if account.runs.get(task).is_none_or(|known| known.number != run) {
             return;
         }
-        account.runs.remove(task);
+        let Some(ended) = account.runs.remove(task) else {
+            return;
+        };
+        let job = &mut self.jobs[job_number(&task.step.job)];
+        job.ended = Some(self.now);
+        let step = &job.shape.steps[usize::from(task.step.step)];
+        let done_ms = ended.done(self.now).as_millis();
+        let checkpoint = (step.checkpoints && end == End::Stopped && done_ms > 0)
+            .then(|| Name::from(done_ms.to_string()));
         account.last_end += 1;
         let number = account.last_end;
-        account.ends.push(RunEnd { number, task: task.clone(), run, end, checkpoint: None });
+        account.ends.push(RunEnd { number, task: task.clone(), run, end, checkpoint });
         self.list(target);
     }
 
@@ -337,15 +448,15 @@
             return;
         };
         account.ends.retain(|end| end.number > recorded);
-        let percent = |began: Duration, done: Duration| {
-            let part = (self.now - began).as_secs_f64() / (done - began).as_secs_f64();
+        let percent = |run: &Run| {
+            let part = run.done(self.now).div_duration_f64(run.work);
             (part * 100.0).min(99.0) as u32
         };
-        let seen = |(task, (run, began, done)): (&TaskKey, &(u32, Duration, Duration))| RunSeen {
+        let seen = |(task, run): (&TaskKey, &Run)| RunSeen {
             task: task.clone(),
-            run: *run,
+            run: run.number,
             checkpoint: None,
-            percent: percent(*began, *done),
+            percent: percent(run),
         };
         let running = account.runs.iter().map(seen).collect();
         let listing = Listing { born_unix_ms: 1, running, ended: account.ends.clone() };
@@ -372,9 +483,32 @@
     }
 
     fn reports(mut self) -> Vec<Report> {
+        for (n, job) in self.jobs.iter().enumerate() {
+            if self.load.kinds[job.kind].name == "review" {
+                let ok = matches!(job.fate, Fate::Done{time, objective} if time <= objective);
+                let w: Vec<(u32, u32, u128, u32)> = job
+                    .shape
+                    .steps
+                    .iter()
+                    .zip(&job.shape.work)
+                    .map(|(s, w)| (s.count, s.size.cpu_milli, w.as_millis(), s.estimate_ms))
+                    .collect();
+                println!(
+                    "REVIEW {n} {} at {:.1} {:?} {:?} ck {}",
+                    if ok { "ok" } else { "BAD" },
+                    job.first_sent.as_secs_f64(),
+                    job.fate,
+                    w,
+                    job.shape.steps[0].checkpoints
+                );
+            }
+        }
+
         for task in self.targets.values().flat_map(|target| target.runs.keys()) {
-            let job = &mut self.jobs[job_number(&task.step.job)];
-            if job.fate == Fate::Waiting {
+            self.jobs[job_number(&task.step.job)].ended = Some(self.now);
+        }
+        for job in self.jobs.iter_mut().filter(|job| job.fate == Fate::Waiting) {
+            if job.ended.is_some_and(|ended| self.now.saturating_sub(ended) < MOST_IDLE) {
                 job.fate = Fate::Running;
             }
         }
@@ -382,10 +516,11 @@
             .load
             .kinds
             .iter()
-            .map(|kind| Report { kind: kind.name.to_owned(), fates: Vec::new() })
+            .map(|kind| Report { kind: kind.name.to_owned(), ..Report::default() })
             .collect();
         for job in self.jobs {
             reports[job.kind].fates.push(job.fate);
+            reports[job.kind].teams.push(self.load.teams[job.team].name);
         }
         reports
     }
@@ -400,6 +535,16 @@
     }
 }
 
+/// Picks one by its share.
+fn pick(shares: &[f64], rng: &mut StdRng) -> usize {
+    let mut left = rng.random::<f64>() * shares.iter().sum::<f64>();
+    let is_picked = |share: &f64| {
+        left -= share;
+        left < 0.0
+    };
+    shares.iter().position(is_picked).unwrap_or(shares.len() - 1)
+}
+
 fn job_id(number: usize) -> Name {
     Name::from(number.to_string())
 }
--- a/crates/standin/src/cell/play/report.rs
+++ b/crates/standin/src/cell/play/report.rs
@@ -7,7 +7,8 @@
 pub enum Fate {
     /// It was refused each time, and never ran.
     Refused,
-    /// Nothing of it ran when the day ended, though it was accepted.
+    /// Nothing of it had run for some seconds when the day ended, though it was
+    /// accepted.
     Waiting,
     /// It ran when the day ended.
     Running,
@@ -29,12 +30,21 @@
     pub kind: String,
     /// The fates of the jobs.
     pub fates: Vec<Fate>,
+    /// The team of each of them.
+    pub teams: Vec<&'static str>,
 }
 
 /// A job that takes more than this many times its objective is of no use.
 const USELESS_AFTER: u32 = 3;
 
 impl Report {
+    /// Gets what the callers of the teams got that pass a test.
+    pub fn of_teams(&self, is_wanted: impl Fn(&str) -> bool) -> Self {
+        let rows = self.fates.iter().copied().zip(self.teams.iter().copied());
+        let (fates, teams) = rows.filter(|(_, team)| is_wanted(team)).unzip();
+        Self { kind: self.kind.clone(), fates, teams }
+    }
+
     /// Counts the jobs that were done in time.
     pub fn in_time(&self) -> usize {
         self.count(|fate| matches!(fate, Fate::Done { time, objective } if time <= objective))
