Rounds look at less, and advice is scarce for long requests only

Now a gang that waits for its answer is passed over, what may be moved is looked for ten times a second, targets are not looked for when nothing may be asked, and short requests count by themselves.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -25,7 +25,7 @@
             pub const ALL: &'static [Event] = &[$(Event::$name,)*];
 
             /// Gets the number of the event.
-            pub fn code(self) -> u16 {
+            pub const fn code(self) -> u16 {
                 match self { $(Event::$name => $code,)* }
             }
 
--- /dev/null
+++ b/crates/gauge/src/lib.rs
@@ -0,0 +1,3 @@
+//! Reports that are worth testing on their own.
+
+pub mod losses;
--- a/crates/gauge/src/main.rs
+++ b/crates/gauge/src/main.rs
@@ -14,9 +14,15 @@
 mod scale;
 mod times;
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{
+    fs::File,
+    io::{BufRead, BufReader},
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
 use bpaf::Bpaf;
+use gauge::losses::{Line, Losses};
 
 use crate::{day::Sheet, figures::Figures};
 
@@ -50,6 +56,16 @@
         #[bpaf(positional("SHEET"))]
         sheet: Sheet,
     },
+    /// Tell from the logs of a cell what callers lost, and by what
+    #[bpaf(command)]
+    Losses {
+        /// Draw the losses of each second to an SVG file
+        #[bpaf(argument("FILE"))]
+        svg: Option<PathBuf>,
+        /// File with the log lines of all instances
+        #[bpaf(positional("LOG"))]
+        log: PathBuf,
+    },
     /// Measure calls and tasks through real daemons
     #[bpaf(command)]
     Path,
@@ -101,6 +117,7 @@
             day::measure(figures, load, settings, seed);
             Ok(())
         }
+        Command::Losses { svg, log } => report_losses(&log, svg.as_deref()),
         Command::Path => path::measure(figures).await,
         Command::Times => times::measure(figures).await,
         Command::Scale { full } => scale::measure(figures, full).await,
@@ -118,3 +135,17 @@
         }
     }
 }
+
+/// Prints what callers lost according to a log.
+fn report_losses(log: &Path, svg: Option<&Path>) -> Result<(), String> {
+    let file = File::open(log).map_err(|error| format!("{}: {error}", log.display()))?;
+    // Lines of other programs need not be text.
+    let lines = BufReader::new(file).split(b'\n').map_while(Result::ok);
+    let lines = lines.filter_map(|line| Line::read(&String::from_utf8_lossy(&line)));
+    let losses = Losses::gather(lines);
+    print!("{}", losses.report());
+    match svg {
+        Some(path) => plot::draw(path, "jobs lost", "second", "jobs", &losses.by_second()),
+        None => Ok(()),
+    }
+}
--- a/crates/node/src/front.rs
+++ b/crates/node/src/front.rs
@@ -140,7 +140,8 @@
             Ok(()) => {
                 let tasks: u32 = spec.steps.iter().map(|step| step.count).sum();
                 emit!(self.ctx.log, info, JobAccepted; "job" => %id, "queue" => %spec.queue,
-                    "team" => %spec.team, "steps" => spec.steps.len(), "tasks" => tasks);
+                    "team" => %spec.team, "steps" => spec.steps.len(), "tasks" => tasks,
+                    "objective_ms" => plan::job_objective_ms(&spec.steps, &spec.policy));
                 self.ctx.states.merge([(id.clone(), JobState::Queued)], clock::now());
             }
             Err(failure) => self.log_failure("submit", id, failure),
--- a/crates/plan/src/admit.rs
+++ b/crates/plan/src/admit.rs
@@ -19,7 +19,7 @@
 use crate::{
     ask::cost_us,
     board::Board,
-    rank::{chains_ms, objective_ms},
+    rank::job_objective_ms,
     share::Entitlement,
     target::{Availability, Target},
 };
@@ -176,7 +176,7 @@
 
     /// Learns the usual objective of a queue's jobs.
     pub(crate) fn learn_objective(&mut self, queue: &Name, steps: &[Step], policy: &Policy) {
-        let newest = objective_ms(&chains_ms(steps), policy);
+        let newest = job_objective_ms(steps, policy);
         let usual = self.usual_objective_ms.entry(queue.clone()).or_insert(newest);
         *usual = (*usual * (1000 - NEWEST_MILLI) + newest * NEWEST_MILLI) / 1000;
     }
--- a/crates/plan/src/ask.rs
+++ b/crates/plan/src/ask.rs
@@ -42,8 +42,12 @@
 /// The same if they don't.
 const SCARCE_CHEAP_PART: u32 = 4;
 
-/// Part of the instances' time from which on advice is scarce.
-const SCARCE_PART: f64 = 0.5;
+/// Part of the instances' time that all requests may take until advice is scarce
+/// for long ones.
+const SCARCE_PART: f64 = 0.85;
+
+/// The same for short ones, which wait for no long ones.
+const SHORT_SCARCE_PART: f64 = 0.5;
 
 impl Board {
     /// Takes in how many instances can ask at the same time.
@@ -157,10 +161,17 @@
         }
         let share = self.allowed_milli.get(&spec.queue).copied().unwrap_or(FIRST_ALLOWED_MILLI);
         let advice = self.config.policy(&spec.queue, &spec.policy).advice.unwrap_or_default();
+        let least_us = cost_us(advice, 1);
+        if !self.may_ask(least_us, round, now) {
+            // Which targets it would ask about need not be found out.
+            round.short_asks_waiting += u32::from(!self.settings.is_long_ask(least_us));
+            return;
+        }
         let mut targets = if step.gang {
             gang_targets(slots, wanted, share.max(1))
         } else {
-            let part = if self.is_advice_scarce(now) { SCARCE_CHEAP_PART } else { CHEAP_PART };
+            let part =
+                if self.is_advice_scarce(advice, now) { SCARCE_CHEAP_PART } else { CHEAP_PART };
             targets(slots, wanted - usable, share.max(1), advice, part)
         };
         if !step.gang {
@@ -180,7 +191,7 @@
         now: Duration,
     ) -> bool {
         let mut asked = Vec::new();
-        let targets_in_request = if self.is_advice_scarce(now) {
+        let targets_in_request = if self.is_advice_scarce(advice, now) {
             self.settings.targets_per_ask
         } else {
             self.settings.targets_in_request(advice, targets.len())
@@ -209,10 +220,16 @@
         has_asked
     }
 
-    /// Tells whether requests for advice take much of the instances' time.
-    pub(crate) fn is_advice_scarce(&self, now: Duration) -> bool {
+    /// Tells whether the requests for advice that those of a step wait for take
+    /// much of the instances' time.
+    pub(crate) fn is_advice_scarce(&self, advice: Advice, now: Duration) -> bool {
         let part = |asks: AskRate| asks.part(self.advisors, now);
-        part(self.short_asks) + part(self.long_asks) > SCARCE_PART
+        let short = part(self.short_asks);
+        if self.settings.is_long_ask(u64::from(advice.request_us)) {
+            short + part(self.long_asks) > SCARCE_PART
+        } else {
+            short > SHORT_SCARCE_PART
+        }
     }
 
     /// Takes note that a request about so many targets is no longer under way.
@@ -231,21 +248,27 @@
     /// Tells whether one more request for advice may be made. Too many would
     /// only wait for one another, while the room that they are for goes unused.
     fn may_ask(&self, cost_us: u64, round: &Round, now: Duration) -> bool {
-        let costs = self.asking.values().flatten().map(|(_, cost_us)| *cost_us);
-        let (long, short): (Vec<u64>, Vec<u64>) =
-            costs.partition(|cost_us| self.settings.is_long_ask(*cost_us));
+        let (mut long, mut short, mut short_us) = (0, 0, 0);
+        for (_, under_way_us) in self.asking.values().flatten() {
+            if self.settings.is_long_ask(*under_way_us) {
+                long += 1;
+            } else {
+                short += 1;
+                short_us += under_way_us;
+            }
+        }
         if self.settings.is_long_ask(cost_us) {
             let most = self.settings.long_asks(self.advisors);
             // Without an instance that makes short requests only, a long one
             // holds up the short ones, so it goes out when there are none, or
             // when long ones have not had the least that is kept for them.
-            let has_short = !short.is_empty() || round.short_asks_waiting > 0;
+            let has_short = short > 0 || round.short_asks_waiting > 0;
             let holds_up = has_short && most >= self.advisors as usize;
             let is_due = self.long_asks.is_below_least(self.advisors, now);
-            return long.len() < most && (!holds_up || is_due);
+            return long < most && (!holds_up || is_due);
         }
         let most_us = self.settings.advice_backlog.as_micros() as u64 * u64::from(self.advisors);
-        short.is_empty() || short.iter().sum::<u64>() + cost_us <= most_us
+        short == 0 || short_us + cost_us <= most_us
     }
 }
 
--- a/crates/plan/src/board.rs
+++ b/crates/plan/src/board.rs
@@ -15,7 +15,7 @@
     action::{Action, Stop, StopCause},
     admit::AskRate,
     job::{Job, Origin},
-    preempt::Reservation,
+    preempt::{Movable, Reservation},
     settings::Settings,
     share::Bucket,
     speed::Usual,
@@ -40,6 +40,8 @@
     pub(crate) ready: BTreeSet<StepKey>,
     /// Room that is being made for gangs.
     pub(crate) reservations: BTreeMap<StepKey, Reservation>,
+    /// Runs that may be moved.
+    pub(crate) movable: Movable,
     /// Requests for advice under way: the number of targets of each, and the
     /// time that it takes, in microseconds.
     pub(crate) asking: HashMap<StepKey, Vec<(usize, u64)>>,
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -9,7 +9,7 @@
 };
 
 use base::{Name, Resources};
-use work::{JobState, Spec, Step, StepKey, TaskKey};
+use work::{Advice, JobState, Spec, Step, StepKey, TaskKey};
 
 use crate::{
     action::{Action, Start, Stop, StopCause},
@@ -145,7 +145,7 @@
             rooms: self.targets.iter().map(Room::of).collect(),
             unknown: HashMap::new(),
             short_asks_waiting: 0,
-            movable: Movable::default(),
+            movable: std::mem::take(&mut self.movable).renewed(self.targets.len(), now),
         };
         if !self.is_settled(now) {
             round.unknown = self.unknown_runs();
@@ -157,6 +157,7 @@
         for key in self.ordered_steps(unix_ms) {
             self.place_step(&key, &mut round, now);
         }
+        self.movable = round.movable;
     }
 
     /// Has inherited jobs that had ended be kept no longer, once it is known that
@@ -282,6 +283,11 @@
             // Its tasks were adopted.
             return self.unqueue_step(key);
         }
+        let usable_until = now + self.settings.ticket_margin;
+        if step.gang && state.asked.is_some() && !state.permissions.has_ticket(usable_until) {
+            // It can only wait for its tickets.
+            return;
+        }
         if step.gang && state.has_runs() {
             // What is left of an earlier gang has to end first.
             return self.stop_members(key, now);
@@ -293,7 +299,7 @@
         }
         let policy = self.config.policy(&spec.queue, &spec.policy);
         let (service, advice) = (policy.service.clone(), policy.advice);
-        let mut slots = self.slots(key, step, &service, round);
+        let mut slots = self.slots(key, step, &service, advice, round);
         if self.reserve_room(key, step, &slots, advice, round, now) {
             return;
         }
@@ -354,7 +360,14 @@
     /// known that they are not allowed to run it. In a large cell the first
     /// ones with room are enough, so that a decision costs the same however many
     /// targets there are; what runs then keeps to the same targets.
-    fn slots(&self, key: &StepKey, step: &Step, service: &Name, round: &mut Round) -> Vec<Slot> {
+    fn slots(
+        &self,
+        key: &StepKey,
+        step: &Step,
+        service: &Name,
+        advice: Option<Advice>,
+        round: &mut Round,
+    ) -> Vec<Slot> {
         let has_place = step.label.is_some() || step.data_rack.is_some() || step.same_rack;
         let most = if has_place { usize::MAX } else { self.settings.slots_per_step };
         let Some(state) = self.step_state(key) else {
@@ -369,7 +382,7 @@
         let open = round.open.get(service).map_or(&[][..], Vec::as_slice);
         let mut slots = Vec::with_capacity(open.len());
         let mut with_room = 0;
-        let full = self.full_targets(key, step, state, open.len());
+        let full = self.full_targets(key, step, state, advice, open.len());
         for (position, &id) in open.iter().enumerate() {
             let room = &round.rooms[id.0 as usize];
             // Gangs also ask about targets without room.
@@ -400,11 +413,13 @@
         key: &StepKey,
         step: &Step,
         state: &StepState,
+        advice: Option<Advice>,
         open: usize,
     ) -> Range<usize> {
         let usable_until = self.decided_at + self.settings.ticket_margin;
         let has_tickets = state.asked.is_some() || state.permissions.has_ticket(usable_until);
-        if step.gang || has_tickets || self.is_advice_scarce(self.decided_at) {
+        let is_scarce = advice.is_none_or(|advice| self.is_advice_scarce(advice, self.decided_at));
+        if step.gang || has_tickets || is_scarce {
             return 0..0;
         }
         let mut hasher = DefaultHasher::new();
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -37,5 +37,6 @@
 pub use batch::{Batch, Need, Record};
 pub use board::Board;
 pub use listing::{Listing, Refusal, RunEnd, RunSeen, StartAnswer};
+pub use rank::job_objective_ms;
 pub use settings::{Preemption, Settings};
 pub use target::{Availability, Facts, TargetId};
--- a/crates/plan/src/preempt.rs
+++ b/crates/plan/src/preempt.rs
@@ -41,9 +41,12 @@
     until: Duration,
 }
 
-/// A `Movable` is what may be moved for steps of one priority, in one round.
+/// A `Movable` is what may be moved, as it was found by one of the last rounds:
+/// each run is looked at again before it is moved.
 #[derive(Debug, Default)]
 pub(crate) struct Movable {
+    found_at: Duration,
+    targets: usize,
     /// For each step, the priority below which others may have its runs moved.
     steps: HashMap<StepKey, Option<u32>>,
     /// What the runs that may be moved take of each target, by the priority that
@@ -171,7 +174,7 @@
             (with_ticket, Hold::WithTickets)
         } else if may_move.is_some()
             && reach >= step.count * AMPLE_FACTOR
-            && !self.is_advice_scarce(now)
+            && advice.is_some_and(|advice| !self.is_advice_scarce(advice, now))
         {
             (allowed, Hold::Nothing)
         } else if reach >= step.count {
@@ -405,6 +408,14 @@
 }
 
 impl Movable {
+    /// Gets what was found, unless it is old.
+    pub(crate) fn renewed(self, targets: usize, now: Duration) -> Self {
+        /// Time in which runs make much progress.
+        const MOST_AGE: Duration = Duration::from_millis(100);
+        let is_old = now.saturating_sub(self.found_at) > MOST_AGE || self.targets != targets;
+        if is_old { Self { found_at: now, targets, ..Self::default() } } else { self }
+    }
+
     /// Takes note that a run of a target is being moved.
     fn take(&mut self, id: TargetId, size: Resources) {
         for rooms in self.rooms.values_mut() {
--- a/crates/plan/src/rank.rs
+++ b/crates/plan/src/rank.rs
@@ -128,6 +128,12 @@
     }
 }
 
+/// Gets the time within which a job of these steps is to be done, in
+/// milliseconds.
+pub fn job_objective_ms(steps: &[Step], policy: &Policy) -> u64 {
+    objective_ms(&chains_ms(steps), policy)
+}
+
 /// Gets the time within which a job with these chains of work is to be done.
 pub(crate) fn objective_ms(chains_ms: &[u64], policy: &Policy) -> u64 {
     let longest = chains_ms.iter().max().copied().unwrap_or(0);
--- a/crates/plan/tests/decisions/preempt.rs
+++ b/crates/plan/tests/decisions/preempt.rs
@@ -159,6 +159,8 @@
     let (mut cell, mut running) = full_cell(1, PATIENCE, saving(8));
     let most = plan::Settings::default().preemption.moves_per_task;
     for round in 0..most {
+        // What may be moved is looked for ten times a second.
+        cell.advance(Duration::from_millis(150));
         let moved = moved_for(&mut cell, &format!("gang-{round}"), gang(8));
         expect_that!(moved.len(), eq(8));
         for stop in &moved {
@@ -173,6 +175,7 @@
         cell.answer_all(&running, &StartAnswer::Started);
         expect_that!(running.len(), eq(8));
     }
+    cell.advance(Duration::from_millis(150));
     expect_that!(moved_for(&mut cell, "last", gang(8)), is_empty());
 }
 
