Room that is kept is given up when its target leaves the pool

Found on reading: while room is made for a gang, its targets were not looked at again for the pool of its queue, as each round does for all others (ROUTE). Test: room_on_a_target_that_leaves_the_pool_is_given_up, seen failing without it. A checkpoint is recorded for the current run of a task only.

--- a/crates/plan/src/ends.rs
+++ b/crates/plan/src/ends.rs
@@ -62,7 +62,6 @@
         }
         if let Some(checkpoint) = &checkpoint {
             self.save_checkpoint(key, checkpoint);
-            self.note_unrecorded(&key.step.job, now);
         }
         let Some(job) = self.jobs.get(&key.step.job) else {
             return;
@@ -97,6 +96,10 @@
         if !is_current {
             return;
         }
+        if checkpoint.is_some() {
+            // The target forgets it with the end.
+            self.note_unrecorded(&key.step.job, now);
+        }
         if step.gang { self.leave_gang(&key.step, key.index, now) } else { self.release(key) }
     }
 
--- a/crates/plan/src/preempt.rs
+++ b/crates/plan/src/preempt.rs
@@ -21,7 +21,7 @@
 };
 
 use base::{Name, Resources};
-use work::{Advice, Step, StepKey, TaskKey};
+use work::{Advice, Spec, Step, StepKey, TaskKey};
 
 use crate::{
     action::StopCause,
@@ -88,7 +88,7 @@
 impl Offer {
     /// Gets the runs to be moved for one more member, by position, with what that
     /// costs.
-    fn next(&self, size: Resources) -> Option<(Cost, Vec<usize>)> {
+    fn next_member(&self, size: Resources) -> Option<(Cost, Vec<usize>)> {
         if self.most == 0 {
             return None;
         }
@@ -107,7 +107,7 @@
     }
 
     /// Takes one more member.
-    fn take(&mut self, size: Resources, mut chosen: Vec<usize>) {
+    fn take_member(&mut self, size: Resources, mut chosen: Vec<usize>) {
         chosen.sort_unstable_by_key(|index| Reverse(*index));
         for index in chosen {
             let victim = self.victims.remove(index);
@@ -263,7 +263,7 @@
             return;
         };
         let spec = self.jobs.get(&key.job).map(|job| Arc::clone(&job.spec));
-        let Some(spec) = spec.filter(|_| self.is_kept(key, &reservation, now)) else {
+        let Some(spec) = spec.filter(|spec| self.is_kept(key, spec, &reservation, now)) else {
             self.reservations.remove(key);
             return;
         };
@@ -294,13 +294,21 @@
     }
 
     /// Tells whether the room that was made for a gang is still of use.
-    fn is_kept(&self, key: &StepKey, reservation: &Reservation, now: Duration) -> bool {
+    fn is_kept(
+        &self,
+        key: &StepKey,
+        spec: &Spec,
+        reservation: &Reservation,
+        now: Duration,
+    ) -> bool {
         let is_whole = self
             .step_state(key)
             .is_some_and(|state| state.waiting.len() == state.tasks.len() && !state.has_runs());
+        let service = &self.config.policy(&spec.queue, &spec.policy).service;
         let is_open = |id: TargetId| {
             let target = &self.targets[id.0 as usize];
-            target.is_open(now, self.settings.silence, self.idle_silence)
+            target.facts.service == *service
+                && target.is_open(now, self.settings.silence, self.idle_silence)
         };
         is_whole
             && (now < reservation.until || self.is_asking(key))
@@ -434,15 +442,15 @@
 fn choose(mut offers: Vec<Offer>, size: Resources, members: u32) -> Option<Vec<Offer>> {
     let mut next = BinaryHeap::new();
     for (index, offer) in offers.iter().enumerate() {
-        if let Some((cost, chosen)) = offer.next(size) {
+        if let Some((cost, chosen)) = offer.next_member(size) {
             next.push(Reverse((cost, index, chosen)));
         }
     }
     for _ in 0..members {
         let Reverse((_, index, chosen)) = next.pop()?;
         let offer = &mut offers[index];
-        offer.take(size, chosen);
-        if let Some((cost, chosen)) = offer.next(size) {
+        offer.take_member(size, chosen);
+        if let Some((cost, chosen)) = offer.next_member(size) {
             next.push(Reverse((cost, index, chosen)));
         }
     }
--- a/crates/plan/tests/decisions/preempt.rs
+++ b/crates/plan/tests/decisions/preempt.rs
@@ -196,6 +196,17 @@
     expect_that!(cell.decide_starts().len(), eq(4));
 }
 
+#[gtest]
+fn room_on_a_target_that_leaves_the_pool_is_given_up() {
+    let (mut cell, running) = full_cell(1, PATIENCE, saving(8));
+    let moved = moved_for(&mut cell, "gang", gang(4));
+    cell.list_targets_with(|facts| facts.service = Name::from("another pool"));
+    for stop in &moved {
+        cell.save(start_of(&running, stop), "half");
+    }
+    expect_that!(cell.decide_starts(), is_empty());
+}
+
 #[gtest]
 fn what_a_moved_run_has_saved_outlasts_its_placer() {
     let (mut cell, running) = full_cell(1, PATIENCE, saving(8));
