--- a/crates/plan/src/ask.rs
+++ b/crates/plan/src/ask.rs
@@ -16,7 +16,7 @@
     action::{Action, Ask, AskLength},
     admit::AskRate,
     board::Board,
-    decide::{Round, Slot},
+    decide::{Round, Slot, sum_tasks},
     permission::Permission,
     target::TargetId,
 };
@@ -142,7 +142,7 @@
         };
         let usable_until = now + self.settings.ticket_margin;
         let with_ticket = slots.iter().filter(|slot| slot.has_ticket(usable_until));
-        let usable = free_tasks(with_ticket);
+        let usable = sum_tasks(with_ticket, |slot| slot.tasks);
         if usable >= wanted {
             return;
         }
@@ -152,7 +152,7 @@
             // when it is empty is kept only as long as further targets may help.
             let allowed = || slots.iter().filter(|slot| slot.is_allowed());
             let has_further = slots.iter().any(|slot| !slot.is_allowed());
-            if has_further || whole_tasks(allowed()) >= wanted {
+            if has_further || sum_tasks(allowed(), |slot| slot.whole) >= wanted {
                 round.keep_tasks(allowed(), step, wanted);
             }
         }
@@ -167,16 +167,15 @@
             round.short_asks_waiting += u32::from(!self.settings.is_long_ask(least_us));
             return;
         }
-        let mut targets = if step.gang {
+        let targets = if step.gang {
             gang_targets(slots, wanted, share.max(1))
         } else {
             let part =
                 if self.is_advice_scarce(advice, now) { SCARCE_CHEAP_PART } else { CHEAP_PART };
-            targets(slots, wanted - usable, share.max(1), advice, part)
-        };
-        if !step.gang {
+            let mut targets = targets(slots, wanted - usable, share.max(1), advice, part);
             targets.truncate(self.settings.targets_per_ask);
-        }
+            targets
+        };
         self.request_advice(key, &targets, advice, round, now);
     }
 
@@ -308,7 +307,7 @@
 fn gang_targets(slots: &[Slot], wanted: u32, share_milli: u32) -> Vec<TargetId> {
     let (mut known, mut unknown): (Vec<&Slot>, Vec<&Slot>) =
         slots.iter().partition(|slot| slot.is_allowed());
-    let known_free = free_tasks(known.iter().copied());
+    let known_free = sum_tasks(known.iter().copied(), |slot| slot.tasks);
     if known_free >= wanted {
         known.sort_by_cached_key(|slot| Reverse((slot.tasks, slot.free_ppm())));
         let mut left = wanted;
@@ -319,12 +318,14 @@
         });
         return enough.map(|slot| slot.target).collect();
     }
-    let known_whole = whole_tasks(known.iter().copied());
-    let known_reach = reach_tasks(known.iter().copied());
+    let known_whole = sum_tasks(known.iter().copied(), |slot| slot.whole);
+    let known_reach = sum_tasks(known.iter().copied(), |slot| slot.reach);
     if known_whole >= wanted * WHOLE_FACTOR {
         // The room that they need will be there some time; further targets only
         // help if they have it now.
-        let likely = reach_tasks(unknown.iter().copied()).saturating_mul(share_milli) / 1000;
+        let likely = sum_tasks(unknown.iter().copied(), |slot| slot.reach)
+            .saturating_mul(share_milli)
+            / 1000;
         if known_reach.saturating_add(likely) < wanted * SURPLUS_MILLI / 1000 {
             return Vec::new();
         }
@@ -347,18 +348,6 @@
     if has_new { chosen } else { Vec::new() }
 }
 
-fn free_tasks<'a>(slots: impl Iterator<Item = &'a Slot>) -> u32 {
-    slots.map(|slot| slot.tasks).fold(0, u32::saturating_add)
-}
-
-fn reach_tasks<'a>(slots: impl Iterator<Item = &'a Slot>) -> u32 {
-    slots.map(|slot| slot.reach).fold(0, u32::saturating_add)
-}
-
-fn whole_tasks<'a>(slots: impl Iterator<Item = &'a Slot>) -> u32 {
-    slots.map(|slot| slot.whole).fold(0, u32::saturating_add)
-}
-
 /// Gets the time of a request about so many targets, in microseconds.
 pub(crate) fn cost_us(advice: Advice, targets: usize) -> u64 {
     u64::from(advice.request_us) + u64::from(advice.target_us) * targets as u64
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -283,15 +283,15 @@
             // Its tasks were adopted.
             return self.unqueue_step(key);
         }
+        if step.gang && state.has_runs() {
+            // What is left of an earlier gang has to end first.
+            return self.stop_members(key, now);
+        }
         let usable_until = now + self.settings.ticket_margin;
         if step.gang && state.asked.is_some() && !state.permissions.has_ticket(usable_until) {
             // It can only wait for its tickets.
             return;
         }
-        if step.gang && state.has_runs() {
-            // What is left of an earlier gang has to end first.
-            return self.stop_members(key, now);
-        }
         let allowed = self.team_allows(&spec.team, step.size, round).min(waiting);
         let wanted = if step.gang { step.count } else { allowed };
         if wanted == 0 || allowed < wanted {
@@ -305,7 +305,6 @@
         }
         if advice.is_some() {
             self.ask_for_step(key, &spec, &slots, wanted, round, now);
-            let usable_until = now + self.settings.ticket_margin;
             slots.retain(|slot| slot.has_ticket(usable_until));
         }
         let chosen = choose(step, slots, wanted, self);
@@ -538,6 +537,14 @@
     each.take(wanted as usize).collect()
 }
 
+/// Counts the tasks that targets take, by one of their counts.
+pub(crate) fn sum_tasks<'a>(
+    slots: impl IntoIterator<Item = &'a Slot>,
+    count: impl Fn(&Slot) -> u32,
+) -> u32 {
+    slots.into_iter().map(count).fold(0, u32::saturating_add)
+}
+
 /// Gets the rack whose targets take the most tasks.
 pub(crate) fn widest_rack<'a>(
     slots: impl IntoIterator<Item = &'a Slot>,
--- a/crates/plan/src/permission.rs
+++ b/crates/plan/src/permission.rs
@@ -24,6 +24,13 @@
     },
 }
 
+impl Permission {
+    /// Tells whether it is a ticket that lasts longer than up to a time.
+    pub(crate) fn has_ticket(&self, up_to: Duration) -> bool {
+        matches!(self, Self::Allowed { until, .. } if up_to < *until)
+    }
+}
+
 /// A `Permissions` is what is known of the targets' rights to run a step.
 #[derive(Debug, Default)]
 pub(crate) struct Permissions {
@@ -56,8 +63,7 @@
 
     /// Tells whether there is a ticket that lasts longer than up to a time.
     pub(crate) fn has_ticket(&self, up_to: Duration) -> bool {
-        let is_usable = |permission: &Permission| matches!(permission, Permission::Allowed { until, .. } if up_to < *until);
-        self.rows.iter().any(|(_, permission)| is_usable(permission))
+        self.rows.iter().any(|(_, permission)| permission.has_ticket(up_to))
     }
 
     pub(crate) fn walk(&self) -> Walk<'_> {
--- a/crates/plan/src/preempt.rs
+++ b/crates/plan/src/preempt.rs
@@ -26,7 +26,7 @@
 use crate::{
     action::StopCause,
     board::Board,
-    decide::{Round, Slot, widest_rack},
+    decide::{Round, Slot, sum_tasks, widest_rack},
     permission::Permission,
     step::TaskState,
     target::{Phase, Run, Sharing, TargetId},
@@ -163,21 +163,21 @@
         let usable_until = now + self.settings.ticket_margin;
         let has_ticket = |slot: &&Slot| advice.is_none() || slot.has_ticket(usable_until);
         let with_ticket: Vec<&Slot> = slots.iter().filter(has_ticket).collect();
-        if tasks(&with_ticket, |slot| slot.tasks) >= step.count {
+        if sum_tasks(with_ticket.iter().copied(), |slot| slot.tasks) >= step.count {
             // It can start now.
             return false;
         }
         let allowed: Vec<&Slot> = slots.iter().filter(|slot| slot.is_allowed()).collect();
         let may_move = self.may_make_room(key, step).then(|| self.priority(key));
-        let reach = tasks(&allowed, |slot| slot.reach);
-        let (usable, hold) = if tasks(&with_ticket, |slot| slot.reach) >= step.count {
+        let reach = |slots: &[&Slot]| sum_tasks(slots.iter().copied(), |slot| slot.reach);
+        let (usable, hold) = if reach(&with_ticket) >= step.count {
             (with_ticket, Hold::WithTickets)
         } else if may_move.is_some()
-            && reach >= step.count * AMPLE_FACTOR
+            && reach(&allowed) >= step.count * AMPLE_FACTOR
             && advice.is_some_and(|advice| !self.is_advice_scarce(advice, now))
         {
             (allowed, Hold::Nothing)
-        } else if reach >= step.count {
+        } else if reach(&allowed) >= step.count {
             (allowed, Hold::MeanwhileAsking)
         } else {
             return false;
@@ -327,7 +327,7 @@
     fn has_ticket(&self, key: &StepKey, id: TargetId, now: Duration) -> bool {
         let usable_until = now + self.settings.ticket_margin;
         let permission = self.step_state(key).and_then(|state| state.permissions.get(id));
-        matches!(permission, Some(Permission::Allowed { until, .. }) if usable_until < *until)
+        permission.is_some_and(|permission| permission.has_ticket(usable_until))
     }
 
     pub(crate) fn priority(&self, key: &StepKey) -> u32 {
@@ -432,10 +432,6 @@
     }
 }
 
-fn tasks(slots: &[&Slot], count: impl Fn(&Slot) -> u32) -> u32 {
-    slots.iter().map(|slot| count(slot)).fold(0, u32::saturating_add)
-}
-
 /// Chooses where the members of a gang go: near their data and one another where
 /// that matters, with the fewest cores moved; nothing if there isn't room for
 /// all.
