--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -17,6 +17,7 @@
 
 pub mod admission;
 pub mod allowance;
+pub mod completion;
 pub mod configuration;
 pub mod ownership;
 
--- a/crates/model/tests/models.rs
+++ b/crates/model/tests/models.rs
@@ -6,6 +6,7 @@
     admission::{self, Admission},
     allowance::{self, Allowance},
     check,
+    completion::{self, Completion},
     configuration::{self, Configuration},
     ownership::{self, Ownership},
 };
@@ -36,6 +37,24 @@
     }
 }
 
+#[gtest]
+fn job_told_as_complete_never_runs_again_and_others_are_done() {
+    expect_holds(&Completion { guards: completion::Guards::ALL });
+}
+
+#[gtest]
+fn ends_held_by_the_target_and_all_nodes_do_not_replace_the_record() {
+    // Telling callers during an outage of the service, while the target and all
+    // nodes hold the end, needs a rule for a later leader that finds neither:
+    // starting the task again runs a told job twice, and not starting it
+    // abandons one whose target died before the end. The two look the same.
+    use completion::Guards;
+    let guards = Guards { records_before_telling: false, ..Guards::ALL };
+    expect_violation("records_before_telling", &Completion { guards });
+    let guards = Guards { restarts_unlisted: false, ..guards };
+    expect_violation("restarts_unlisted", &Completion { guards });
+}
+
 #[gtest]
 fn task_runs_on_one_worker_at_a_time_and_at_most_once_unless_idempotent() {
     for is_idempotent in [true, false] {
