Fault tests of a node are parted by what they answer

node/tests/faults.rs (616 lines) and slow_store.rs become one test program, cell, with a file each for jobs, leadership, the store, a slow store and targets; the 33 tests are the same, word for word. The simulation's targets and runs get a file of their own.

--- /dev/null
+++ b/crates/node/tests/cell/main.rs
@@ -0,0 +1,9 @@
+//! Guarantees of a cell when parts of it fail. Each test covers a fault that was
+//! observed, or that the platform's operators describe.
+
+mod common;
+mod jobs;
+mod leadership;
+mod slow_store;
+mod store;
+mod targets;
--- a/crates/node/tests/slow_store.rs
+++ b/crates/node/tests/cell/slow_store.rs
@@ -1,15 +1,13 @@
 //! A key-value service that answers slowly to all instances.
 
-#[allow(dead_code)]
-mod common;
-
 use std::time::{Duration, Instant};
 
-use common::{Cell, step};
 use googletest::prelude::*;
 use standin::cell::store::Fault;
 use work::JobState;
 
+use crate::common::{Cell, step};
+
 /// Latency of the service; some 80 times the usual one.
 const SLOW: Duration = Duration::from_millis(390);
 
--- a/crates/standin/src/cell/simulation/mod.rs
+++ b/crates/standin/src/cell/simulation/mod.rs
@@ -8,6 +8,7 @@
 //! [`Report`]s.
 
 mod report;
+mod target;
 mod workload;
 
 use std::{
@@ -25,8 +26,11 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use work::{Config, End, JobState, Queue, Service, Spec, StepKey, TaskKey, Team};
 
-pub use report::{Outcome, Report};
-pub use workload::{Burst, RequestKind, TeamBurst, TeamLoad, Workload};
+use self::target::{Run, Target};
+pub use self::{
+    report::{Outcome, Report},
+    workload::{Burst, RequestKind, TeamBurst, TeamLoad, Workload},
+};
 
 /// Round-trip time of a request to a target, across regions.
 const TARGET_LATENCY: Duration = Duration::from_millis(45);
@@ -39,9 +43,6 @@
 /// its checkpoint and ended.
 const STOP_LATENCY: Duration = Duration::from_millis(400);
 
-/// Time that a run spends on restoring a checkpoint before it continues.
-const RESTORE_LATENCY: Duration = Duration::from_millis(100);
-
 /// Time until a batch of progress records has been written.
 const RECORD_LATENCY: Duration = Duration::from_millis(60);
 
@@ -106,50 +107,6 @@
     refusals: HashMap<Name, Duration>,
 }
 
-struct Target {
-    /// Time that the target takes for the work of a second, in seconds.
-    time_factor: f64,
-    runs: BTreeMap<TaskKey, Run>,
-    ends: Vec<RunEnd>,
-    last_end: u64,
-}
-
-struct Run {
-    number: u32,
-    started_at: Duration,
-    /// Work that earlier runs had done, as saved in the checkpoint.
-    saved: Duration,
-    work: Duration,
-    /// Time that the target takes for the work of a second, in seconds.
-    time_factor: f64,
-}
-
-impl Run {
-    fn new(
-        number: u32,
-        work: Duration,
-        time_factor: f64,
-        checkpoint: Option<&Name>,
-        now: Duration,
-    ) -> Self {
-        let saved_ms = checkpoint
-            .map_or(0, |saved| saved.parse().expect("checkpoints of the simulation are numbers"));
-        let restore = if saved_ms > 0 { RESTORE_LATENCY } else { Duration::ZERO };
-        let saved = Duration::from_millis(saved_ms);
-        Self { number, started_at: now + restore, saved, work, time_factor }
-    }
-
-    /// Returns the work done by `now`, earlier runs included.
-    fn done(&self, now: Duration) -> Duration {
-        let elapsed = now.saturating_sub(self.started_at);
-        self.work.min(self.saved + elapsed.div_f64(self.time_factor))
-    }
-
-    fn ends_at(&self) -> Duration {
-        self.started_at + self.work.saturating_sub(self.saved).mul_f64(self.time_factor)
-    }
-}
-
 struct Job {
     kind: usize,
     team: usize,
@@ -214,12 +171,7 @@
         planner.set_targets(names.iter().map(info).collect());
         planner.set_instances(workload.instances, now);
         let factors = workload.time_factors.iter().copied().cycle();
-        let targets = factors.map(|time_factor| Target {
-            time_factor,
-            runs: BTreeMap::new(),
-            ends: Vec::new(),
-            last_end: 0,
-        });
+        let targets = factors.map(Target::new);
         let mut simulation = Self {
             advice_free_at: vec![now; workload.instances],
             targets: names.iter().cloned().zip(targets).collect(),
