--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -65,15 +65,15 @@
     /// Inject a fault into the stand-ins
     #[bpaf(command, hide)]
     Fault {
+        /// Delay for faults that slow a stand-in down, in milliseconds
+        #[bpaf(argument("MS"), fallback(0))]
+        delay_ms: u32,
         /// Place of the fault: "store", "fleet" or the name of a target
         #[bpaf(positional("AT"))]
         at: String,
         /// Name of the fault
         #[bpaf(positional("FAULT"))]
         fault: String,
-        /// Delay for faults that slow a stand-in down, in milliseconds
-        #[bpaf(argument("MS"), fallback(0))]
-        delay_ms: u32,
     },
     /// Show the counters of the stand-ins
     #[bpaf(command, hide)]
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -56,3 +56,14 @@
         expect_that!(cli::options().run_inner(arguments).is_err(), eq(true));
     }
 }
+
+#[gtest]
+fn option_rules_hold_for_all_commands_with_help() {
+    // The help of `fault` panicked, as an option stood behind positional ones.
+    cli::options().check_invariants(true);
+    for command in [vec!["--help"], vec!["fault", "--help"], vec!["job", "submit", "--help"]] {
+        let help = cli::options().run_inner(&command[..]);
+        let is_help = help.err().is_some_and(|failure| failure.exit_code() == 0);
+        expect_that!(is_help, eq(true), "{command:?}");
+    }
+}
