--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -536,7 +536,12 @@
             target_state.health.start_probe(now);
         }
         let is_far = step.data_rack.as_ref().is_some_and(|rack| *rack != target_state.info.rack);
-        let is_comparable = !step.gang && !is_far && checkpoint.is_none() && step.estimate_ms > 0;
+        // Other runs take longer or shorter for reasons beside the target.
+        let is_comparable = !step.gang
+            && !step.same_rack
+            && !is_far
+            && checkpoint.is_none()
+            && step.estimate_ms > 0;
         let entry = Run {
             started_at: is_comparable.then_some(now),
             ..Run::new(run, step, Phase::Starting)
