A step's preferred speed reads its times without ranking it again

speed_preference ranked the step once more, with a copy of its key, and built the estimates of its chains a second time, for each step placed in each round. Both now read the same Times.

--- a/crates/model/src/completion.rs
+++ b/crates/model/src/completion.rs
@@ -10,11 +10,16 @@
 /// Number of nodes, each of which may lead.
 const NODE_COUNT: usize = 2;
 
-/// Number of starts, kills of each kind and outages up to which states are
-/// searched.
+/// Maximum number of starts of the task.
 const MAX_STARTS: u8 = 2;
+
+/// Maximum number of kills of nodes.
 const MAX_KILLS: u8 = 2;
+
+/// Maximum number of crashes of the target.
 const MAX_CRASHES: u8 = 1;
+
+/// Maximum number of outages of the service.
 const MAX_OUTAGES: u8 = 1;
 
 /// Guards of the protocol that are enabled.
--- a/crates/plan/src/rank.rs
+++ b/crates/plan/src/rank.rs
@@ -65,6 +65,19 @@
     }
 }
 
+/// Times of a step, from the estimates and the objective of its job; points in
+/// time are in milliseconds since 1970.
+#[derive(Clone, Copy, Debug)]
+struct Times {
+    /// Estimated time of the longest chain that begins with the step, in
+    /// milliseconds.
+    remaining_ms: u64,
+    /// Last start with which the job meets its objective.
+    latest_start_ms: u64,
+    /// Last start with which the result of the job is of use.
+    last_useful_start_ms: u64,
+}
+
 /// Sort key of a step; the smallest is placed first.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
@@ -138,11 +151,10 @@
     /// Returns which targets a step goes to first, by the time that its job has
     /// left beyond its remaining work.
     pub(crate) fn speed_preference(&self, key: &StepKey, unix_ms: u64) -> SpeedPreference {
-        let Some((job, rank)) = self.jobs.get(&key.job).zip(self.rank(key, unix_ms)) else {
+        let Some(Times { remaining_ms, latest_start_ms, .. }) = self.times(key) else {
             return SpeedPreference::Any;
         };
-        let remaining_ms = chain_estimates_ms(&job.spec.steps)[usize::from(key.step)];
-        let slack_ms = rank.latest_start_ms.saturating_sub(unix_ms);
+        let slack_ms = latest_start_ms.saturating_sub(unix_ms);
         if slack_ms < remaining_ms * TIGHT_SLACK_PERCENT / 100 {
             SpeedPreference::Fast
         } else if slack_ms > remaining_ms * AMPLE_SLACK_PERCENT / 100 {
@@ -154,18 +166,10 @@
 
     fn rank(&self, key: &StepKey, unix_ms: u64) -> Option<Rank> {
         let job = self.jobs.get(&key.job)?;
-        let spec = &job.spec;
-        let policy = self.config.policy(&spec.queue, &spec.policy);
-        let since_ms = spec.accepted_unix_ms.max(spec.due_unix_ms(key.occurrence));
-        let chain_estimates_ms = chain_estimates_ms(&spec.steps);
-        let objective_ms = objective_ms(&chain_estimates_ms, policy);
-        let remaining_ms = chain_estimates_ms[usize::from(key.step)];
-        let latest_start_ms = (since_ms + objective_ms).saturating_sub(remaining_ms);
-        let useless_ms =
-            (since_ms + objective_ms * USELESS_OBJECTIVE_RATIO).saturating_sub(remaining_ms);
+        let Times { latest_start_ms, last_useful_start_ms, .. } = self.times(key)?;
         let timeliness = if unix_ms <= latest_start_ms {
             Timeliness::InTime
-        } else if unix_ms <= useless_ms {
+        } else if unix_ms <= last_useful_start_ms {
             Timeliness::Late
         } else {
             Timeliness::Useless
@@ -173,11 +177,24 @@
         Some(Rank {
             timeliness,
             entitlement: job.entitlement,
-            priority: policy.priority,
+            priority: self.priority(key),
             latest_start_ms,
             key: key.clone(),
         })
     }
+
+    fn times(&self, key: &StepKey) -> Option<Times> {
+        let spec = &self.jobs.get(&key.job)?.spec;
+        let policy = self.config.policy(&spec.queue, &spec.policy);
+        let since_ms = spec.accepted_unix_ms.max(spec.due_unix_ms(key.occurrence));
+        let chain_estimates_ms = chain_estimates_ms(&spec.steps);
+        let objective_ms = objective_ms(&chain_estimates_ms, policy);
+        let remaining_ms = chain_estimates_ms[usize::from(key.step)];
+        let latest_start_ms = (since_ms + objective_ms).saturating_sub(remaining_ms);
+        let last_useful_start_ms =
+            (since_ms + objective_ms * USELESS_OBJECTIVE_RATIO).saturating_sub(remaining_ms);
+        Some(Times { remaining_ms, latest_start_ms, last_useful_start_ms })
+    }
 }
 
 /// Returns the time within which a job with these steps has to be done, in
