Runs given up without a listed end, and the source of a configuration, are logged

The hypotheses on LIMIT differ in why the account gives a run up: a lease that has run out, or a listing without the run. Neither left a log line, only ends that a target lists did. Event 534 tells the evidence and the age of the last grant that the account knows, and the metric skylarkspan_node_releases counts them. The hypotheses on CONFIG differ in what was stuck: event 130 now tells whether a watch or a full read brought the version and how old the confirmation was, and event 520 how old it was when a request was refused.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -99,6 +99,7 @@
     StartFailed = 531, "start refused or not confirmed";
     StopSent = 532, "stop sent";
     RunEnded = 533, "run ended";
+    RunReleased = 534, "run taken for ended without an end listed by its target";
     AdviceReceived = 540, "advice received";
     AdviceFailed = 541, "advice request failed";
     RecordFailed = 550, "write of records to the key-value service failed";
--- a/crates/node/src/configs.rs
+++ b/crates/node/src/configs.rs
@@ -63,6 +63,15 @@
     }
 }
 
+/// How a node has learnt of a configuration.
+#[derive(Clone, Copy, Debug)]
+enum Source {
+    /// A change in a watch.
+    Watch,
+    /// A read of the whole configuration.
+    Read,
+}
+
 /// Keeps the configuration in force up to date until the process ends.
 pub(crate) async fn watch_configs(ctx: Arc<Context>) {
     loop {
@@ -89,7 +98,7 @@
             if let Event::Put(entry) = event
                 && entry.key == key
             {
-                apply(ctx, &entry);
+                apply(ctx, &entry, Source::Watch);
             }
         }
         ctx.configs.confirm(sent);
@@ -111,13 +120,13 @@
     let Some(entry) = page.entries.iter().find(|entry| entry.key == key) else {
         return Ok(page.revision);
     };
-    apply(ctx, entry);
+    apply(ctx, entry, Source::Read);
     ctx.configs.confirm(sent);
     ctx.is_store_failing.store(false, Ordering::Relaxed);
     Ok(page.revision)
 }
 
-fn apply(ctx: &Context, entry: &Entry) {
+fn apply(ctx: &Context, entry: &Entry, source: Source) {
     let config = match ctx.services.catalog.config(&entry.value) {
         Ok(config) => config,
         Err(reason) => {
@@ -128,7 +137,8 @@
     let before = ctx.configs.current().version;
     if config.version > before {
         emit!(ctx.log, info, ConfigApplied; "version" => config.version, "before" => before,
-            "queues" => config.queues.len(), "teams" => config.teams.len());
+            "queues" => config.queues.len(), "teams" => config.teams.len(), "by" => ?source,
+            "age_ms" => ctx.configs.age(clock::now()).as_millis() as u64);
         ctx.configs.current.send_replace(Arc::new(config));
     }
 }
--- a/crates/node/src/frontend.rs
+++ b/crates/node/src/frontend.rs
@@ -243,7 +243,8 @@
         Metrics::count(&self.ctx.metrics.requests, "any", "refused");
         emit!(self.ctx.log, info, RequestRefused; "host" => host, "path" => path,
             "why" => &failure.reason, "verdict" => %failure.verdict,
-            "version" => self.ctx.configs.current().version);
+            "version" => self.ctx.configs.current().version,
+            "config_age_ms" => self.ctx.configs.age(clock::now()).as_millis() as u64);
     }
 
     /// Returns the delay after which the queue accepts the job, or `None` if
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -31,6 +31,8 @@
     pub(crate) orders: Family<Labels, Counter>,
     /// Advice requests.
     pub(crate) advice: Family<Labels, Counter>,
+    /// Runs taken for ended without an end listed by their targets, by evidence.
+    pub(crate) releases: Family<Labels, Counter>,
     /// Terms that this node has started as leader.
     pub(crate) takeovers: Counter,
     /// 1 while this node leads, 0 otherwise.
@@ -55,6 +57,7 @@
             requests: Family::default(),
             orders: Family::default(),
             advice: Family::default(),
+            releases: Family::default(),
             takeovers: Counter::default(),
             leads: Gauge::default(),
             write_time: histogram(),
@@ -67,6 +70,11 @@
         registry.register("requests", "Requests of clients", metrics.requests.clone());
         registry.register("orders", "Orders to targets", metrics.orders.clone());
         registry.register("advice", "Requests for advice", metrics.advice.clone());
+        registry.register(
+            "releases",
+            "Runs taken for ended without an end listed by their targets",
+            metrics.releases.clone(),
+        );
         registry.register("takeovers", "Takeovers of the lead", metrics.takeovers.clone());
         registry.register("leads", "Whether this node leads", metrics.leads.clone());
         let times = [
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -7,7 +7,7 @@
 };
 
 use base::{Name, clock, emit};
-use plan::{Action, AdviceRequest, Listing, Planner};
+use plan::{Action, AdviceRequest, Evidence, Listing, Planner, ReleasedRun};
 use tokio::{
     sync::mpsc,
     task::JoinSet,
@@ -294,6 +294,9 @@
         for request in std::mem::take(&mut self.unsent_advice) {
             self.request_advice(request);
         }
+        for run in self.planner.take_released_runs() {
+            self.log_release(&run);
+        }
         for action in self.planner.take_actions() {
             self.execute(action);
         }
@@ -455,6 +458,19 @@
         }
     }
 
+    fn log_release(&self, run: &ReleasedRun) {
+        let (step, evidence) = (&run.task.step, run.evidence);
+        let kind = match evidence {
+            Evidence::LeaseExpired => "lease_expired",
+            Evidence::Unlisted => "unlisted",
+        };
+        Metrics::count(&self.ctx.metrics.releases, kind, "released");
+        emit!(self.ctx.log, info, RunReleased; "job" => %step.job,
+            "occurrence" => step.occurrence, "step" => step.step, "task" => run.task.index,
+            "run" => run.run, "target" => %run.target, "evidence" => ?evidence,
+            "lease_age_ms" => run.lease_age.as_millis() as u64);
+    }
+
     fn remove_expired(&mut self) {
         let expired = self.planner.take_expired_jobs(clock::now());
         if !expired.is_empty() {
--- a/crates/plan/src/ends.rs
+++ b/crates/plan/src/ends.rs
@@ -13,7 +13,57 @@
     target::{Phase, TargetId},
 };
 
+/// Evidence that a run does not exist, other than an end listed by its target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    /// The target's lease has expired by any clock.
+    LeaseExpired,
+    /// A listing requested after the run was confirmed lacks the run.
+    Unlisted,
+}
+
+/// Run that was given up without an end listed by its target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReleasedRun {
+    /// Target of the run.
+    pub target: Name,
+    /// Task of the run.
+    pub task: TaskKey,
+    /// Number of the run.
+    pub run: u32,
+    /// Evidence that the run does not exist.
+    pub evidence: Evidence,
+    /// Time since the last known lease grant to the target.
+    pub lease_age: Duration,
+}
+
 impl Planner {
+    /// Removes and returns the runs that were given up without a listed end.
+    pub fn take_released_runs(&mut self) -> Vec<ReleasedRun> {
+        std::mem::take(&mut self.released_runs)
+    }
+
+    /// Ends a run that its target has not listed as ended.
+    pub(crate) fn release_run(
+        &mut self,
+        id: TargetId,
+        task: &TaskKey,
+        run: u32,
+        evidence: Evidence,
+        now: Duration,
+    ) {
+        let target = &self.targets[id.0 as usize];
+        let granted_at = target.lease_granted_at.unwrap_or_default();
+        self.released_runs.push(ReleasedRun {
+            target: target.info.id.clone(),
+            task: task.clone(),
+            run,
+            evidence,
+            lease_age: now.saturating_sub(granted_at),
+        });
+        self.end_run(id, task, run, End::Lapsed, None, now);
+    }
+
     /// Ends all runs on targets whose lease has expired.
     pub(crate) fn end_lapsed_runs(&mut self, now: Duration) {
         let lapse_timeout = self.settings.lapse_timeout();
@@ -28,7 +78,8 @@
             let gone: Vec<_> =
                 target.runs.iter().map(|(task, run)| (task.clone(), run.number)).collect();
             for (task, run) in gone {
-                self.end_run(TargetId(index as u32), &task, run, End::Lapsed, None, now);
+                let id = TargetId(index as u32);
+                self.release_run(id, &task, run, Evidence::LeaseExpired, now);
             }
         }
     }
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -35,6 +35,7 @@
 pub use admit::Overload;
 pub use adopt::{ClosedTarget, UNKNOWN_TARGETS};
 pub use batch::{Batch, Record, Retention};
+pub use ends::{Evidence, ReleasedRun};
 pub use listing::{ListedRun, Listing, Refusal, RunEnd, StartAnswer};
 pub use planner::Planner;
 pub use rank::job_objective_ms;
--- a/crates/plan/src/listing.rs
+++ b/crates/plan/src/listing.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     action::{Action, StopCause},
+    ends::Evidence,
     planner::Planner,
     speed::Speed,
     target::{Phase, TargetId},
@@ -252,7 +253,7 @@
             .map(|(task, run)| (task.clone(), run.number))
             .collect();
         for (task, run) in missing {
-            self.end_run(id, &task, run, End::Lapsed, None, now);
+            self.release_run(id, &task, run, Evidence::Unlisted, now);
         }
     }
 
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -14,6 +14,7 @@
 use crate::{
     action::{Action, Stop, StopCause},
     admit::RequestLoad,
+    ends::ReleasedRun,
     job::{Job, Origin},
     preempt::{Preemptible, Reservation},
     settings::Settings,
@@ -55,6 +56,7 @@
     pub(crate) due_occurrences: BTreeSet<(u64, Name)>,
     pub(crate) ended_jobs: BTreeSet<(Duration, Name)>,
     pub(crate) actions: Vec<Action>,
+    pub(crate) released_runs: Vec<ReleasedRun>,
     pub(crate) state_changes: Vec<(Name, JobState)>,
     /// Earliest time of the next publication of state changes.
     next_publish_at: Duration,
