Watch and full reads of the configuration run independently

Cause: one task followed the configuration. A full read, due every 2 s, was made between two long polls, and after each failed poll; a read without an answer took 4 s, in which no change was noticed. Besides, a read that was due waited for the poll before it, so that a change that a watch had missed could come into force 3 s late. Class of fault: a fallback that blocks what it is a fallback for.

Change: the watch and the reads are two loops. A failed poll goes on from the revision that it had reached; only a forgotten history needs a read.

Evidence: unanswered_read_of_the_configuration_does_not_delay_a_new_version fails before (new key refused 2.5 s after the change) and passes after.

Ruled out: a shorter timeout of the read. A configuration may be a megabyte, and links have 10 Mbit/s, so a node would give up each time.

--- a/crates/node/src/configs.rs
+++ b/crates/node/src/configs.rs
@@ -72,47 +72,72 @@
     Read,
 }
 
-/// Keeps the configuration in force up to date until the process ends.
+/// Keeps the configuration in force up to date until the process ends. The watch
+/// and the full reads run independently, so that neither waits for the other's
+/// answers.
 pub(crate) async fn watch_configs(ctx: Arc<Context>) {
+    futures::join!(follow_changes(&ctx), reread_periodically(&ctx));
+}
+
+/// Reads the configuration, then follows its changes.
+async fn follow_changes(ctx: &Context) {
+    let mut followed = None;
     loop {
-        let result = follow_changes(&ctx).await;
-        if let Err(error) = result {
-            emit!(ctx.log, warn, WatchFailed; "of" => "configuration", "error" => %error,
-                "age_ms" => ctx.configs.age(clock::now()).as_millis() as u64);
+        let result = match followed {
+            Some(revision) => apply_changes(ctx, revision).await,
+            None => reread(ctx).await,
+        };
+        match result {
+            Ok(revision) => followed = Some(revision),
+            Err(error) => {
+                log_failure(ctx, &error);
+                if error == Error::Forgotten {
+                    followed = None;
+                }
+                time::sleep(RETRY_BACKOFF).await;
+            }
         }
-        time::sleep(RETRY_BACKOFF).await;
     }
 }
 
-/// Reads the configuration, then follows its changes until a request fails.
-async fn follow_changes(ctx: &Context) -> Result<(), Error> {
-    let (key, prefix) = ctx.services.catalog.config_key();
-    let mut revision = reread(ctx, key).await?;
-    let mut reread_at = clock::now();
+/// Reads the whole configuration at regular intervals.
+async fn reread_periodically(ctx: &Context) {
     loop {
-        let sent = clock::now();
-        let Changes { events, revision: next } =
-            ctx.services.store.changes(prefix, revision, WATCH_TIMEOUT).await?;
-        revision = next;
-        for event in events {
-            if let Event::Put(entry) = event
-                && entry.key == key
-            {
-                apply(ctx, &entry, Source::Watch);
-            }
+        time::sleep(REREAD_INTERVAL).await;
+        if let Err(error) = reread(ctx).await {
+            log_failure(ctx, &error);
         }
-        ctx.configs.confirm(sent);
-        ctx.is_store_failing.store(false, Ordering::Relaxed);
-        if clock::now().saturating_sub(reread_at) >= REREAD_INTERVAL {
-            reread(ctx, key).await?;
-            reread_at = clock::now();
+    }
+}
+
+fn log_failure(ctx: &Context, error: &Error) {
+    emit!(ctx.log, warn, WatchFailed; "of" => "configuration", "error" => %error,
+        "age_ms" => ctx.configs.age(clock::now()).as_millis() as u64);
+}
+
+/// Applies the next changes after a revision. Returns the revision from which to
+/// follow further changes.
+async fn apply_changes(ctx: &Context, after: Revision) -> Result<Revision, Error> {
+    let (key, prefix) = ctx.services.catalog.config_key();
+    let sent = clock::now();
+    let Changes { events, revision } =
+        ctx.services.store.changes(prefix, after, WATCH_TIMEOUT).await?;
+    for event in events {
+        if let Event::Put(entry) = event
+            && entry.key == key
+        {
+            apply(ctx, &entry, Source::Watch);
         }
     }
+    ctx.configs.confirm(sent);
+    ctx.is_store_failing.store(false, Ordering::Relaxed);
+    Ok(revision)
 }
 
 /// Reads the whole configuration and returns the revision from which to follow
 /// changes.
-async fn reread(ctx: &Context, key: &str) -> Result<Revision, Error> {
+async fn reread(ctx: &Context) -> Result<Revision, Error> {
+    let (key, _) = ctx.services.catalog.config_key();
     let sent = clock::now();
     // The revision of the key itself may already be compacted from the history,
     // so the revision of the page is used.
--- a/crates/node/tests/cell/store.rs
+++ b/crates/node/tests/cell/store.rs
@@ -124,6 +124,21 @@
     expect_that!(cell.nodes[0].check_key("new"), ok(eq(&())));
 }
 
+#[gtest]
+fn unanswered_read_of_the_configuration_does_not_delay_a_new_version() {
+    /// Time within which a version must be in force.
+    const CONFIG_APPLY_TIME: Duration = Duration::from_millis(2500);
+    let cell = Cell::start(2, 1);
+    let follower = cell.follower();
+    cell.world.store.set_fault(&cell.nodes[follower].name, store::Fault::SilentPages);
+    // The whole configuration is read every 2 s, between long polls of 1 s.
+    std::thread::sleep(Duration::from_millis(3200));
+    cell.world.configure(&[("other", "team")]);
+    std::thread::sleep(CONFIG_APPLY_TIME);
+    expect_that!(cell.nodes[follower].check_key("other"), ok(eq(&())));
+    expect_that!(cell.nodes[follower].check_key("key"), err(anything()));
+}
+
 #[gtest]
 fn node_without_the_store_rejects_keys_after_a_timeout() {
     let cell = Cell::start(3, 2);
--- a/crates/standin/src/cell/store.rs
+++ b/crates/standin/src/cell/store.rs
@@ -23,6 +23,9 @@
 /// Time after which an instance gives up waiting for an answer that is lost.
 const LOST_ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time after which an instance gives up waiting for a page.
+const PAGE_TIMEOUT: Duration = Duration::from_millis(4000);
+
 /// Fault of the service towards one instance.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Fault {
@@ -39,6 +42,8 @@
     LosingAnswers(u32),
     /// Requests are delayed by this time before they are executed.
     Slow(Duration),
+    /// Reads of pages are not answered; other requests succeed.
+    SilentPages,
     /// The next commit is not answered and is executed after this time, if the
     /// expected revisions still match.
     LateCommit(Duration),
@@ -241,6 +246,7 @@
             Fault::None
             | Fault::LosingAnswers(_)
             | Fault::RefusingWrites
+            | Fault::SilentPages
             | Fault::LateCommit(_) => Ok(()),
             Fault::Refusing => Err(Error::NotRun { reason: "refused".to_owned() }),
             Fault::Silent => {
@@ -291,6 +297,10 @@
         const MAX_PAGE_ENTRIES: usize = 5;
         async move {
             self.receive().await?;
+            if self.fault() == Fault::SilentPages {
+                time::sleep(PAGE_TIMEOUT).await;
+                return Err(Error::Unknown { reason: "no answer".to_owned() });
+            }
             let state = self.store.lock();
             let keys = state.items.keys().filter(|key| key.starts_with(prefix));
             let mut keys: Vec<&String> = keys.filter(|key| key.as_str() > after).collect();
