A node whose configuration is unconfirmed gives no final refusal

What callers saw: 404 for a path, or 401 for a key, that the newest configuration has, from a node that did not know the newest one (CONFIG). Both tell a client not to ask again.

Cause: a request was judged by the configuration at hand, however old its last confirmation. Only known keys were guarded by its age, for withdrawals. Class of fault: an answer that states the absence of something, from a copy that may be out of date.

Change: 404 and 401 need a configuration that was confirmed less than configApplyMs ago (setting bounds.config_apply_ms); otherwise the answer is 503 with Retry-After, and another node can take the request. What the configuration at hand allows is served as before, until keys can't be confirmed: that bound is the users' revokeMs.

Ruled out: refusing everything from configApplyMs on. While the store is down for all, the states of jobs could then not be asked for a second earlier than today, and no rule or client needs that.

Evidence: node_with_an_unconfirmed_configuration_gives_no_final_refusal fails before (404 and 401 after 2.6 s without the store) and passes after.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -50,7 +50,7 @@
     DivisionWritten = 121, "new division of a region written to the key-value service";
     ConfigApplied = 130, "configuration applied";
     ConfigRejected = 131, "configuration rejected";
-    ConfigUnconfirmed = 132, "configuration not confirmed recently; refusing requests that need a key";
+    ConfigUnconfirmed = 132, "configuration not confirmed recently; refusing a request for now";
     PeerConnected = 140, "peer connected";
     PeerDisconnected = 141, "peer disconnected";
     TargetClaimed = 150, "target claimed";
--- a/crates/node/src/frontend.rs
+++ b/crates/node/src/frontend.rs
@@ -90,6 +90,7 @@
             return Err(Failure::busy(RETRY_AFTER, "there is no configuration yet"));
         }
         let Some(queue) = config.queue(host, path) else {
+            self.check_config_age(&config, self.ctx.settings.max_refusal_age())?;
             return Err(Failure::not_found("there is no such queue"));
         };
         let team = if queue.is_public { None } else { Some(self.team(&config, key)?) };
@@ -103,14 +104,24 @@
     }
 
     fn team(&self, config: &Config, key: Option<&str>) -> Result<Name> {
+        self.check_config_age(config, self.ctx.settings.max_config_age())?;
+        if let Some(team) = key.and_then(|key| config.keys.get(key)) {
+            return Ok(team.clone());
+        }
+        self.check_config_age(config, self.ctx.settings.max_refusal_age())?;
+        Err(Failure::denied("the key is not known"))
+    }
+
+    /// Fails temporarily if the configuration was last confirmed `max_age` ago or
+    /// earlier.
+    fn check_config_age(&self, config: &Config, max_age: Duration) -> Result<()> {
         let age = self.ctx.configs.age(clock::now());
-        if age >= self.ctx.settings.max_config_age() {
-            emit!(self.ctx.log, warn, ConfigUnconfirmed; "age_ms" => age.as_millis() as u64,
-                "version" => config.version);
-            return Err(Failure::busy(RETRY_AFTER, "keys can't be confirmed"));
+        if age < max_age {
+            return Ok(());
         }
-        key.and_then(|key| config.keys.get(key).cloned())
-            .ok_or_else(|| Failure::denied("the key is not known"))
+        emit!(self.ctx.log, warn, ConfigUnconfirmed; "age_ms" => age.as_millis() as u64,
+            "version" => config.version);
+        Err(Failure::busy(RETRY_AFTER, "the configuration can't be confirmed"))
     }
 
     /// Accepts a job and records it.
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -65,6 +65,9 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Bounds {
+    /// Time after which a new version of the configuration must be in force, in
+    /// milliseconds.
+    pub config_apply_ms: u64,
     /// Time after which a withdrawn key must be rejected, in milliseconds.
     pub revoke_ms: u64,
     /// Time from SIGTERM to SIGKILL, in seconds.
@@ -78,7 +81,13 @@
 /// Bounds of the users' deployments.
 impl Default for Bounds {
     fn default() -> Self {
-        Self { revoke_ms: 5000, grace_s: 6.0, hold_max_ms: 10_000, status_s: 120.0 }
+        Self {
+            config_apply_ms: 2500,
+            revoke_ms: 5000,
+            grace_s: 6.0,
+            hold_max_ms: 10_000,
+            status_s: 120.0,
+        }
     }
 }
 
@@ -152,6 +161,12 @@
         self.strength_milli() < MIN_STRONG_MILLI
     }
 
+    /// Returns the age of the last confirmation from which the configuration no
+    /// longer shows that a queue or key does not exist.
+    pub(crate) fn max_refusal_age(&self) -> Duration {
+        Duration::from_millis(self.bounds.config_apply_ms)
+    }
+
     /// Returns the maximum age of the last confirmed configuration; keys are
     /// refused when the configuration is older.
     pub(crate) fn max_config_age(&self) -> Duration {
--- a/crates/node/tests/cell/common.rs
+++ b/crates/node/tests/cell/common.rs
@@ -190,7 +190,12 @@
 
     /// Checks whether the node accepts a key.
     pub fn check_key(&self, key: &str) -> Result<(), Failure> {
-        self.frontend().admit("host", "/queue/", Some(key)).map(|_| ())
+        self.check_path("/queue/", key)
+    }
+
+    /// Checks whether the node accepts requests for a path with a key.
+    pub fn check_path(&self, path: &str, key: &str) -> Result<(), Failure> {
+        self.frontend().admit("host", path, Some(key)).map(|_| ())
     }
 
     /// Returns whether the node is the leader.
--- a/crates/node/tests/cell/store.rs
+++ b/crates/node/tests/cell/store.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use base::Name;
+use base::{Name, Remedy};
 use bytes::Bytes;
 use googletest::prelude::*;
 use standin::cell::store;
@@ -150,6 +150,25 @@
     wait_until("the new key", || cell.nodes[follower].check_key("other").is_ok());
 }
 
+#[gtest]
+fn node_with_an_unconfirmed_configuration_gives_no_final_refusal() {
+    let cell = Cell::start(3, 2);
+    let follower = &cell.nodes[cell.follower()];
+    let path = |path: &str, key: &str| follower.check_path(path, key).map_err(|f| f.remedy);
+    expect_that!(path("/other/", "key"), err(eq(Remedy::Find)));
+    expect_that!(path("/queue/", "other"), err(eq(Remedy::Authenticate)));
+    cell.world.store.set_fault(&follower.name, store::Fault::Silent);
+    // The last confirmation may be of the time of the fault; a version must be in
+    // force 2.5 s after its acknowledgement.
+    std::thread::sleep(Duration::from_millis(2600));
+    expect_that!(path("/queue/", "key"), ok(eq(())));
+    for (path, refused) in
+        [("/other/", path("/other/", "key")), ("/queue/", path("/queue/", "other"))]
+    {
+        expect_that!(refused, err(matches_pattern!(Remedy::Retry(_))), "{path}");
+    }
+}
+
 #[gtest]
 fn jobs_are_refused_as_not_run_while_the_store_is_down_for_all_nodes() {
     // In the scenario store-down, 199 submissions were answered with an unknown
