A lease is charged when it is granted, not when the answer arrives

Cause: the account of a target's lease was updated by the answer to the renewal that granted it. A renewal waits up to 1 s at the target, so the account lagged by as much. After a target had not answered for 5.4 s to 6.0 s, the next grant kept its runs alive, while the account ran out during that one second: all its runs were taken for ended and the room was given to others. Class of fault: a permission that takes effect at the receiver before the giver has charged it.

Change: the session tells the placer of a grant before it sends it (LeaseGranted), for renewals and for starts. A start counted from the decision; it now counts from the order, which may be later if the process was paused in between. Answers no longer carry grants.

The daemon's workers are charged before the claim is sent (connection/worker.rs, next_claim), so it has not got this fault.

The stand-in's targets tell the progress of a run; a constant 50% had the placer stop long runs as stuck.

--- a/crates/node/src/placer/event.rs
+++ b/crates/node/src/placer/event.rs
@@ -26,15 +26,19 @@
     /// The snapshot of the targets for the next placer was recorded; `None` if
     /// that failed.
     SnapshotRecorded(Option<RecordedNames>),
+    /// An order that grants a lease is about to be sent to a target.
+    LeaseGranted {
+        /// Name of the target.
+        target: Name,
+        /// Time from which the lease counts.
+        at: Duration,
+    },
     /// A target answered a lease renewal or a poll.
     TargetListed {
         /// Name of the target.
         target: Name,
         /// Time at which the request was sent.
         requested_at: Duration,
-        /// Time from which the lease granted by the request counts; `None` if none
-        /// was granted.
-        granted_at: Option<Duration>,
         /// Runs on the target.
         listing: Listing,
     },
@@ -42,9 +46,6 @@
     TargetUnreachable {
         /// Name of the target.
         target: Name,
-        /// Time from which a lease counts that the request may have granted
-        /// nevertheless; `None` if it granted none.
-        granted_at: Option<Duration>,
         /// Reason why there is no answer.
         reason: String,
     },
--- a/crates/node/src/placer/order.rs
+++ b/crates/node/src/placer/order.rs
@@ -43,6 +43,8 @@
                 lease_until_ms,
                 term: leadership.term,
             };
+            // The placer may have decided on the start some time ago.
+            let _ = events.send(Event::LeaseGranted { target: target.clone(), at: now });
             let (answer, clock_ms) =
                 ctx.services.orders.start(&session.target, &order, ORDER_TIMEOUT).await;
             Metrics::observe(&ctx.metrics.start_time, clock::now().saturating_sub(now));
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -394,16 +394,15 @@
                     self.start_sessions();
                 }
             }
-            Event::TargetListed { target, requested_at, granted_at, listing } => {
+            Event::LeaseGranted { target, at } => self.planner.lease_granted(&target, at),
+            Event::TargetListed { target, requested_at, listing } => {
                 self.log_ends(&target, &listing);
-                self.planner.lease_granted(&target, granted_at);
                 self.planner.apply_listing(&target, requested_at, &listing, now);
                 if let Some(session) = self.sessions.get(&target) {
                     session.set_recorded_end(self.planner.recorded_end(&target));
                 }
             }
-            Event::TargetUnreachable { target, granted_at, reason } => {
-                self.planner.lease_granted(&target, granted_at);
+            Event::TargetUnreachable { target, reason } => {
                 if self.planner.mark_unreachable(&target) {
                     emit!(self.ctx.log, warn, TargetUnreachable; "target" => %target, "why" => reason);
                 }
--- a/crates/node/src/placer/session.rs
+++ b/crates/node/src/placer/session.rs
@@ -198,7 +198,14 @@
         // requests reach it and only the answers are lost.
         let lease_until_ms =
             session.lease_until_ms(lease, requested_at).filter(|_| !was_unreachable);
-        let granted_at = lease_until_ms.map(|_| requested_at);
+        let target = session.target.id.clone();
+        if lease_until_ms.is_some()
+            && events
+                .send(Event::LeaseGranted { target: target.clone(), at: requested_at })
+                .is_err()
+        {
+            return;
+        }
         let recorded_end = session.recorded_end.load(Ordering::Relaxed);
         let has_unrecorded = session.listed_end.load(Ordering::Relaxed) > recorded_end;
         let has_grant = lease_until_ms.is_some();
@@ -209,23 +216,18 @@
             ctx.services.orders.renew(&session.target, renewal, wait + ANSWER_MARGIN).await;
         drop(claim);
         let now = clock::now();
-        let target = session.target.id.clone();
         let event = match answer {
             Ok((listing, clock_ms)) => {
                 session.note_clock(clock_ms, now);
                 let listed = listing.ended.iter().map(|end| end.number).max().unwrap_or(0);
                 session.listed_end.store(listed.max(recorded_end), Ordering::Relaxed);
-                Event::TargetListed { target, requested_at, granted_at, listing }
+                Event::TargetListed { target, requested_at, listing }
             }
             Err(OrderError::Fenced) => Event::Fenced("a target knows a later term"),
-            Err(OrderError::Replaced) => Event::TargetUnreachable {
-                target,
-                granted_at,
-                reason: "another target is there".to_owned(),
-            },
-            Err(OrderError::NoAnswer(reason)) => {
-                Event::TargetUnreachable { target, granted_at, reason }
+            Err(OrderError::Replaced) => {
+                Event::TargetUnreachable { target, reason: "another target is there".to_owned() }
             }
+            Err(OrderError::NoAnswer(reason)) => Event::TargetUnreachable { target, reason },
         };
         let is_unreachable = matches!(event, Event::TargetUnreachable { .. });
         let is_idle = matches!(&event, Event::TargetListed { listing, .. }
@@ -269,7 +271,6 @@
     if let Ok((listing, clock_ms)) = answer {
         session.note_clock(clock_ms, clock::now());
         let target = session.target.id.clone();
-        let _ =
-            events.send(Event::TargetListed { target, requested_at, granted_at: None, listing });
+        let _ = events.send(Event::TargetListed { target, requested_at, listing });
     }
 }
--- a/crates/node/tests/cell/targets.rs
+++ b/crates/node/tests/cell/targets.rs
@@ -5,7 +5,7 @@
 use base::Name;
 use googletest::prelude::*;
 use standin::cell::targets;
-use work::JobState;
+use work::{JobState, Step};
 
 use crate::common::{Cell, step, wait_until};
 
@@ -60,6 +60,26 @@
     expect_that!(cell.world.targets.violations(), is_empty());
 }
 
+#[gtest]
+fn lease_granted_by_an_unanswered_renewal_keeps_the_room_of_its_runs() {
+    let cell = Cell::start(1, 1);
+    let long_step = Step { estimate_ms: 20_000, ..step(8) };
+    expect_that!(cell.nodes[0].submit("job", "work:20000", long_step), ok(eq(&())));
+    wait_until("a full target", || cell.world.targets.running("job") == 8);
+    expect_that!(cell.nodes[0].submit("next", "work:10", step(8)), ok(eq(&())));
+    // The target falls silent right after a grant, and answers again shortly
+    // before that lease expires. The answer to the next renewal takes 1 s.
+    let requests = cell.world.targets.listing_requests();
+    wait_until("a renewal", || cell.world.targets.listing_requests() > requests);
+    cell.world.targets.set_fault(&target(0), targets::Fault::Silent);
+    std::thread::sleep(Duration::from_millis(5200));
+    cell.world.targets.set_fault(&target(0), targets::Fault::None);
+    std::thread::sleep(Duration::from_millis(2500));
+    expect_that!(cell.world.targets.running("job"), eq(8));
+    expect_that!(cell.world.targets.starts("next"), eq(0));
+    expect_that!(cell.world.targets.violations(), is_empty());
+}
+
 #[gtest]
 fn runs_of_a_restarted_target_are_started_again() {
     let cell = Cell::start(2, 1);
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -302,11 +302,12 @@
             self.settings.contact_timeout.max(interval + self.settings.idle_contact_margin);
     }
 
-    /// Records the time of a lease grant to a target, if there was one.
-    pub fn lease_granted(&mut self, target: &str, at: Option<Duration>) {
+    /// Records the time of a lease grant to a target. To be called before the
+    /// grant is sent, because the lease holds even if the answer is late or lost.
+    pub fn lease_granted(&mut self, target: &str, at: Duration) {
         if let Some(id) = self.target_ids.get(target) {
             let target = &mut self.targets[id.0 as usize];
-            target.lease_granted_at = target.lease_granted_at.max(at);
+            target.lease_granted_at = target.lease_granted_at.max(Some(at));
         }
     }
 
--- a/crates/standin/src/cell/simulation/mod.rs
+++ b/crates/standin/src/cell/simulation/mod.rs
@@ -423,7 +423,7 @@
         };
         let running = state.runs.iter().map(seen).collect();
         let listing = Listing { born_unix_ms: 1, running, ended: state.ends.clone() };
-        self.planner.lease_granted(target, Some(self.now));
+        self.planner.lease_granted(target, self.now);
         self.planner.apply_listing(target, self.now, &listing, self.now);
     }
 
--- a/crates/standin/src/cell/targets.rs
+++ b/crates/standin/src/cell/targets.rs
@@ -70,6 +70,7 @@
 
 struct Run {
     number: u32,
+    start: Instant,
     end: Instant,
     /// How the run ends if neither stopped nor lapsed.
     outcome: End,
@@ -204,7 +205,9 @@
         let outcome =
             if start.payload.starts_with(FAILING_PAYLOAD) { End::Failed } else { End::Done };
         let end = now + Duration::from_millis(work.unwrap_or(0));
-        target_state.runs.insert(start.task.clone(), Run { number: start.run, end, outcome });
+        target_state
+            .runs
+            .insert(start.task.clone(), Run { number: start.run, start: now, end, outcome });
         let used = target_state.size * target_state.runs.len() as u32;
         let is_overcommitted = !used.fits(&target_state.capacity);
         *self.starts.entry(start.task.clone()).or_default() += 1;
@@ -222,6 +225,13 @@
     }
 }
 
+impl Run {
+    fn percent(&self, now: Instant) -> u32 {
+        let (done, whole) = (now - self.start, self.end - self.start);
+        (done.as_millis() * 100 / whole.as_millis().max(1)) as u32
+    }
+}
+
 impl TargetState {
     fn clock_ms(&self, now: Instant) -> u64 {
         (now - self.clock).as_millis() as u64
@@ -242,12 +252,12 @@
         }
     }
 
-    fn listing(&self) -> Listing {
+    fn listing(&self, now: Instant) -> Listing {
         let running = self.runs.iter().map(|(task, run)| ListedRun {
             task: task.clone(),
             run: run.number,
             checkpoint: None,
-            percent: 50,
+            percent: run.percent(now),
         });
         Listing { born_unix_ms: self.born, running: running.collect(), ended: self.ended.clone() }
     }
@@ -359,7 +369,7 @@
                     }
                     target_state.ended.retain(|ended| ended.number > renewal.recorded_end);
                     if !target_state.ended.is_empty() || now >= end {
-                        return Ok((target_state.listing(), target_state.clock_ms(now)));
+                        return Ok((target_state.listing(now), target_state.clock_ms(now)));
                     }
                 }
                 time::sleep(Duration::from_millis(5)).await;
