Starts on a target without a session are reported as refused

Cause: a session of a target that left the list ends, but its last request may wait up to 1 s at the target. Its answer made the target count as reachable. If the target came back to the list before it was recorded as held again, the planner placed work on it, and the order was dropped without a word because there was no session. The run stayed charged as starting, and the renewals of the next session kept its account alive for good. Class of fault: an order that can't be carried out is swallowed.

Evidence: job_on_a_target_that_returns_to_the_list_is_not_lost fails before (timed out in its fifth round) and passes after, twice.

--- a/crates/node/src/placer/order.rs
+++ b/crates/node/src/placer/order.rs
@@ -2,9 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
-use base::{clock, emit};
+use base::{Name, clock, emit};
 use plan::{Refusal, Start, StartAnswer, Stop};
 use tokio::sync::mpsc;
+use work::TaskKey;
 
 use crate::{
     context::Context,
@@ -54,6 +55,30 @@
             answer
         }
     };
+    report_start(&ctx, leadership.term, (target, task, run), answer, &events);
+}
+
+/// Reports a start on a target without a session as refused. The order is not
+/// sent.
+pub(crate) fn refuse_start(
+    ctx: &Context,
+    term: u64,
+    start: Start,
+    events: &mpsc::UnboundedSender<Event>,
+) {
+    let Start { target, task, run, .. } = start;
+    let answer = StartAnswer::Refused(Refusal::Unable);
+    report_start(ctx, term, (target, task, run), answer, events);
+}
+
+/// Logs and counts the outcome of a start order, and reports it as an event.
+fn report_start(
+    ctx: &Context,
+    term: u64,
+    (target, task, run): (Name, TaskKey, u32),
+    answer: StartAnswer,
+    events: &mpsc::UnboundedSender<Event>,
+) {
     let step = &task.step;
     let outcome = match &answer {
         StartAnswer::Started => "started",
@@ -65,7 +90,7 @@
         StartAnswer::Started => {
             emit!(ctx.log, info, StartSent; "job" => %step.job, "occurrence" => step.occurrence,
                 "step" => step.step, "task" => task.index, "run" => run, "target" => %target,
-                "term" => leadership.term);
+                "term" => term);
         }
         StartAnswer::Refused(_) | StartAnswer::Unknown => {
             emit!(ctx.log, warn, StartFailed; "job" => %step.job, "occurrence" => step.occurrence,
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -337,14 +337,15 @@
         let (ctx, leadership) = (Arc::clone(&self.ctx), Arc::clone(&self.leadership));
         let events = self.events.clone();
         match action {
-            Action::Start(start) => {
-                if let Some(session) = self.sessions.get(&start.target) {
+            Action::Start(start) => match self.sessions.get(&start.target) {
+                Some(session) => {
                     let session = Arc::clone(session);
                     session.expect_start(clock::now());
                     self.tasks
                         .spawn(order::start(ctx, leadership, session, start, self.lease, events));
                 }
-            }
+                None => order::refuse_start(&ctx, leadership.term, start, &events),
+            },
             Action::Stop(stop) => {
                 if let Some(session) = self.sessions.get(&stop.target) {
                     self.tasks.spawn(order::stop(
@@ -398,8 +399,11 @@
             Event::TargetListed { target, requested_at, listing } => {
                 self.log_ends(&target, &listing);
                 self.planner.apply_listing(&target, requested_at, &listing, now);
-                if let Some(session) = self.sessions.get(&target) {
-                    session.set_recorded_end(self.planner.recorded_end(&target));
+                match self.sessions.get(&target) {
+                    Some(session) => session.set_recorded_end(self.planner.recorded_end(&target)),
+                    // An answer to a session that has ended. No order can be sent
+                    // until the target has a session again.
+                    None => drop(self.planner.mark_unreachable(&target)),
                 }
             }
             Event::TargetUnreachable { target, reason } => {
--- a/crates/node/tests/cell/targets.rs
+++ b/crates/node/tests/cell/targets.rs
@@ -110,3 +110,20 @@
     expect_that!(started_at.elapsed(), lt(Duration::from_millis(1500)));
     expect_that!(cell.world.targets.violations(), is_empty());
 }
+
+#[gtest]
+fn job_on_a_target_that_returns_to_the_list_is_not_lost() {
+    let cell = Cell::start(1, 1);
+    // The target answers while it is not listed: the placer ends its session
+    // within 0.5 s, and the last request waits up to 1 s for an answer.
+    for round in 0..5 {
+        cell.world.unlist_target(&target(0));
+        std::thread::sleep(Duration::from_millis(700));
+        let id = format!("job-{round}");
+        expect_that!(cell.nodes[0].submit(&id, "work:10", step(4)), ok(eq(&())));
+        std::thread::sleep(Duration::from_millis(100 * round));
+        cell.world.republish_target(0);
+        cell.wait_for_state(0, &id, JobState::Complete);
+    }
+    expect_that!(cell.world.targets.violations(), is_empty());
+}
--- a/crates/standin/src/cell/world.rs
+++ b/crates/standin/src/cell/world.rs
@@ -101,10 +101,16 @@
         self.store.change_requests(TARGET_PREFIX)
     }
 
+    /// Removes the description of a target from the key-value service, as if the
+    /// target did not reach the service.
+    pub fn unlist_target(&self, id: &Name) {
+        self.store.remove(&format!("{TARGET_PREFIX}{id}"));
+    }
+
     /// Silences a target and removes its description from the key-value service.
     pub fn remove_target(&self, id: &Name) {
         self.targets.set_fault(id, crate::cell::targets::Fault::Silent);
-        self.store.remove(&format!("{TARGET_PREFIX}{id}"));
+        self.unlist_target(id);
     }
 
     /// Publishes a new configuration with the given keys, each paired with its
