A target that has started again gets no work until its entry is read

Cause: a target may start again under its id as another kind. The listing told the planner so, but the capacity came from the list of targets, which may be older, as when the store is slow or the target does not reach it. The target was filled by the capacity of its earlier process. The other way round, a target whose entry was new but which had not answered since was filled by what it had listed before. Class of fault: two sources that describe different processes are put together.

Change: a target gets work only while its entry and its last listing name the same start time. Entries or listings without one are not compared.

Evidence: restarted_target_gets_no_work_until_its_capacity_is_listed and target_listed_as_restarted_gets_no_work_until_it_answers fail before (8 starts each) and pass after.

--- a/crates/plan/src/target.rs
+++ b/crates/plan/src/target.rs
@@ -45,7 +45,8 @@
     pub capacity: Resources,
     /// Whether the target takes new work.
     pub availability: Availability,
-    /// Start time of the target's process, in milliseconds since 1970.
+    /// Start time of the target's process, in milliseconds since 1970; 0 if
+    /// unknown.
     pub born_unix_ms: u64,
 }
 
@@ -189,6 +190,7 @@
             && self
                 .last_contact_at
                 .is_some_and(|contact| now.saturating_sub(contact) < contact_timeout)
+            && self.is_same_process()
             && !self.has_unknown_runs
             && !self.is_closed
             && now >= self.backoff_until
@@ -196,6 +198,13 @@
             && !self.speed.is_slow(now)
     }
 
+    /// Returns whether the description is by the process that sent the last
+    /// listing. A target that has started again may have another capacity.
+    fn is_same_process(&self) -> bool {
+        let (described, listed) = (self.info.born_unix_ms, self.born_unix_ms);
+        described == listed || described == 0 || listed == 0
+    }
+
     /// Backs off after an unanswered start, exponentially from `initial`.
     pub(crate) fn back_off(&mut self, initial: Duration, now: Duration) {
         /// Limit for the doublings of the back-off.
--- a/crates/plan/tests/decisions/targets.rs
+++ b/crates/plan/tests/decisions/targets.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use base::Name;
 use googletest::prelude::*;
 use plan::{Refusal, StartAnswer};
 use work::{End, JobState, Step};
@@ -185,3 +186,35 @@
     other.list_nothing(&starts[0].target);
     expect_that!(other.decide_starts().len(), eq(1));
 }
+
+#[gtest]
+fn restarted_target_gets_no_work_until_its_capacity_is_listed() {
+    let mut cell = Cell::new(1);
+    let target = Name::from("target-0");
+    cell.update_targets(|info| info.born_unix_ms = 1);
+    cell.list_nothing(&target);
+    cell.restart_target(&target);
+    cell.list_nothing(&target);
+    cell.accept("job", vec![step(8)]);
+    expect_that!(cell.decide_starts(), is_empty());
+    // The target has started again on half of the capacity.
+    cell.update_targets(|info| {
+        info.born_unix_ms = 2;
+        info.capacity = step(1).size * 4;
+    });
+    expect_that!(cell.decide_starts().len(), eq(4));
+}
+
+#[gtest]
+fn target_listed_as_restarted_gets_no_work_until_it_answers() {
+    let mut cell = Cell::new(1);
+    let target = Name::from("target-0");
+    cell.update_targets(|info| info.born_unix_ms = 1);
+    cell.list_nothing(&target);
+    cell.update_targets(|info| info.born_unix_ms = 2);
+    cell.accept("job", vec![step(8)]);
+    expect_that!(cell.decide_starts(), is_empty());
+    cell.restart_target(&target);
+    cell.list_nothing(&target);
+    expect_that!(cell.decide_starts().len(), eq(8));
+}
