Watch and full reads of the target list run independently

Change: the two loops are now one module, watch, for the configuration and the target list. As a read and a watch may overlap, each target's revision is kept, and what is older than what is known is not applied; a read removes only targets that did not change after it.

Evidence: unanswered_read_of_the_target_list_does_not_delay_a_change fails before (a target added during the unanswered read gets no run in 2.5 s) and passes after.

--- a/crates/node/src/configs.rs
+++ b/crates/node/src/configs.rs
@@ -9,11 +9,12 @@
 };
 
 use base::{clock, emit};
+use futures::FutureExt;
 use platform::{Changes, Entry, Error, Event, Revision};
-use tokio::{sync::watch, time};
+use tokio::sync::watch::{Receiver, Sender};
 use work::Config;
 
-use crate::context::{Context, RETRY_BACKOFF};
+use crate::{context::Context, watch};
 
 /// Timeout of one long poll for changes; bounds the time until a dead
 /// connection is noticed.
@@ -26,7 +27,7 @@
 /// Holder of the configuration in force.
 #[derive(Debug)]
 pub(crate) struct Configs {
-    current: watch::Sender<Arc<Config>>,
+    current: Sender<Arc<Config>>,
     /// Time of the last confirmation, in milliseconds since the machine
     /// started.
     confirmed_ms: AtomicU64,
@@ -34,10 +35,7 @@
 
 impl Default for Configs {
     fn default() -> Self {
-        Self {
-            current: watch::Sender::new(Arc::new(Config::default())),
-            confirmed_ms: AtomicU64::new(0),
-        }
+        Self { current: Sender::new(Arc::new(Config::default())), confirmed_ms: AtomicU64::new(0) }
     }
 }
 
@@ -49,7 +47,7 @@
     }
 
     /// Subscribes to new configurations.
-    pub(crate) fn subscribe(&self) -> watch::Receiver<Arc<Config>> {
+    pub(crate) fn subscribe(&self) -> Receiver<Arc<Config>> {
         self.current.subscribe()
     }
 
@@ -72,42 +70,12 @@
     Read,
 }
 
-/// Keeps the configuration in force up to date until the process ends. The watch
-/// and the full reads run independently, so that neither waits for the other's
-/// answers.
+/// Keeps the configuration in force up to date until the process ends.
 pub(crate) async fn watch_configs(ctx: Arc<Context>) {
-    futures::join!(follow_changes(&ctx), reread_periodically(&ctx));
-}
-
-/// Reads the configuration, then follows its changes.
-async fn follow_changes(ctx: &Context) {
-    let mut followed = None;
-    loop {
-        let result = match followed {
-            Some(revision) => apply_changes(ctx, revision).await,
-            None => reread(ctx).await,
-        };
-        match result {
-            Ok(revision) => followed = Some(revision),
-            Err(error) => {
-                log_failure(ctx, &error);
-                if error == Error::Forgotten {
-                    followed = None;
-                }
-                time::sleep(RETRY_BACKOFF).await;
-            }
-        }
-    }
-}
-
-/// Reads the whole configuration at regular intervals.
-async fn reread_periodically(ctx: &Context) {
-    loop {
-        time::sleep(REREAD_INTERVAL).await;
-        if let Err(error) = reread(ctx).await {
-            log_failure(ctx, &error);
-        }
-    }
+    let read = || reread(&ctx).boxed();
+    let poll = |after| apply_changes(&ctx, after).boxed();
+    let fail = |error: &Error| log_failure(&ctx, error);
+    futures::join!(watch::follow(read, poll, fail), watch::reread(REREAD_INTERVAL, read, fail));
 }
 
 fn log_failure(ctx: &Context, error: &Error) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod settings;
 mod states;
 mod uplink;
+mod watch;
 mod writes;
 
 pub use context::Context;
--- a/crates/node/src/placer/follow.rs
+++ b/crates/node/src/placer/follow.rs
@@ -1,9 +1,14 @@
 //! Tasks that follow the key-value service for a placer.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
-use base::{Name, clock, emit};
-use platform::{Error, Event as Change, Revision};
+use base::{Name, emit};
+use futures::FutureExt;
+use platform::{Entry, Error, Event as Change, Revision};
 use tokio::{sync::mpsc, time};
 use work::Spec;
 
@@ -13,6 +18,7 @@
     external::TargetList,
     keys::{self, JobKey},
     placer::{event::Event, state::read_prefix},
+    watch,
 };
 
 /// Timeout of one long poll for changes.
@@ -107,74 +113,116 @@
     let _ = events.send(event);
 }
 
+/// List of targets, as far as it has been read.
+#[derive(Debug, Default)]
+struct List {
+    targets: TargetList,
+    /// Revision of the last known change of each target, also of deletions.
+    revisions: HashMap<Name, Revision>,
+}
+
 /// Follows the list of targets.
 pub(crate) async fn follow_targets(ctx: Arc<Context>, events: mpsc::UnboundedSender<Event>) {
-    loop {
-        if let Err(error) = follow_target_changes(&ctx, &events).await {
-            emit!(ctx.log, warn, WatchFailed; "of" => "targets", "error" => %error);
-            time::sleep(RETRY_BACKOFF).await;
-        }
-    }
+    let list = Mutex::default();
+    let read = || read_targets(&ctx, &list, &events).boxed();
+    let poll = |after| apply_target_changes(&ctx, &list, after, &events).boxed();
+    let fail = |error: &Error| {
+        emit!(ctx.log, warn, WatchFailed; "of" => "targets", "error" => %error);
+    };
+    futures::join!(watch::follow(read, poll, fail), watch::reread(REREAD_INTERVAL, read, fail));
+}
+
+/// Reads the whole target list. Returns the revision of the list.
+async fn read_targets(
+    ctx: &Context,
+    list: &Mutex<List>,
+    events: &mpsc::UnboundedSender<Event>,
+) -> Result<Revision, Error> {
+    let prefix = ctx.services.catalog.target_prefix();
+    let (entries, revision) = read_prefix(&*ctx.services.store, prefix).await?;
+    let mut list = list.lock().expect("no thread panics while holding the lock");
+    list.replace(ctx, prefix, entries, revision);
+    let _ = events.send(Event::TargetsChanged(list.targets.clone()));
+    Ok(revision)
 }
 
-/// Reads the target list, then follows its changes for [`REREAD_INTERVAL`].
-async fn follow_target_changes(
+/// Applies the next changes after a revision. Returns the revision that was
+/// reached.
+async fn apply_target_changes(
     ctx: &Context,
+    list: &Mutex<List>,
+    after: Revision,
     events: &mpsc::UnboundedSender<Event>,
-) -> Result<(), Error> {
+) -> Result<Revision, Error> {
     let prefix = ctx.services.catalog.target_prefix();
-    let (entries, mut revision) = read_prefix(&*ctx.services.store, prefix).await?;
-    let mut targets = TargetList::new();
-    for entry in entries {
-        apply_target_change(ctx, &mut targets, prefix, Change::Put(entry));
+    let changes = ctx.services.store.changes(prefix, after, WATCH_TIMEOUT).await?;
+    if changes.events.is_empty() {
+        return Ok(changes.revision);
     }
-    let _ = events.send(Event::TargetsChanged(targets.clone()));
-    let read_at = clock::now();
-    while clock::now().saturating_sub(read_at) < REREAD_INTERVAL {
-        let changes = ctx.services.store.changes(prefix, revision, WATCH_TIMEOUT).await?;
-        revision = changes.revision;
-        if changes.events.is_empty() {
-            continue;
-        }
+    {
+        let mut list = list.lock().expect("no thread panics while holding the lock");
         let mut has_changed = false;
         for change in changes.events {
-            has_changed |= apply_target_change(ctx, &mut targets, prefix, change);
+            has_changed |= list.apply(ctx, prefix, change);
         }
         if has_changed {
-            let _ = events.send(Event::TargetsChanged(targets.clone()));
+            let _ = events.send(Event::TargetsChanged(list.targets.clone()));
         }
-        time::sleep(MIN_TARGETS_POLL_INTERVAL).await;
     }
-    Ok(())
+    time::sleep(MIN_TARGETS_POLL_INTERVAL).await;
+    Ok(changes.revision)
 }
 
-/// Applies a change to the target list. Returns whether the list has changed.
-fn apply_target_change(
-    ctx: &Context,
-    targets: &mut TargetList,
-    prefix: &str,
-    change: Change,
-) -> bool {
-    match change {
-        Change::Put(entry) => {
-            let id = Name::from(entry.key.strip_prefix(prefix).unwrap_or_default());
-            match ctx.services.catalog.target(&id, &entry.value) {
-                Ok(target) => {
-                    let is_new = targets.get(&id) != Some(&target);
-                    targets.insert(id, target);
-                    is_new
-                }
-                Err(reason) => {
-                    // A target with an invalid entry cannot be used, so an earlier
-                    // valid entry is removed.
-                    emit!(ctx.log, debug, TargetUnreachable; "target" => %id, "why" => reason);
-                    targets.remove(&id).is_some()
-                }
+impl List {
+    /// Replaces the list by the entries that were read at `revision`, except for
+    /// later changes.
+    fn replace(&mut self, ctx: &Context, prefix: &str, entries: Vec<Entry>, revision: Revision) {
+        let mut missing: HashSet<Name> = self.revisions.keys().cloned().collect();
+        for entry in entries {
+            missing.remove(target_name(&entry.key, prefix));
+            self.apply(ctx, prefix, Change::Put(entry));
+        }
+        for id in missing {
+            if self.revisions.get(&id).is_some_and(|changed| *changed <= revision) {
+                self.targets.remove(&id);
+                self.revisions.remove(&id);
             }
         }
-        Change::Deleted { key, .. } => {
-            targets.remove(key.strip_prefix(prefix).unwrap_or_default()).is_some()
+    }
+
+    /// Applies a change unless a later one is known. Returns whether the list has
+    /// changed.
+    fn apply(&mut self, ctx: &Context, prefix: &str, change: Change) -> bool {
+        let (id, revision) = match &change {
+            Change::Put(entry) => (target_name(&entry.key, prefix), entry.revision),
+            Change::Deleted { key, revision } => (target_name(key, prefix), *revision),
+            Change::Heartbeat => return false,
+        };
+        let id = Name::from(id);
+        if self.revisions.get(&id).is_some_and(|known| *known >= revision) {
+            return false;
+        }
+        self.revisions.insert(id.clone(), revision);
+        let Change::Put(entry) = change else {
+            return self.targets.remove(&id).is_some();
+        };
+        match ctx.services.catalog.target(&id, &entry.value) {
+            Ok(target) => {
+                let is_new = self.targets.get(&id) != Some(&target);
+                self.targets.insert(id, target);
+                is_new
+            }
+            Err(reason) => {
+                // A target with an invalid entry cannot be used, so an earlier
+                // valid entry is removed.
+                emit!(ctx.log, debug, TargetUnreachable; "target" => %id, "why" => reason);
+                self.targets.remove(&id).is_some()
+            }
         }
-        Change::Heartbeat => false,
     }
 }
+
+/// Returns the id of the target with this key.
+fn target_name<'a>(key: &'a str, prefix: &str) -> &'a str {
+    key.strip_prefix(prefix).unwrap_or_default()
+}
--- a/crates/node/tests/cell/store.rs
+++ b/crates/node/tests/cell/store.rs
@@ -8,7 +8,7 @@
 use standin::cell::store;
 use work::{JobState, Step};
 
-use crate::common::{Cell, Node, step, wait_until};
+use crate::common::{Cell, Node, TASK_SIZE, step, wait_until};
 
 /// Submits a job with the retries of a client: after 1 s if the job is refused as
 /// not run, and at once if the outcome is unknown. A job that is refused as not
@@ -139,6 +139,19 @@
     expect_that!(cell.nodes[follower].check_key("key"), err(anything()));
 }
 
+#[gtest]
+fn unanswered_read_of_the_target_list_does_not_delay_a_change() {
+    let cell = Cell::start(1, 1);
+    cell.world.store.set_fault(&cell.nodes[0].name, store::Fault::SilentPages);
+    // The whole list is read every 6 s, between long polls of 2 s.
+    std::thread::sleep(Duration::from_millis(8500));
+    cell.world.add_target(&Name::from("other"), TASK_SIZE, 8);
+    expect_that!(cell.nodes[0].submit("job", "work:10000", step(16)), ok(eq(&())));
+    // A target may leave 2.5 s after it has given notice.
+    std::thread::sleep(Duration::from_millis(2500));
+    expect_that!(cell.world.targets.running("job"), eq(16));
+}
+
 #[gtest]
 fn node_without_the_store_rejects_keys_after_a_timeout() {
     let cell = Cell::start(3, 2);
