A task under which three targets have crashed is given up

Cause: attempts were counted by the ends that targets list. A run that is lost with its target is listed by nobody; it was taken for ended when the lease ran out, and its task waited again, without limit. Class of fault: a retry budget that the worst kind of failure is not charged to.

Change: a target that comes back as another process (the listing names another start time, or another id answers for its address) has crashed, unless it had drained. The crash counts against each task that had a run there, also if the lease had run out before, and is kept with the job's progress. At the third the task is given up and its job fails (event 535). Tasks with a crash are placed apart from each other where there is a choice, so that the innocent ones are not lost with the cause again; a run that lasts a minute clears its task, since a long-running task outlives many targets.

Ruled out: counting each lapse of a lease, as targets are cut off and run on; counting a target that leaves the list, as it may have left by itself.

Evidence: four tests of plan/tests/decisions/crashes.rs and task_that_crashes_its_targets_is_given_up fail with the count switched off and pass with it, the latter with the leader killed after the first crash.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -100,6 +100,7 @@
     StopSent = 532, "stop sent";
     RunEnded = 533, "run ended";
     RunReleased = 534, "run taken for ended without an end listed by its target";
+    TargetCrashed = 535, "target crashed under a task";
     AdviceReceived = 540, "advice received";
     AdviceFailed = 541, "advice request failed";
     RecordFailed = 550, "write of records to the key-value service failed";
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -7,7 +7,7 @@
 };
 
 use base::{Name, clock, emit};
-use plan::{Action, AdviceRequest, Evidence, Listing, Planner, ReleasedRun};
+use plan::{Action, AdviceRequest, Crash, Evidence, Listing, Planner, ReleasedRun};
 use tokio::{
     sync::mpsc,
     task::JoinSet,
@@ -81,6 +81,8 @@
     pub(super) lease: Duration,
     pub(super) sessions: HashMap<Name, Arc<Session>>,
     pub(super) poll_schedule: Arc<PollSchedule>,
+    /// Last target with a session at each address.
+    pub(super) addresses: HashMap<Name, Name>,
     /// Targets in the current target list.
     pub(super) listed: TargetList,
     /// Targets recorded as possibly having runs.
@@ -200,6 +202,7 @@
             lease,
             sessions: HashMap::new(),
             poll_schedule: Arc::default(),
+            addresses: HashMap::new(),
             listed: TargetList::new(),
             held: recorded.held,
             closed: HashSet::new(),
@@ -297,6 +300,9 @@
         for run in self.planner.take_released_runs() {
             self.log_release(&run);
         }
+        for crash in self.planner.take_crashes() {
+            self.log_crash(&crash);
+        }
         for action in self.planner.take_actions() {
             self.execute(action);
         }
@@ -474,6 +480,16 @@
             "lease_age_ms" => run.lease_age.as_millis() as u64);
     }
 
+    fn log_crash(&self, crash: &Crash) {
+        let step = &crash.task.step;
+        let outcome = if crash.is_given_up { "given_up" } else { "counted" };
+        Metrics::count(&self.ctx.metrics.releases, "crash", outcome);
+        emit!(self.ctx.log, warn, TargetCrashed; "job" => %step.job,
+            "occurrence" => step.occurrence, "step" => step.step, "task" => crash.task.index,
+            "run" => crash.run, "target" => %crash.target, "crashes" => crash.crashes,
+            "given_up" => crash.is_given_up);
+    }
+
     fn remove_expired(&mut self) {
         let expired = self.planner.take_expired_jobs(clock::now());
         if !expired.is_empty() {
--- a/crates/node/src/placer/targets.rs
+++ b/crates/node/src/placer/targets.rs
@@ -13,6 +13,9 @@
     },
 };
 
+/// Addresses that are remembered for each target of the list.
+const MAX_ADDRESSES_PER_TARGET: usize = 4;
+
 impl Placer {
     /// Starts sessions for the listed targets. A target is first recorded as
     /// held, because runs may be on the target from then on.
@@ -21,6 +24,11 @@
         if self.listed.keys().any(|name| is_new(&name)) {
             self.record_held();
         }
+        // Addresses of targets that left are kept for a while, as a target may come
+        // back there.
+        if self.addresses.len() > MAX_ADDRESSES_PER_TARGET * self.listed.len().max(1) {
+            self.addresses.retain(|_, name| self.listed.contains_key(name));
+        }
         self.planner.set_idle_poll_interval(self.poll_schedule.set_targets(self.listed.len()));
         for (name, (_, address)) in &self.listed {
             let is_known =
@@ -29,6 +37,11 @@
                 continue;
             }
             emit!(self.ctx.log, info, TargetListed; "target" => %name, "address" => %address);
+            if let Some(earlier) = self.addresses.insert(address.clone(), name.clone())
+                && earlier != *name
+            {
+                self.planner.target_replaced(&earlier, clock::now());
+            }
             let target = Target { id: name.clone(), address: address.clone() };
             let session = Arc::new(Session::new(target, Arc::clone(&self.poll_schedule)));
             if let Some(previous) = self.sessions.insert(name.clone(), Arc::clone(&session)) {
--- a/crates/node/tests/cell/targets.rs
+++ b/crates/node/tests/cell/targets.rs
@@ -7,7 +7,7 @@
 use standin::cell::targets;
 use work::{JobState, Step};
 
-use crate::common::{Cell, step, wait_until};
+use crate::common::{Cell, TASK_SIZE, step, wait_until};
 
 /// Returns the name of a target.
 fn target(number: u32) -> Name {
@@ -127,3 +127,36 @@
     }
     expect_that!(cell.world.targets.violations(), is_empty());
 }
+
+#[gtest]
+fn task_that_crashes_its_targets_is_given_up() {
+    /// Most starts: three targets may crash, and two starts more are tolerated.
+    const MAX_STARTS: u32 = 5;
+    let mut cell = Cell::start(3, 8);
+    let payload = targets::CRASHING_PAYLOAD;
+    expect_that!(cell.nodes[0].submit("deadly", payload, step(1)), ok(eq(&())));
+    wait_until("a crash", || cell.world.targets.starts("deadly") > 0);
+    let leader = cell.leader();
+    cell.nodes[leader].kill();
+    let survivor = (leader + 1) % cell.nodes.len();
+    cell.wait_for_state(survivor, "deadly", JobState::Failed);
+    expect_that!(cell.world.targets.starts("deadly"), le(MAX_STARTS));
+    expect_that!(cell.nodes[survivor].submit("job", "work:10", step(64)), ok(eq(&())));
+    cell.wait_for_state(survivor, "job", JobState::Complete);
+    expect_that!(cell.world.targets.violations(), is_empty());
+}
+
+#[gtest]
+fn crash_counts_if_the_target_comes_back_under_another_id() {
+    const MAX_CRASHES: u32 = 3;
+    let cell = Cell::start(1, 1);
+    expect_that!(cell.nodes[0].submit("job", "work:60000", step(1)), ok(eq(&())));
+    let mut current = target(0);
+    for crash in 1..=MAX_CRASHES {
+        wait_until("a run", || cell.world.targets.runs_on(&current) == 1);
+        let next = Name::from(format!("again-{crash}"));
+        cell.world.replace_target(&current, &next, TASK_SIZE, 8);
+        current = next;
+    }
+    cell.wait_for_state(0, "job", JobState::Failed);
+}
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -319,7 +319,8 @@
             slots.retain(|slot| slot.has_ticket(valid_at));
         }
         let preference = self.speed_preference(key, self.last_round_unix_ms);
-        let chosen = choose_targets(step, slots, preference, wanted, self);
+        let is_suspect = self.step_state(key).is_some_and(StepState::has_waiting_suspects);
+        let chosen = choose_targets(step, slots, preference, is_suspect, wanted, self);
         if step.gang && (chosen.len() as u32) < wanted {
             return;
         }
@@ -530,6 +531,7 @@
         task.last_run = run;
         task.state = TaskState::Assigned { target, run };
         let checkpoint = task.checkpoint.clone();
+        let is_suspect = !task.crashed_runs.is_empty();
         let task = TaskKey { step: key.clone(), index };
         let target_state = &mut self.targets[target.0 as usize];
         if target_state.health.is_suspected() {
@@ -544,6 +546,7 @@
             && step.estimate_ms > 0;
         let entry = Run {
             started_at: is_comparable.then_some(now),
+            is_suspect,
             ..Run::new(run, step, Phase::Starting)
         };
         self.charge_run(target, &task, &spec.team, entry, now);
@@ -556,26 +559,35 @@
 
 /// Chooses a target for each of up to `wanted` tasks: near the data, on one
 /// rack if that matters, by the preferred speed, and on the fullest targets
-/// first, so that large gaps remain.
+/// first, so that large gaps remain. Tasks under which targets have crashed are
+/// kept apart, so that the innocent ones are not lost with the cause again.
 fn choose_targets(
     step: &Step,
     mut slots: Vec<Slot>,
     preference: SpeedPreference,
+    is_suspect: bool,
     wanted: u32,
     planner: &Planner,
 ) -> Vec<TargetId> {
+    let has_suspects = |slot: &Slot| {
+        is_suspect
+            && planner.targets[slot.target.0 as usize].runs.values().any(|run| run.is_suspect)
+    };
     let rack_of = |slot: &Slot| &planner.targets[slot.target.0 as usize].info.rack;
     if step.same_rack
         && let Some(rack) = rack_with_most_room(&slots, |slot| slot.tasks, planner)
     {
         slots.sort_by_cached_key(|slot| {
-            (*rack_of(slot) != rack, preference.order(slot.speed_class), slot.remaining_ppm())
+            let is_elsewhere = *rack_of(slot) != rack;
+            let class = preference.order(slot.speed_class);
+            (is_elsewhere, has_suspects(slot), class, slot.remaining_ppm())
         });
     } else {
         let is_far =
             |slot: &Slot| step.data_rack.as_ref().is_some_and(|rack| rack_of(slot) != rack);
         slots.sort_by_cached_key(|slot| {
-            (is_far(slot), preference.order(slot.speed_class), slot.remaining_ppm())
+            let class = preference.order(slot.speed_class);
+            (has_suspects(slot), is_far(slot), class, slot.remaining_ppm())
         });
     }
     let each = slots.iter().flat_map(|slot| (0..slot.tasks).map(|_| slot.target));
--- a/crates/plan/src/ends.rs
+++ b/crates/plan/src/ends.rs
@@ -79,6 +79,7 @@
                 target.runs.iter().map(|(task, run)| (task.clone(), run.number)).collect();
             for (task, run) in gone {
                 let id = TargetId(index as u32);
+                self.targets[index].lapsed_runs.push((task.clone(), run));
                 self.release_run(id, &task, run, Evidence::LeaseExpired, now);
             }
         }
--- a/crates/plan/src/listing.rs
+++ b/crates/plan/src/listing.rs
@@ -167,7 +167,8 @@
             self.is_changed = true;
         }
         target_state.last_contact_at = target_state.last_contact_at.max(Some(requested_at));
-        if target_state.born_unix_ms != listing.born_unix_ms {
+        let known_born = target_state.born_unix_ms;
+        if known_born != listing.born_unix_ms {
             // A new process numbers its ends from 1 again, and may run on other
             // hardware.
             target_state.speed = Speed::default();
@@ -175,6 +176,11 @@
             target_state.last_end = 0;
             target_state.unrecorded_ends.clear();
         }
+        if known_born != listing.born_unix_ms && known_born != 0 {
+            self.target_restarted(id, requested_at, listing, now);
+        } else {
+            self.targets[id.0 as usize].lapsed_runs.clear();
+        }
         for end in &listing.ended {
             let target_state = &mut self.targets[id.0 as usize];
             if end.number <= target_state.last_end {
@@ -222,9 +228,11 @@
                 known.phase = Phase::Running;
                 known.confirmed_at = Some(now);
             }
+            let confirmed_at = known.confirmed_at;
             if let Some(checkpoint) = &listed.checkpoint {
                 self.save_checkpoint(&listed.task, checkpoint);
             }
+            self.clear_crashes(&listed.task, confirmed_at, now);
             self.track_progress(id, listed, now);
             return;
         }
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -14,6 +14,7 @@
 use crate::{
     action::{Action, Stop, StopCause},
     admit::RequestLoad,
+    crash::Crash,
     ends::ReleasedRun,
     job::{Job, Origin},
     preempt::{Preemptible, Reservation},
@@ -57,6 +58,7 @@
     pub(crate) ended_jobs: BTreeSet<(Duration, Name)>,
     pub(crate) actions: Vec<Action>,
     pub(crate) released_runs: Vec<ReleasedRun>,
+    pub(crate) crashes: Vec<Crash>,
     pub(crate) state_changes: Vec<(Name, JobState)>,
     /// Earliest time of the next publication of state changes.
     next_publish_at: Duration,
@@ -274,7 +276,9 @@
         for info in targets {
             let id = self.target_id(&info.id);
             unlisted.remove(&id);
-            self.targets[id.0 as usize].info = info;
+            let target = &mut self.targets[id.0 as usize];
+            target.has_drained = info.availability == Availability::Draining;
+            target.info = info;
         }
         for id in unlisted {
             self.targets[id.0 as usize].info.availability = Availability::Unlisted;
--- a/crates/plan/src/step.rs
+++ b/crates/plan/src/step.rs
@@ -32,6 +32,8 @@
     pub(crate) last_run: u32,
     /// Numbers of the failed runs.
     pub(crate) failed_runs: SmallVec<[u32; 4]>,
+    /// Numbers of the runs that were lost in crashes of targets.
+    pub(crate) crashed_runs: SmallVec<[u32; 4]>,
     pub(crate) checkpoint: Option<Name>,
     /// Number of times that the task was preempted in this term.
     pub(crate) preemptions: u32,
@@ -58,6 +60,7 @@
             state: TaskState::Waiting,
             last_run: 0,
             failed_runs: SmallVec::new(),
+            crashed_runs: SmallVec::new(),
             checkpoint: None,
             preemptions: 0,
         };
@@ -82,6 +85,11 @@
                 task.failed_runs.clone_from(runs);
             }
         }
+        for (index, runs) in &progress.crashed_runs {
+            if let Some(task) = state.tasks.get_mut(*index as usize) {
+                task.crashed_runs.clone_from(runs);
+            }
+        }
         for (index, checkpoint) in &progress.checkpoints {
             if let Some(task) = state.tasks.get_mut(*index as usize) {
                 task.checkpoint = Some(checkpoint.clone());
@@ -146,6 +154,12 @@
         self.tasks.iter().any(|task| matches!(task.state, TaskState::Assigned { .. }))
     }
 
+    /// Returns whether targets have crashed under a task that waits.
+    pub(crate) fn has_waiting_suspects(&self) -> bool {
+        let mut waiting = self.waiting.iter().filter_map(|index| self.tasks.get(*index as usize));
+        waiting.any(|task| !task.crashed_runs.is_empty())
+    }
+
     /// Returns the number of tasks that may have a run on `target`.
     pub(crate) fn count_on(&self, target: TargetId) -> u32 {
         let is_there = |task: &&Task| matches!(task.state, TaskState::Assigned { target: on, .. } if on == target);
@@ -168,6 +182,10 @@
                 .filter(|(_, task)| !task.failed_runs.is_empty())
                 .map(|(index, task)| (index, task.failed_runs.clone()))
                 .collect(),
+            crashed_runs: numbered()
+                .filter(|(_, task)| !task.crashed_runs.is_empty())
+                .map(|(index, task)| (index, task.crashed_runs.clone()))
+                .collect(),
             checkpoints: numbered()
                 .filter_map(|(index, task)| Some((index, task.checkpoint.clone()?)))
                 .collect(),
--- a/crates/plan/src/target.rs
+++ b/crates/plan/src/target.rs
@@ -107,6 +107,8 @@
     pub(crate) progress: Option<(u32, Duration)>,
     /// Progress in percent and time of the last speed sample.
     pub(crate) last_sample: Option<(u32, Duration)>,
+    /// Whether a target has crashed under the task.
+    pub(crate) is_suspect: bool,
     /// Time of the start order; `None` if the time of the whole run would say
     /// nothing about the speed of the target.
     pub(crate) started_at: Option<Duration>,
@@ -123,6 +125,7 @@
             confirmed_at: None,
             progress: None,
             last_sample: None,
+            is_suspect: false,
             started_at: None,
         }
     }
@@ -142,6 +145,11 @@
     /// Start time of the target process that sent the last listing, in
     /// milliseconds since 1970.
     pub(crate) born_unix_ms: u64,
+    /// Whether the target was last listed as about to leave.
+    pub(crate) has_drained: bool,
+    /// Runs that were given up since the last listing because the lease had
+    /// expired.
+    pub(crate) lapsed_runs: Vec<(TaskKey, u32)>,
     /// Highest number of an end that was applied.
     pub(crate) last_end: u64,
     /// Ends that were applied but are not recorded yet: their numbers and jobs.
--- a/crates/plan/tests/decisions/main.rs
+++ b/crates/plan/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod advice;
 mod cell;
+mod crashes;
 mod gangs;
 mod lifecycle;
 mod placement;
--- a/crates/standin/src/cell/targets.rs
+++ b/crates/standin/src/cell/targets.rs
@@ -21,6 +21,13 @@
 /// Prefix of payloads whose runs fail immediately.
 pub const FAILING_PAYLOAD: &str = "fail";
 
+/// Payload of runs that crash their target at once. The target is back
+/// [`RESTART_TIME`] later.
+pub const CRASHING_PAYLOAD: &str = "crash";
+
+/// Time for which a target is down after a crash.
+pub const RESTART_TIME: Duration = Duration::from_millis(500);
+
 /// Fault of a target.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Fault {
@@ -31,6 +38,8 @@
     Silent,
     /// Orders are executed, but starts are not answered.
     LosingStartAnswers,
+    /// The target is down and answers again as another process at this time.
+    Down(Instant),
     /// Starts are not answered and are executed after this time.
     LateStarts(Duration),
 }
@@ -106,14 +115,7 @@
     /// unrecorded ends are lost.
     pub fn restart(&self, id: &Name) {
         if let Some(target_state) = self.lock().targets.get_mut(id) {
-            target_state.born += 1;
-            target_state.clock = Instant::now();
-            target_state.lease_end = None;
-            target_state.term = 0;
-            target_state.runs.clear();
-            target_state.min_run.clear();
-            target_state.ended.clear();
-            target_state.last_end = 0;
+            target_state.restart();
         }
     }
 
@@ -159,6 +161,9 @@
     fn settle(&mut self, now: Instant) {
         let mut done = Vec::new();
         for target_state in self.targets.values_mut() {
+            if matches!(target_state.fault, Fault::Down(until) if until <= now) {
+                target_state.fault = Fault::None;
+            }
             let lapse = target_state.lease_end.filter(|end| *end <= now);
             let ended: Vec<(TaskKey, End)> = target_state
                 .runs
@@ -211,6 +216,10 @@
         let used = target_state.size * target_state.runs.len() as u32;
         let is_overcommitted = !used.fits(&target_state.capacity);
         *self.starts.entry(start.task.clone()).or_default() += 1;
+        if &*start.payload == CRASHING_PAYLOAD {
+            target_state.restart();
+            target_state.fault = Fault::Down(now + RESTART_TIME);
+        }
         if is_overcommitted {
             self.violations.push(format!("{id} is overcommitted by {:?}", start.task));
         }
@@ -233,6 +242,17 @@
 }
 
 impl TargetState {
+    fn restart(&mut self) {
+        self.born += 1;
+        self.clock = Instant::now();
+        self.lease_end = None;
+        self.term = 0;
+        self.runs.clear();
+        self.min_run.clear();
+        self.ended.clear();
+        self.last_end = 0;
+    }
+
     fn clock_ms(&self, now: Instant) -> u64 {
         (now - self.clock).as_millis() as u64
     }
@@ -286,8 +306,14 @@
         async move {
             time::sleep(LATENCY).await;
             match self.fault(target) {
-                Fault::None => (self.0.lock().start(&target.id, start), None),
-                Fault::Silent => {
+                Fault::None => {
+                    let answer = self.0.lock().start(&target.id, start);
+                    if matches!(self.fault(target), Fault::Down(_)) {
+                        return (StartAnswer::Unknown, None);
+                    }
+                    (answer, None)
+                }
+                Fault::Silent | Fault::Down(_) => {
                     time::sleep(timeout).await;
                     (StartAnswer::Unknown, None)
                 }
@@ -321,7 +347,7 @@
     ) -> BoxFuture<'a, OrderResult<()>> {
         async move {
             time::sleep(LATENCY).await;
-            if self.fault(target) == Fault::Silent {
+            if matches!(self.fault(target), Fault::Silent | Fault::Down(_)) {
                 time::sleep(timeout).await;
                 return Err(OrderError::NoAnswer("no answer".to_owned()));
             }
@@ -351,7 +377,7 @@
             self.0.lock().listing_requests += 1;
             let end = Instant::now() + renewal.wait;
             loop {
-                if self.fault(target) == Fault::Silent {
+                if matches!(self.fault(target), Fault::Silent | Fault::Down(_)) {
                     time::sleep(timeout).await;
                     return Err(OrderError::NoAnswer("no answer".to_owned()));
                 }
--- a/crates/standin/src/cell/world.rs
+++ b/crates/standin/src/cell/world.rs
@@ -41,7 +41,8 @@
 #[derive(Default)]
 struct Registry {
     configs: Mutex<Vec<Config>>,
-    targets: Mutex<Vec<TargetInfo>>,
+    /// Targets with their addresses.
+    targets: Mutex<Vec<(TargetInfo, Name)>>,
 }
 
 /// Returns the policy of the queue that [`World::configure`] sets up.
@@ -72,6 +73,22 @@
     /// Adds a target with room for `slots` tasks of a size and publishes the
     /// target's description in the key-value service.
     pub fn add_target(&self, id: &Name, size: Resources, slots: u32) {
+        self.add_target_at(id, id, size, slots);
+    }
+
+    /// Crashes a target, which comes back at its address under another id.
+    pub fn replace_target(&self, id: &Name, new: &Name, size: Resources, slots: u32) {
+        let address = {
+            let targets = self.registry.targets.lock().expect("no holder of the lock panics");
+            let earlier = targets.iter().find(|(info, _)| info.id == *id);
+            earlier.map(|(_, address)| address.clone()).unwrap_or_default()
+        };
+        self.remove_target(id);
+        self.targets.restart(id);
+        self.add_target_at(new, &address, size, slots);
+    }
+
+    fn add_target_at(&self, id: &Name, address: &Name, size: Resources, slots: u32) {
         self.targets.add(id, size, slots);
         let info = TargetInfo {
             id: id.clone(),
@@ -80,7 +97,7 @@
             ..TargetInfo::default()
         };
         let mut targets = self.registry.targets.lock().expect("no holder of the lock panics");
-        targets.push(info);
+        targets.push((info, address.clone()));
         let value = Bytes::from((targets.len() - 1).to_string());
         self.store.put(&format!("{TARGET_PREFIX}{id}"), value);
     }
@@ -89,7 +106,7 @@
     pub fn republish_target(&self, number: usize) {
         let id = {
             let targets = self.registry.targets.lock().expect("no holder of the lock panics");
-            targets[number].id.clone()
+            targets[number].0.id.clone()
         };
         let value = Bytes::from(number.to_string());
         self.store.put(&format!("{TARGET_PREFIX}{id}"), value);
@@ -196,7 +213,6 @@
 
     fn target(&self, _id: &str, value: &[u8]) -> Result<(TargetInfo, Name), String> {
         let targets = self.0.targets.lock().expect("no holder of the lock panics");
-        let info = targets.get(index(value)?).cloned().ok_or("no such target")?;
-        Ok((info, Name::default()))
+        targets.get(index(value)?).cloned().ok_or_else(|| "no such target".to_owned())
     }
 }
