Nothing is started by a list of targets that may be old

Cause: a smaller capacity is used from the next round on, but the leader went by the list of targets however long ago it had last read it. The lease of the lead is renewed by other requests, so a leader whose watches and reads get no answer goes on.

Change: each answer to a read or a poll of the list confirms it as of the time of the request. Without a confirmation for 5 s nothing is started, gangs with reserved room included, until there is one (event 562). Ends, stops and renewals go on.

Ruled out: giving the lead away, since the other nodes may read no better, and what runs needs its leases renewed.

Evidence: no_work_starts_by_a_list_of_targets_that_may_be_old (8 starts) and leader_that_cannot_read_the_target_list_starts_nothing (2 starts) fail before and pass after. target_that_has_shrunk_gets_work_only_for_its_room passes before as well; it holds what was found to be right.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -108,6 +108,7 @@
     RecordUnreadable = 552, "stored record can't be decoded";
     TargetListed = 560, "target listed";
     TargetUnreachable = 561, "target does not answer";
+    TargetsUnconfirmed = 562, "list of targets not confirmed recently";
     LinkOpened = 570, "link to the leader opened";
     LinkLost = 571, "link to the leader lost";
     SettingsReloaded = 580, "settings reloaded";
--- a/crates/node/src/placer/event.rs
+++ b/crates/node/src/placer/event.rs
@@ -21,6 +21,8 @@
     Cancelled(Name),
     /// The list of targets has changed.
     TargetsChanged(TargetList),
+    /// The list of targets was current at this time.
+    TargetsConfirmed(Duration),
     /// The configuration has changed.
     ConfigChanged(Arc<Config>),
     /// The snapshot of the targets for the next placer was recorded; `None` if
--- a/crates/node/src/placer/follow.rs
+++ b/crates/node/src/placer/follow.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use base::{Name, emit};
+use base::{Name, clock, emit};
 use futures::FutureExt;
 use platform::{Entry, Error, Event as Change, Revision};
 use tokio::{sync::mpsc, time};
@@ -139,10 +139,12 @@
     events: &mpsc::UnboundedSender<Event>,
 ) -> Result<Revision, Error> {
     let prefix = ctx.services.catalog.target_prefix();
+    let sent = clock::now();
     let (entries, revision) = read_prefix(&*ctx.services.store, prefix).await?;
     let mut list = list.lock().expect("no thread panics while holding the lock");
     list.replace(ctx, prefix, entries, revision);
     let _ = events.send(Event::TargetsChanged(list.targets.clone()));
+    let _ = events.send(Event::TargetsConfirmed(sent));
     Ok(revision)
 }
 
@@ -155,10 +157,9 @@
     events: &mpsc::UnboundedSender<Event>,
 ) -> Result<Revision, Error> {
     let prefix = ctx.services.catalog.target_prefix();
+    let sent = clock::now();
     let changes = ctx.services.store.changes(prefix, after, WATCH_TIMEOUT).await?;
-    if changes.events.is_empty() {
-        return Ok(changes.revision);
-    }
+    let is_empty = changes.events.is_empty();
     {
         let mut list = list.lock().expect("no thread panics while holding the lock");
         let mut has_changed = false;
@@ -169,7 +170,10 @@
             let _ = events.send(Event::TargetsChanged(list.targets.clone()));
         }
     }
-    time::sleep(MIN_TARGETS_POLL_INTERVAL).await;
+    let _ = events.send(Event::TargetsConfirmed(sent));
+    if !is_empty {
+        time::sleep(MIN_TARGETS_POLL_INTERVAL).await;
+    }
     Ok(changes.revision)
 }
 
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -102,6 +102,8 @@
     pub(super) peers: Peers,
     /// Advice requests that no instance has capacity for yet.
     pub(super) unsent_advice: Vec<AdviceRequest>,
+    /// Whether the last round was made by a current list of targets.
+    pub(super) is_list_current: bool,
     /// Earliest start of the next placement round.
     pub(super) next_round_at: Duration,
     /// Start of the current search for a successor; `None` if there is no
@@ -213,6 +215,7 @@
             last_record_at: Duration::ZERO,
             peers: Peers::default(),
             unsent_advice: Vec::new(),
+            is_list_current: true,
             next_round_at: Duration::ZERO,
             successor_sought_at: None,
             has_asked_all: false,
@@ -284,9 +287,21 @@
         }
     }
 
+    /// Logs when the list of targets becomes too old to start work by it, and
+    /// when it is current again.
+    fn log_list_age(&mut self, now: Duration) {
+        let is_current = self.planner.is_list_current(now);
+        match (std::mem::replace(&mut self.is_list_current, is_current), is_current) {
+            (true, false) => emit!(self.ctx.log, warn, TargetsUnconfirmed; "current" => false),
+            (false, true) => emit!(self.ctx.log, info, TargetsUnconfirmed; "current" => true),
+            (true, true) | (false, false) => {}
+        }
+    }
+
     /// Runs a placement round if one is due, and sends and records the results.
     fn run_round(&mut self) {
         let now = clock::now();
+        self.log_list_age(now);
         if self.leadership.is_valid(now) && now >= self.next_round_at {
             self.planner.decide(now, clock::unix_ms());
             // Under load, the wait lets a round process many events at once.
@@ -389,6 +404,7 @@
                 self.listed = listed;
                 self.start_sessions();
             }
+            Event::TargetsConfirmed(at) => self.planner.targets_confirmed(at),
             Event::SnapshotRecorded(held) => {
                 self.is_recording_held = false;
                 // A failed record is retried by `update_held`.
--- a/crates/node/tests/cell/store.rs
+++ b/crates/node/tests/cell/store.rs
@@ -152,6 +152,23 @@
     expect_that!(cell.world.targets.running("job"), eq(16));
 }
 
+#[gtest]
+fn leader_that_cannot_read_the_target_list_starts_nothing() {
+    /// Time after which a smaller capacity of a target counts: 4 s of contact and
+    /// a heartbeat of 1.5 s.
+    const CAPACITY_BOUND: Duration = Duration::from_millis(5500);
+    let cell = Cell::start(2, 2);
+    let (leader, follower) = (cell.leader(), cell.follower());
+    cell.world.store.set_fault(&cell.nodes[leader].name, store::Fault::SilentLists);
+    std::thread::sleep(CAPACITY_BOUND);
+    expect_that!(cell.nodes[follower].submit("job", "work:10", step(2)), ok(eq(&())));
+    std::thread::sleep(Duration::from_secs(1));
+    expect_that!(cell.nodes[leader].is_leader(), eq(true));
+    expect_that!(cell.world.targets.starts("job"), eq(0));
+    cell.world.store.set_fault(&cell.nodes[leader].name, store::Fault::None);
+    cell.wait_for_state(follower, "job", JobState::Complete);
+}
+
 #[gtest]
 fn node_without_the_store_rejects_keys_after_a_timeout() {
     let cell = Cell::start(3, 2);
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -140,7 +140,7 @@
         self.clear_ended_jobs(now);
         self.resend_stops(now);
         self.begin_due_occurrences(unix_ms, now);
-        if !std::mem::take(&mut self.is_changed) {
+        if !self.is_list_current(now) || !std::mem::take(&mut self.is_changed) {
             return;
         }
         let (contact_timeout, idle_timeout) =
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -35,6 +35,9 @@
     /// new work.
     pub(crate) idle_contact_timeout: Duration,
     pub(crate) target_ids: HashMap<Name, TargetId>,
+    /// Time at which the list of targets was last known to be current; `None`
+    /// before the first confirmation.
+    pub(crate) targets_confirmed_at: Option<Duration>,
     pub(crate) jobs: HashMap<Name, Job>,
     /// Resources of the runs of each team that may exist.
     pub(crate) team_usage: Usage,
@@ -286,6 +289,18 @@
         self.is_changed = true;
     }
 
+    /// Returns whether the list of targets was confirmed recently enough to start
+    /// work by it.
+    pub fn is_list_current(&self, now: Duration) -> bool {
+        let age = self.targets_confirmed_at.map(|at| now.saturating_sub(at));
+        age.is_none_or(|age| age < self.settings.max_list_age)
+    }
+
+    /// Records that the list of targets was current at `at`.
+    pub fn targets_confirmed(&mut self, at: Duration) {
+        self.targets_confirmed_at = self.targets_confirmed_at.max(Some(at));
+    }
+
     /// Returns the highest number of an end applied from the target process
     /// that started at `born_unix_ms`; 0 if there is none.
     pub fn last_end(&self, target: &str, born_unix_ms: u64) -> u64 {
--- a/crates/plan/src/settings.rs
+++ b/crates/plan/src/settings.rs
@@ -18,6 +18,9 @@
     /// Margin beyond the poll interval after which a target without runs gets
     /// no new work.
     pub idle_contact_margin: Duration,
+    /// Time since the list of targets was last confirmed after which nothing is
+    /// started. A target may have shrunk or given notice meanwhile.
+    pub max_list_age: Duration,
     /// Time before its expiry from which a ticket is no longer used. Covers the
     /// time to send a start to the farthest target.
     pub ticket_margin: Duration,
@@ -117,6 +120,7 @@
             max_clock_drift_milli: 20,
             contact_timeout: Duration::from_millis(2500),
             idle_contact_margin: Duration::from_millis(1500),
+            max_list_age: Duration::from_millis(5000),
             ticket_margin: Duration::from_millis(150),
             health_thresholds: Thresholds {
                 min_failures: 3,
--- a/crates/plan/tests/decisions/targets.rs
+++ b/crates/plan/tests/decisions/targets.rs
@@ -218,3 +218,36 @@
     cell.list_nothing(&target);
     expect_that!(cell.decide_starts().len(), eq(8));
 }
+
+#[gtest]
+fn no_work_starts_by_a_list_of_targets_that_may_be_old() {
+    /// Time after which a smaller capacity of a target counts: 4 s of contact and
+    /// a heartbeat of 1.5 s.
+    const CAPACITY_BOUND: Duration = Duration::from_millis(5500);
+    let mut cell = Cell::new(1);
+    cell.planner.targets_confirmed(cell.now);
+    cell.advance(CAPACITY_BOUND);
+    cell.list_nothing("target-0");
+    cell.accept("job", vec![step(8)]);
+    expect_that!(cell.decide_starts(), is_empty());
+    cell.planner.targets_confirmed(cell.now);
+    expect_that!(cell.decide_starts().len(), eq(8));
+}
+
+#[gtest]
+fn target_that_has_shrunk_gets_work_only_for_its_room() {
+    let mut cell = Cell::new(1);
+    cell.accept("job", vec![step(6)]);
+    let starts = cell.decide_starts();
+    cell.answer_starts(&starts, &StartAnswer::Started);
+    cell.update_targets(|info| info.capacity = step(1).size * 4);
+    cell.accept("next", vec![step(2)]);
+    expect_that!(cell.decide_starts(), is_empty());
+    cell.end_run(&starts[0], End::Done);
+    cell.end_run(&starts[1], End::Done);
+    expect_that!(cell.decide_starts(), is_empty());
+    cell.end_run(&starts[2], End::Done);
+    expect_that!(cell.decide_starts().len(), eq(1));
+    cell.update_targets(|info| info.capacity = step(1).size * 8);
+    expect_that!(cell.decide_starts().len(), eq(1));
+}
--- a/crates/standin/src/cell/store.rs
+++ b/crates/standin/src/cell/store.rs
@@ -26,6 +26,10 @@
 /// Time after which an instance gives up waiting for a page.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(4000);
 
+/// Time for which an instance waits for changes beyond the time that the service
+/// may wait.
+const CHANGES_MARGIN: Duration = Duration::from_millis(800);
+
 /// Fault of the service towards one instance.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Fault {
@@ -44,6 +48,8 @@
     Slow(Duration),
     /// Reads of pages are not answered; other requests succeed.
     SilentPages,
+    /// Reads of pages and of changes are not answered; other requests succeed.
+    SilentLists,
     /// The next commit is not answered and is executed after this time, if the
     /// expected revisions still match.
     LateCommit(Duration),
@@ -247,6 +253,7 @@
             | Fault::LosingAnswers(_)
             | Fault::RefusingWrites
             | Fault::SilentPages
+            | Fault::SilentLists
             | Fault::LateCommit(_) => Ok(()),
             Fault::Refusing => Err(Error::NotRun { reason: "refused".to_owned() }),
             Fault::Silent => {
@@ -297,7 +304,7 @@
         const MAX_PAGE_ENTRIES: usize = 5;
         async move {
             self.receive().await?;
-            if self.fault() == Fault::SilentPages {
+            if matches!(self.fault(), Fault::SilentPages | Fault::SilentLists) {
                 time::sleep(PAGE_TIMEOUT).await;
                 return Err(Error::Unknown { reason: "no answer".to_owned() });
             }
@@ -342,6 +349,10 @@
             self.receive().await?;
             let end = Instant::now() + wait;
             loop {
+                if self.fault() == Fault::SilentLists {
+                    time::sleep(wait + CHANGES_MARGIN).await;
+                    return Err(Error::Unknown { reason: "no answer".to_owned() });
+                }
                 let changed = self.store.changed.notified();
                 {
                     let state = self.store.lock();
