--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -109,6 +109,7 @@
     TargetListed = 560, "target listed";
     TargetUnreachable = 561, "target does not answer";
     TargetsUnconfirmed = 562, "list of targets not confirmed recently";
+    TargetEntryInvalid = 563, "entry in the list of targets is not valid";
     LinkOpened = 570, "link to the leader opened";
     LinkLost = 571, "link to the leader lost";
     SettingsReloaded = 580, "settings reloaded";
--- a/crates/node/src/placer/follow.rs
+++ b/crates/node/src/placer/follow.rs
@@ -219,7 +219,8 @@
             Err(reason) => {
                 // A target with an invalid entry cannot be used, so an earlier
                 // valid entry is removed.
-                emit!(ctx.log, debug, TargetUnreachable; "target" => %id, "why" => reason);
+                emit!(ctx.log, warn, TargetEntryInvalid; "target" => %id, "why" => reason,
+                    "revision" => revision.0);
                 self.targets.remove(&id).is_some()
             }
         }
--- a/crates/node/tests/cell/store.rs
+++ b/crates/node/tests/cell/store.rs
@@ -152,6 +152,24 @@
     expect_that!(cell.world.targets.running("job"), eq(16));
 }
 
+#[gtest]
+fn unreadable_target_entry_leaves_the_other_targets_in_use() {
+    let cell = Cell::start(2, 1);
+    cell.world.store.put("targets/odd", Bytes::from_static(UNREADABLE));
+    cell.world.store.put("targets/target-0/odd", Bytes::from_static(UNREADABLE));
+    cell.world.add_target(&Name::from("other"), TASK_SIZE, 8);
+    expect_that!(cell.nodes[0].submit("job", "work:500", step(16)), ok(eq(&())));
+    wait_until("runs on both targets", || cell.world.targets.running("job") == 16);
+    cell.wait_for_state(1, "job", JobState::Complete);
+    // A target whose entry is overwritten gets no further work.
+    cell.world.store.put("targets/other", Bytes::from_static(UNREADABLE));
+    std::thread::sleep(Duration::from_millis(500));
+    expect_that!(cell.nodes[0].submit("next", "work:500", step(8)), ok(eq(&())));
+    cell.wait_for_state(1, "next", JobState::Complete);
+    expect_that!(cell.world.targets.runs_on("other"), eq(0));
+    expect_that!(cell.world.targets.violations(), is_empty());
+}
+
 #[gtest]
 fn leader_that_cannot_read_the_target_list_starts_nothing() {
     /// Time after which a smaller capacity of a target counts: 4 s of contact and
--- a/crates/plan/tests/decisions/targets.rs
+++ b/crates/plan/tests/decisions/targets.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use base::Name;
+use base::{Name, Resources};
 use googletest::prelude::*;
 use plan::{Refusal, StartAnswer};
-use work::{End, JobState, Step};
+use work::{Advice, End, JobState, Step};
 
-use crate::cell::{Cell, step};
+use crate::cell::{Cell, QUEUE, step};
 
 #[gtest]
 fn unanswered_start_is_repeated_only_after_the_run_is_ruled_out() {
@@ -251,3 +251,29 @@
     cell.update_targets(|info| info.capacity = step(1).size * 8);
     expect_that!(cell.decide_starts().len(), eq(1));
 }
+
+#[gtest]
+fn capacity_of_any_size_breaks_no_round() {
+    let advice = Advice { request_us: 1000, target_us: 10, valid_ms: 1500 };
+    let tiny = Resources { cpu_milli: 1, ..Resources::ZERO };
+    for size in [step(1).size, tiny, Resources::ZERO] {
+        let mut cell = Cell::new(3);
+        cell.planner.set_instances(4, cell.now);
+        cell.set_advice(QUEUE, advice);
+        cell.update_targets(|info| info.capacity = Resources::MAX);
+        cell.accept("tasks", vec![Step { size, ..step(40) }]);
+        cell.accept("gang", vec![Step { size, gang: true, ..step(40) }]);
+        cell.accept("apart", vec![Step { size, max_per_target: Some(1), ..step(3) }]);
+        for _ in 0..4 {
+            cell.advance(Duration::from_millis(100));
+            cell.decide_starts();
+            for request in cell.take_advice_requests() {
+                let tickets = request.targets.iter().map(|id| (id.clone(), Name::from("ticket")));
+                let (allowed, until) = (tickets.collect(), cell.now + Duration::from_secs(1));
+                cell.planner.advice_answered(&request.step, &request.targets, Some(allowed), until);
+            }
+            cell.list_nothing_on_others("");
+            cell.planner.overloads(cell.now);
+        }
+    }
+}
