--- a/crates/node/tests/cell/store.rs
+++ b/crates/node/tests/cell/store.rs
@@ -141,14 +141,15 @@
 
 #[gtest]
 fn unanswered_read_of_the_target_list_does_not_delay_a_change() {
+    /// Time after its notice from which a target may leave.
+    const DRAIN_TIME: Duration = Duration::from_millis(2500);
     let cell = Cell::start(1, 1);
     cell.world.store.set_fault(&cell.nodes[0].name, store::Fault::SilentPages);
     // The whole list is read every 6 s, between long polls of 2 s.
     std::thread::sleep(Duration::from_millis(8500));
     cell.world.add_target(&Name::from("other"), TASK_SIZE, 8);
     expect_that!(cell.nodes[0].submit("job", "work:10000", step(16)), ok(eq(&())));
-    // A target may leave 2.5 s after it has given notice.
-    std::thread::sleep(Duration::from_millis(2500));
+    std::thread::sleep(DRAIN_TIME);
     expect_that!(cell.world.targets.running("job"), eq(16));
 }
 
@@ -206,8 +207,7 @@
     expect_that!(path("/other/", "key"), err(eq(Remedy::Find)));
     expect_that!(path("/queue/", "other"), err(eq(Remedy::Authenticate)));
     cell.world.store.set_fault(&follower.name, store::Fault::Silent);
-    // The last confirmation may be of the time of the fault; a version must be in
-    // force 2.5 s after its acknowledgement.
+    // A version must be in force 2.5 s after its acknowledgement.
     std::thread::sleep(Duration::from_millis(2600));
     expect_that!(path("/queue/", "key"), ok(eq(())));
     for (path, refused) in
--- a/crates/node/tests/cell/targets.rs
+++ b/crates/node/tests/cell/targets.rs
@@ -67,8 +67,7 @@
     expect_that!(cell.nodes[0].submit("job", "work:20000", long_step), ok(eq(&())));
     wait_until("a full target", || cell.world.targets.running("job") == 8);
     expect_that!(cell.nodes[0].submit("next", "work:10", step(8)), ok(eq(&())));
-    // The target falls silent right after a grant, and answers again shortly
-    // before that lease expires. The answer to the next renewal takes 1 s.
+    // The answer to the renewal after the silence comes when the earlier lease is over.
     let requests = cell.world.targets.listing_requests();
     wait_until("a renewal", || cell.world.targets.listing_requests() > requests);
     cell.world.targets.set_fault(&target(0), targets::Fault::Silent);
@@ -114,8 +113,7 @@
 #[gtest]
 fn job_on_a_target_that_returns_to_the_list_is_not_lost() {
     let cell = Cell::start(1, 1);
-    // The target answers while it is not listed: the placer ends its session
-    // within 0.5 s, and the last request waits up to 1 s for an answer.
+    // The session of an unlisted target ends while its last request still waits.
     for round in 0..5 {
         cell.world.unlist_target(&target(0));
         std::thread::sleep(Duration::from_millis(700));
--- a/crates/plan/tests/decisions/crashes.rs
+++ b/crates/plan/tests/decisions/crashes.rs
@@ -110,10 +110,9 @@
     cell.accept("job", vec![step(1)]);
     let mut start = start_one(&mut cell);
     for _ in 0..MAX_CRASHES {
-        // Cut off for longer than its lease, then back as the same process.
         let next = lapse_and_start_again(&mut cell, &start);
         cell.list_nothing(&start.target);
-        // Drained, then replaced at the same address.
+        // The next target drains and is replaced at its address.
         cell.update_targets(|info| {
             if info.id == next.target {
                 info.availability = Availability::Draining;
