--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -33,6 +33,9 @@
     pub(crate) advice: Family<Labels, Counter>,
     /// Runs taken for ended without an end listed by their targets, by evidence.
     pub(crate) releases: Family<Labels, Counter>,
+    /// Crashes of targets under tasks; the outcome tells whether the task was
+    /// given up.
+    pub(crate) crashes: Family<Labels, Counter>,
     /// Terms that this node has started as leader.
     pub(crate) takeovers: Counter,
     /// 1 while this node leads, 0 otherwise.
@@ -58,6 +61,7 @@
             orders: Family::default(),
             advice: Family::default(),
             releases: Family::default(),
+            crashes: Family::default(),
             takeovers: Counter::default(),
             leads: Gauge::default(),
             write_time: histogram(),
@@ -75,6 +79,7 @@
             "Runs taken for ended without an end listed by their targets",
             metrics.releases.clone(),
         );
+        registry.register("crashes", "Crashes of targets under tasks", metrics.crashes.clone());
         registry.register("takeovers", "Takeovers of the lead", metrics.takeovers.clone());
         registry.register("leads", "Whether this node leads", metrics.leads.clone());
         let times = [
--- a/crates/node/src/placer/mod.rs
+++ b/crates/node/src/placer/mod.rs
@@ -6,7 +6,8 @@
 //! beside the loop follow the key-value service ([`follow`]), renew the leases
 //! of the targets ([`session`]), send orders ([`order`]) and record progress
 //! ([`progress`], [`snapshot`]) with fenced writes ([`guard`]). Advice requests
-//! are spread over the linked nodes ([`peers`]). All tasks end with the loop.
+//! are spread over the linked nodes ([`peers`]). [`report`] logs what the planner
+//! concludes. All tasks end with the loop.
 
 mod event;
 mod follow;
@@ -15,6 +16,7 @@
 mod order;
 mod peers;
 mod progress;
+mod report;
 mod run;
 mod session;
 mod snapshot;
--- /dev/null
+++ b/crates/node/src/placer/report.rs
@@ -0,0 +1,58 @@
+//! Log lines and counters for what the planner has concluded.
+
+use std::time::Duration;
+
+use base::{Name, emit};
+use plan::{Crash, Evidence, Listing, ReleasedRun};
+
+use crate::{metrics::Metrics, placer::run::Placer};
+
+impl Placer {
+    /// Logs when the list of targets becomes too old to start work by it, and
+    /// when it is current again.
+    pub(super) fn log_list_age(&mut self, now: Duration) {
+        let is_current = self.planner.is_list_current(now);
+        match (std::mem::replace(&mut self.is_list_current, is_current), is_current) {
+            (true, false) => emit!(self.ctx.log, warn, TargetsUnconfirmed; "current" => false),
+            (false, true) => emit!(self.ctx.log, info, TargetsUnconfirmed; "current" => true),
+            (true, true) | (false, false) => {}
+        }
+    }
+
+    /// Logs the ends in a listing that were not applied yet.
+    pub(super) fn log_ends(&self, target: &Name, listing: &Listing) {
+        let seen = self.planner.last_end(target, listing.born_unix_ms);
+        for end in listing.ended.iter().filter(|end| end.number > seen) {
+            let step = &end.task.step;
+            emit!(self.ctx.log, info, RunEnded; "job" => %step.job,
+                "occurrence" => step.occurrence, "step" => step.step, "task" => end.task.index,
+                "run" => end.run, "target" => %target, "end" => ?end.end,
+                "number" => end.number);
+        }
+    }
+
+    /// Logs and counts a run that was taken for ended.
+    pub(super) fn log_release(&self, run: &ReleasedRun) {
+        let (step, evidence) = (&run.task.step, run.evidence);
+        let kind = match evidence {
+            Evidence::LeaseExpired => "lease_expired",
+            Evidence::Unlisted => "unlisted",
+        };
+        Metrics::count(&self.ctx.metrics.releases, kind, "released");
+        emit!(self.ctx.log, info, RunReleased; "job" => %step.job,
+            "occurrence" => step.occurrence, "step" => step.step, "task" => run.task.index,
+            "run" => run.run, "target" => %run.target, "evidence" => ?evidence,
+            "lease_age_ms" => run.lease_age.as_millis() as u64);
+    }
+
+    /// Logs and counts the crash of a target under a task.
+    pub(super) fn log_crash(&self, crash: &Crash) {
+        let step = &crash.task.step;
+        let outcome = if crash.is_given_up { "given_up" } else { "counted" };
+        Metrics::count(&self.ctx.metrics.crashes, "task", outcome);
+        emit!(self.ctx.log, warn, TargetCrashed; "job" => %step.job,
+            "occurrence" => step.occurrence, "step" => step.step, "task" => crash.task.index,
+            "run" => crash.run, "target" => %crash.target, "crashes" => crash.crashes,
+            "given_up" => crash.is_given_up);
+    }
+}
