A test of an unanswered read waits until the target list was read once

The leader had not changed (no event 501 or 502). The stand-in was told to answer no more reads as soon as clients were served, which does not need the target list: where its first read was still under way, there was no revision to follow it from. What the test is about needs a list that is followed. It now runs a job first; bound and assertions are as before.

--- a/crates/node/tests/cell/store.rs
+++ b/crates/node/tests/cell/store.rs
@@ -144,6 +144,8 @@
     /// Time after its notice from which a target may leave.
     const DRAIN_TIME: Duration = Duration::from_millis(2500);
     let cell = Cell::start(1, 1);
+    expect_that!(cell.nodes[0].submit("first", "work:10", step(1)), ok(eq(&())));
+    cell.wait_for_state(0, "first", JobState::Complete);
     cell.world.store.set_fault(&cell.nodes[0].name, store::Fault::SilentPages);
     // The whole list is read every 6 s, between long polls of 2 s.
     std::thread::sleep(Duration::from_millis(8500));
