Review: a stale record of closed targets makes a task run twice (case 1)

Seen: a runner drains, four of its tasks fail and start again elsewhere, then the leader is stopped by SIGTERM and hands over. The new leader stops the four sound runs and starts each task again 30 to 40 ms later, 460 ms before the old runs end. All of it is planned work (scale_in, roll_term).

At fault: the record of closed targets (skylarkspan/closed) is not written again when a run on such a target ends (is_closed_record_outdated in crates/plan/src/adopt.rs); Placer::new adopts the runs in it before any target has answered.

--- /dev/null
+++ b/review/harness/src/cases.rs
@@ -0,0 +1,209 @@
+//! The cases.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use serde_json::json;
+
+use crate::{
+    cell::{Cell, TERM, cannot_run, pause},
+    note,
+    runner::{Place, Run},
+};
+
+/// Plays a case. Returns whether its rule was broken; `None` if there is no such
+/// case.
+pub fn play(case: &str, trouble: bool) -> Option<bool> {
+    match case {
+        "stale-record" => Some(stale_record(trouble)),
+        "lasting-job" => Some(lasting_job(trouble)),
+        "many-steps" => Some(many_steps(trouble)),
+        _ => None,
+    }
+}
+
+fn place(zone: &str, rack: &str, cpu: u64, round_trip_ms: u64) -> Place {
+    Place {
+        service: "pool".to_owned(),
+        zone: zone.to_owned(),
+        rack: rack.to_owned(),
+        cpu,
+        round_trip: Duration::from_millis(round_trip_ms),
+    }
+}
+
+/// Returns pairs of runs of one task that were there at the same time, both on
+/// runners that were up.
+fn at_the_same_time(runs: &[Run]) -> Vec<(Run, Run)> {
+    let mut by_task: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
+    for run in runs {
+        by_task.entry(&run.task).or_default().push(run);
+    }
+    let mut found = Vec::new();
+    for runs in by_task.values() {
+        for (number, first) in runs.iter().enumerate() {
+            for second in &runs[number + 1..] {
+                if first.to.is_none_or(|to| to > second.from) {
+                    found.push(((*first).clone(), (*second).clone()));
+                }
+            }
+        }
+    }
+    found
+}
+
+/// A runner drains and some of its tasks fail; they start again elsewhere; then
+/// the leader is stopped and started.
+fn stale_record(trouble: bool) -> bool {
+    const ID: &str = "00000000000000a1";
+    let mut places: Vec<Place> =
+        (1..=7).map(|number| place("sierra-quito", &format!("r1-{number}"), 16_000, 2)).collect();
+    // One runner is in another region, 20 ms away.
+    places.push(place("costa-guayaquil", "r2-1", 16_000, 40));
+    let mut cell = Cell::start(3, &places, 4);
+    let leader = cell.wait_until_led();
+    let job = json!({"spec": "work=30000", "steps": [{"count": 6, "cpu": 2000, "memMb": 256,
+        "estimateMs": 30_000, "affinity": "r2-1"}]});
+    if !cell.submit("work", ID, &job) {
+        cannot_run("the job was not accepted");
+    }
+    let far = cell.runners[7].clone();
+    if !cell.wait_for(Duration::from_secs(5), |_| far.running().len() == 6) {
+        cannot_run("the tasks don't run near their data");
+    }
+    pause(500);
+    if trouble {
+        far.drain();
+    }
+    pause(1400);
+    for index in 0..4 {
+        far.fail(&format!("{ID}.0.0.{index}"));
+    }
+    let again = |cell: &Cell| cell.runs.all().iter().filter(|run| run.run == 2).count() == 4;
+    if !cell.wait_for(Duration::from_secs(3), again) {
+        cannot_run("the failed tasks don't start again");
+    }
+    pause(400);
+    if trouble {
+        cell.nodes[leader].signal(TERM);
+        cell.nodes[leader].wait();
+        cell.nodes[leader].start();
+    }
+    pause(3000);
+    if trouble {
+        far.leave();
+    }
+    pause(6000);
+    let twice = at_the_same_time(&cell.runs.all());
+    for (first, second) in &twice {
+        note!("TWICE: {} ran on {} as run {} from {:.3} to {:.3} s ({}), and on {} as run {} from {:.3} s",
+            first.task, first.runner, first.run, first.from, first.to.unwrap_or(f64::INFINITY),
+            first.how, second.runner, second.run, second.from);
+    }
+    !twice.is_empty()
+}
+
+/// Runners crash, one after the other, with the same task of a job that lasts.
+fn lasting_job(trouble: bool) -> bool {
+    const ID: &str = "00000000000000b1";
+    let places: Vec<Place> =
+        (1..=8).map(|number| place("sierra-quito", &format!("r1-{number}"), 16_000, 2)).collect();
+    let cell = Cell::start(3, &places, 3);
+    cell.wait_until_led();
+    let job = json!({"spec": "lasts", "steps": [{"count": 6, "cpu": 4000, "memMb": 256,
+        "longRunning": true}]});
+    if !cell.submit("work", ID, &job) {
+        cannot_run("the job was not accepted");
+    }
+    let count = |cell: &Cell| cell.runners.iter().map(|r| r.running().len()).sum::<usize>();
+    for number in 1..=3 {
+        if !cell.wait_for(Duration::from_secs(12), |cell| count(cell) == 6) {
+            cannot_run("not all tasks are at work");
+        }
+        pause(2000);
+        let task = format!("{ID}.0.0.0");
+        let holder =
+            cell.runners.iter().find(|r| r.running().iter().any(|(name, _)| *name == task));
+        let Some(holder) = holder else { cannot_run("task 0 is not at work") };
+        if trouble {
+            note!("crash {number}");
+            holder.crash();
+            pause(4500);
+            holder.restart();
+        } else {
+            pause(4500);
+        }
+    }
+    // `failed` needs a cause; a task that lasts has no limit of attempts.
+    pause(10_000);
+    let mut broken = false;
+    for node in 0..3 {
+        let (status, state) = cell.state(node, "work", ID);
+        note!("client: GET at {}: {status} {state}", cell.nodes[node].name);
+        broken |= status == 200 && (state == "failed" || state == "canceled");
+    }
+    let failed = cell.runs.all().iter().filter(|run| run.how == "failed").count();
+    note!("runs that ended `failed`: {failed}; tasks at work: {}", count(&cell));
+    broken
+}
+
+/// A job of many steps is handed in, and then small ones. Without the disruption the
+/// same work comes as one step of as many tasks.
+fn many_steps(trouble: bool) -> bool {
+    const BEFORE: &str = "00000000000000c0";
+    const LARGE: &str = "00000000000000c1";
+    const STEPS: usize = 2000;
+    let places: Vec<Place> =
+        (1..=8).map(|number| place("sierra-quito", &format!("r1-{number}"), 64_000, 2)).collect();
+    let mut cell = Cell::start(3, &places, 3);
+    cell.wait_until_led();
+    let step = |count: usize| json!({"count": count, "cpu": 1000, "memMb": 64, "estimateMs": 500});
+    let small = json!({"spec": "work=500", "steps": [step(1)]});
+    let is_complete = |cell: &Cell, id: &str| {
+        (0..3).any(|node| cell.state(node, "work", id) == (200, "complete".to_owned()))
+    };
+    if !cell.submit("work", BEFORE, &small) {
+        cannot_run("the first job was not accepted");
+    }
+    if !cell.wait_for(Duration::from_secs(5), |cell| is_complete(cell, BEFORE)) {
+        cannot_run("the first job was not done");
+    }
+    let steps = if trouble { vec![step(1); STEPS] } else { vec![step(STEPS)] };
+    let large = json!({"spec": "work=500", "steps": steps});
+    note!("the large job has {} bytes", large.to_string().len());
+    if !cell.submit("work", LARGE, &large) {
+        cannot_run("the large job was not accepted");
+    }
+    let mut accepted = vec![LARGE.to_owned()];
+    for number in 1..=3 {
+        let id = format!("00000000000000d{number}");
+        if cell.submit("work", &id, &small) {
+            accepted.push(id);
+        }
+        pause(500);
+    }
+    note!("the traffic ends");
+    let used = |cell: &Cell| cell.nodes.iter().map(|node| node.processor_s()).sum::<f64>();
+    // `finish_s` is 14 s; and some more.
+    for _ in 0..8 {
+        let before = used(&cell);
+        pause(4000);
+        let running: usize = cell.runners.iter().map(|runner| runner.running().len()).sum();
+        note!("runs that began: {}; at work: {running}; processor time of the nodes in 4 s: {:.1} s",
+            cell.runs.all().len(), used(&cell) - before);
+    }
+    let mut broken = false;
+    for id in &accepted {
+        let begun = cell.runs.all().iter().filter(|run| run.task.starts_with(id.as_str())).count();
+        let states: Vec<_> = (0..3).map(|node| cell.state(node, "work", id)).collect();
+        let is_done = states.iter().any(|(_, state)| state == "complete");
+        note!("job {id}: {states:?}, runs that began: {begun}");
+        // It has nothing running, its tasks' turn has come, and the runners are idle.
+        broken |= !is_done && begun == 0;
+    }
+    for node in &mut cell.nodes {
+        if node.has_ended() {
+            note!("node {} has ended by itself", node.name);
+        }
+    }
+    broken
+}
