--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -6,4 +6,4 @@
 cd ../.. || exit 2
 export NODE="$PWD/target/release/skylarkspan-node" TROUBLE="${TROUBLE:-1}"
 [ -x "$NODE" ] && [ -x target/review/release/harness ] || exit 2
-exec target/review/release/harness lasting-job "$here/record.txt"
+exec target/review/release/harness pending "$here/record.txt"
