--- a/review/harness/src/cases.rs
+++ b/review/harness/src/cases.rs
@@ -5,7 +5,7 @@
 use serde_json::json;
 
 use crate::{
-    cell::{Cell, TERM, cannot_run, pause},
+    cell::{Cell, KILL, TERM, cannot_run, pause},
     note,
     runner::{Place, Run},
 };
@@ -16,6 +16,8 @@
     match case {
         "stale-record" => Some(stale_record(trouble)),
         "lasting-job" => Some(lasting_job(trouble)),
+        "many-ends" => Some(many_ends(trouble)),
+        "pending" => Some(pending(trouble)),
         "many-steps" => Some(many_steps(trouble)),
         _ => None,
     }
@@ -207,3 +209,114 @@
     }
     broken
 }
+
+/// Returns pairs of a run that has ended `done`, an end that was taken note of, and a
+/// later run of the same task.
+fn after_done(runs: &[Run]) -> Vec<(Run, Run)> {
+    let mut by_task: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
+    for run in runs {
+        by_task.entry(&run.task).or_default().push(run);
+    }
+    let mut found = Vec::new();
+    for runs in by_task.values() {
+        for (number, first) in runs.iter().enumerate() {
+            let counts = first.how == "done" && first.noted.is_some() && !first.has_lapsed;
+            for second in runs[number + 1..].iter().filter(|_| counts) {
+                if first.to.is_some_and(|to| second.from > to) {
+                    found.push(((*first).clone(), (*second).clone()));
+                }
+            }
+        }
+    }
+    found
+}
+
+/// A runner has more than 500 short tasks at work when the process of the leader is
+/// killed.
+fn many_ends(trouble: bool) -> bool {
+    const JOBS: usize = 11;
+    const TASKS: usize = 60;
+    let places: Vec<Place> =
+        (1..=4).map(|number| place("sierra-quito", &format!("r1-{number}"), 64_000, 2)).collect();
+    let mut cell = Cell::start(3, &places, 3);
+    let leader = cell.wait_until_led();
+    let job = json!({"spec": "work=1000 quiet", "steps": [{"count": TASKS, "cpu": 100,
+        "memMb": 64, "estimateMs": 1000}]});
+    for number in 0..JOBS {
+        if !cell.submit("work", &format!("00000000000000e{number:x}"), &job) {
+            cannot_run("a job was not accepted");
+        }
+    }
+    let begun = |cell: &Cell| cell.runs.all().len() == JOBS * TASKS;
+    if !cell.wait_for(Duration::from_millis(1000), begun) {
+        cannot_run("the tasks don't begin");
+    }
+    let at_work: Vec<usize> = cell.runners.iter().map(|runner| runner.running().len()).collect();
+    note!("tasks at work on each runner: {at_work:?}");
+    if trouble {
+        cell.nodes[leader].signal(KILL);
+        cell.nodes[leader].wait();
+        pause(3000);
+        cell.nodes[leader].start();
+    }
+    for _ in 0..10 {
+        pause(1000);
+        let unseen: Vec<usize> = cell.runners.iter().map(|runner| runner.unseen()).collect();
+        note!("runs that began: {}; ends not taken note of: {unseen:?}", cell.runs.all().len());
+    }
+    let again = after_done(&cell.runs.all());
+    note!("tasks that began again after an end `done` that was taken note of: {}", again.len());
+    for (first, second) in again.iter().take(10) {
+        note!("TWICE: {} ran on {} as run {}, which ended done at {:.3} s and was taken note of at {:.3} s; it began again on {} as run {} at {:.3} s",
+            first.task, first.runner, first.run, first.to.unwrap_or(0.0),
+            first.noted.unwrap_or(0.0), second.runner, second.run, second.from);
+    }
+    !again.is_empty()
+}
+
+/// The runners are full, but one, which refuses all starts; more jobs come.
+fn pending(trouble: bool) -> bool {
+    const RUNNERS: usize = 12;
+    const JOBS: usize = 20;
+    let places: Vec<Place> = (1..=RUNNERS)
+        .map(|number| place("sierra-quito", &format!("r1-{number}"), 16_000, 2))
+        .collect();
+    let cell = Cell::start(3, &places, 3);
+    cell.wait_until_led();
+    let task = |count: usize, cpu: u64, ms: u64| {
+        json!({"spec": format!("work={ms}"), "steps": [{"count": count, "cpu": cpu, "memMb": 64,
+            "estimateMs": ms}]})
+    };
+    // One task takes a whole runner.
+    let full = if trouble { RUNNERS - 1 } else { RUNNERS };
+    if trouble {
+        cell.runners[0].set_unhealthy(true);
+    }
+    if !cell.submit("other", "00000000000000f0", &task(full, 16_000, 16_000)) {
+        cannot_run("the first job was not accepted");
+    }
+    let at_work = |cell: &Cell| cell.runners.iter().map(|r| r.running().len()).sum::<usize>();
+    if !cell.wait_for(Duration::from_secs(3), |cell| at_work(cell) == full) {
+        cannot_run("the runners don't fill");
+    }
+    for number in 0..JOBS {
+        if !cell.submit("work", &format!("0000000000000a{number:02x}"), &task(1, 1000, 1000)) {
+            cannot_run("a job was not accepted");
+        }
+    }
+    // `visible_ms` is 3 s, and 2 s more.
+    pause(5200);
+    let mut broken = false;
+    for node in 0..3 {
+        let shown = cell.pending(node, "work");
+        let begun = |number: &usize| {
+            let id = format!("0000000000000a{number:02x}");
+            cell.runs.all().iter().any(|run| run.task.starts_with(&id))
+        };
+        let waiting = (0..JOBS).filter(|number| !begun(number)).count();
+        let (_, state) = cell.state(node, "work", "0000000000000a00");
+        note!("client: GET /work/ at {}: pending {shown:?}; jobs that have not begun: {waiting}; state of the first: {state}", cell.nodes[node].name);
+        broken |= shown.is_some_and(|shown| 2 * shown < waiting as u64);
+    }
+    broken
+}
--- a/review/harness/src/cell.rs
+++ b/review/harness/src/cell.rs
@@ -113,6 +113,8 @@
     pub runners: Vec<Runner>,
     pub nodes: Vec<Node>,
     folder: PathBuf,
+    /// Time of a call to the store.
+    answer_time: Duration,
 }
 
 impl Drop for Cell {
@@ -125,6 +127,16 @@
 impl Cell {
     /// Starts the store with a configuration, the runners and the nodes.
     pub fn start(nodes: usize, places: &[Place], max_attempts: u32) -> Self {
+        Self::start_with(nodes, places, max_attempts, Duration::from_millis(4))
+    }
+
+    /// As `start`, where a call to the store takes `answer_time`.
+    pub fn start_with(
+        nodes: usize,
+        places: &[Place],
+        max_attempts: u32,
+        answer_time: Duration,
+    ) -> Self {
         let folder =
             std::env::temp_dir().join(format!("skylarkspan-review-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a temporary folder");
@@ -150,7 +162,7 @@
         let runs = Runs::default();
         let runners = places.iter().map(|place| Runner::start(place.clone(), &store, &runs));
         let runners = runners.collect();
-        let mut cell = Self { store, runs, runners, nodes: Vec::new(), folder };
+        let mut cell = Self { store, runs, runners, nodes: Vec::new(), folder, answer_time };
         for number in 0..nodes {
             cell.add_node(number);
         }
@@ -163,7 +175,7 @@
     fn add_node(&mut self, number: usize) {
         let name = format!("frontend-{}", number + 1);
         let path = Arc::default();
-        let store = self.store.serve(Arc::clone(&path));
+        let store = self.store.serve(Arc::clone(&path), self.answer_time);
         let free = || {
             let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
             listener.local_addr().expect("an address").to_string()
@@ -251,6 +263,13 @@
         (status, body["state"].as_str().unwrap_or_default().to_owned())
     }
 
+    /// Asks one node for the number of jobs of a queue that have not begun.
+    pub fn pending(&self, node: usize, queue: &str) -> Option<u64> {
+        let answer =
+            self.request(node, "GET", &format!("/{queue}/"), "", Duration::from_secs(3))?;
+        answer.1["pending"].as_u64().filter(|_| answer.0 == 200)
+    }
+
     /// Cancels a job. Returns the status.
     pub fn cancel(&self, node: usize, queue: &str, id: &str) -> u16 {
         let path = format!("/{queue}/{id}");
