--- a/review/harness/src/cases.rs
+++ b/review/harness/src/cases.rs
@@ -17,6 +17,8 @@
         "stale-record" => Some(stale_record(trouble)),
         "lasting-job" => Some(lasting_job(trouble)),
         "many-ends" => Some(many_ends(trouble)),
+        "crash-loop" => Some(crash_loop(trouble)),
+        "backlog" => Some(backlog(trouble)),
         "pending" => Some(pending(trouble)),
         "many-steps" => Some(many_steps(trouble)),
         _ => None,
@@ -97,9 +99,18 @@
     pause(6000);
     let twice = at_the_same_time(&cell.runs.all());
     for (first, second) in &twice {
-        note!("TWICE: {} ran on {} as run {} from {:.3} to {:.3} s ({}), and on {} as run {} from {:.3} s",
-            first.task, first.runner, first.run, first.from, first.to.unwrap_or(f64::INFINITY),
-            first.how, second.runner, second.run, second.from);
+        note!(
+            "TWICE: {} ran on {} as run {} from {:.3} to {:.3} s ({}), and on {} as run {} from {:.3} s",
+            first.task,
+            first.runner,
+            first.run,
+            first.from,
+            first.to.unwrap_or(f64::INFINITY),
+            first.how,
+            second.runner,
+            second.run,
+            second.from
+        );
     }
     !twice.is_empty()
 }
@@ -190,8 +201,11 @@
         let before = used(&cell);
         pause(4000);
         let running: usize = cell.runners.iter().map(|runner| runner.running().len()).sum();
-        note!("runs that began: {}; at work: {running}; processor time of the nodes in 4 s: {:.1} s",
-            cell.runs.all().len(), used(&cell) - before);
+        note!(
+            "runs that began: {}; at work: {running}; processor time of the nodes in 4 s: {:.1} s",
+            cell.runs.all().len(),
+            used(&cell) - before
+        );
     }
     let mut broken = false;
     for id in &accepted {
@@ -267,9 +281,17 @@
     let again = after_done(&cell.runs.all());
     note!("tasks that began again after an end `done` that was taken note of: {}", again.len());
     for (first, second) in again.iter().take(10) {
-        note!("TWICE: {} ran on {} as run {}, which ended done at {:.3} s and was taken note of at {:.3} s; it began again on {} as run {} at {:.3} s",
-            first.task, first.runner, first.run, first.to.unwrap_or(0.0),
-            first.noted.unwrap_or(0.0), second.runner, second.run, second.from);
+        note!(
+            "TWICE: {} ran on {} as run {}, which ended done at {:.3} s and was taken note of at {:.3} s; it began again on {} as run {} at {:.3} s",
+            first.task,
+            first.runner,
+            first.run,
+            first.to.unwrap_or(0.0),
+            first.noted.unwrap_or(0.0),
+            second.runner,
+            second.run,
+            second.from
+        );
     }
     !again.is_empty()
 }
@@ -315,8 +337,122 @@
         };
         let waiting = (0..JOBS).filter(|number| !begun(number)).count();
         let (_, state) = cell.state(node, "work", "0000000000000a00");
-        note!("client: GET /work/ at {}: pending {shown:?}; jobs that have not begun: {waiting}; state of the first: {state}", cell.nodes[node].name);
+        note!(
+            "client: GET /work/ at {}: pending {shown:?}; jobs that have not begun: {waiting}; state of the first: {state}",
+            cell.nodes[node].name
+        );
         broken |= shown.is_some_and(|shown| 2 * shown < waiting as u64);
     }
     broken
 }
+
+/// The operator lowers the limit of a tenant that sends on; another tenant sends now
+/// and then.
+fn backlog(trouble: bool) -> bool {
+    let places: Vec<Place> =
+        (1..=8).map(|number| place("sierra-quito", &format!("r1-{number}"), 16_000, 2)).collect();
+    let cell = Cell::start(3, &places, 3);
+    cell.wait_until_led();
+    let job = json!({"spec": "work=2000 quiet", "steps": [{"count": 1, "cpu": 1000, "memMb": 64,
+        "estimateMs": 2000}]});
+    if trouble {
+        cell.limit_batch(3, 2000);
+        pause(2500);
+    }
+    let mut accepted = Vec::new();
+    let begins = crate::log::seconds();
+    let mut batch = 0;
+    let mut other = 0;
+    while crate::log::seconds() < begins + 60.0 {
+        let passed = crate::log::seconds() - begins;
+        if passed * 8.0 > f64::from(batch) {
+            cell.submit_quietly("other", &format!("000000000ba7{batch:04x}"), &job);
+            batch += 1;
+        }
+        if passed > f64::from(other) * 6.0 {
+            let id = format!("00000000000b{other:04x}");
+            if cell.submit("work", &id, &job) {
+                accepted.push((id, crate::log::seconds()));
+            }
+            other += 1;
+        }
+        pause(5);
+    }
+    note!("the traffic ends; tenant `batch` has sent {batch} jobs");
+    // `finish_s` is 14 s.
+    pause(14_000);
+    let mut broken = false;
+    let idle_before = !begun_since(&cell, &accepted);
+    pause(3000);
+    let running: usize = cell.runners.iter().map(|runner| runner.running().len()).sum();
+    note!("17 s after the end of the traffic: {running} of 128 cores in use");
+    for (id, at) in &accepted {
+        let first = cell.runs.all().into_iter().find(|run| run.task.starts_with(id.as_str()));
+        let (status, state) = cell.state(0, "work", id);
+        let wait = first.as_ref().map(|run| run.from - at);
+        note!(
+            "job {id} of the other tenant: accepted at {at:.3} s, {status} {state}, begun after {wait:?} s"
+        );
+        broken |= first.is_none() && idle_before;
+    }
+    broken
+}
+
+/// Returns whether all of these jobs have begun.
+fn begun_since(cell: &Cell, jobs: &[(String, f64)]) -> bool {
+    let runs = cell.runs.all();
+    jobs.iter().all(|(id, _)| runs.iter().any(|run| run.task.starts_with(id.as_str())))
+}
+
+/// Among the jobs are two whose tasks last and fail soon after each start. Another
+/// tenant sends small jobs.
+fn crash_loop(trouble: bool) -> bool {
+    const TASKS: usize = 8;
+    let places: Vec<Place> =
+        (1..=8).map(|number| place("sierra-quito", &format!("r1-{number}"), 16_000, 2)).collect();
+    let cell = Cell::start(3, &places, 3);
+    cell.wait_until_led();
+    let spec = if trouble { "fails=300 quiet" } else { "lasts quiet" };
+    let lasting = json!({"spec": spec, "steps": [{"count": TASKS, "cpu": 1000, "memMb": 64,
+        "longRunning": true}]});
+    for number in 0..2 {
+        if !cell.submit("other", &format!("00000000000c000{number}"), &lasting) {
+            cannot_run("a job was not accepted");
+        }
+    }
+    let small = json!({"spec": "work=1000", "steps": [{"count": 1, "cpu": 1000, "memMb": 64,
+        "estimateMs": 1000}]});
+    let begins = crate::log::seconds();
+    let mut accepted = Vec::new();
+    for number in 0.. {
+        let id = format!("00000000000d{number:04x}");
+        if cell.submit("work", &id, &small) {
+            accepted.push((id, crate::log::seconds()));
+        }
+        if crate::log::seconds() > begins + 42.0 {
+            break;
+        }
+        pause(1000);
+    }
+    note!("the traffic ends");
+    // `finish_s` is 14 s.
+    pause(14_000);
+    let begun = |id: &str| cell.runs.all().into_iter().find(|run| run.task.starts_with(id));
+    let idle: Vec<String> =
+        accepted.iter().filter(|(id, _)| begun(id).is_none()).map(|(id, _)| id.clone()).collect();
+    let mut most = 0;
+    for _ in 0..32 {
+        pause(100);
+        most = most.max(cell.runners.iter().map(|runner| runner.running().len()).sum());
+    }
+    note!("14 s to 17.2 s after the end of the traffic: at most {most} of 128 cores in use");
+    let mut broken = false;
+    for (id, at) in &accepted {
+        let first = begun(id);
+        let (status, state) = cell.state(0, "work", id);
+        let wait = first.as_ref().map(|run| run.from - at);
+        note!("job {id}: accepted at {at:.3} s, {status} {state}, begun after {wait:?} s");
+        broken |= first.is_none() && idle.contains(id) && most < 64;
+    }
+    broken
+}
