--- a/review/harness/src/cell.rs
+++ b/review/harness/src/cell.rs
@@ -53,7 +53,7 @@
     };
     json!({
         "version": version,
-        "routes": [route("work", "/work/"), route("other", "/other/")],
+        "routes": [route("jobs", "/jobs/"), route("other", "/other/")],
         "services": [{"name": "pool", "healthPath": "/healthz", "maxConns": 64,
             "protocol": "h1", "tls": false, "enforcesCapacity": false, "standby": false}],
         "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262_144,
