A task starts only after all its runs have ended, and its latest run is the one that counts

A target drains, tasks on it fail and start elsewhere, the leader hands over; the new leader stops the sound runs and starts their tasks 40 ms later, beside them.

Cause: the record of closed targets is written when a target is closed, so it is a superset of the runs there. The new leader took a recorded run for the current run of its task. The later run, listed by its own target, was refused as needless, and while it was being stopped it did not keep the task from starting.

Change: of two runs of a task the higher number is the current one; the others are tracked in `Task::other_runs`, and a task with other runs is not waiting. A recorded run that is not needed is now stopped, as its comment said.

Ruled out: writing the record with each end on a closed target. It costs a write each, and a leader that dies before the write leaves the same record.

--- a/crates/plan/src/action.rs
+++ b/crates/plan/src/action.rs
@@ -51,8 +51,10 @@
 pub enum StopCause {
     /// The job of the run has ended.
     JobEnded,
-    /// The task is done, or another run has taken its place.
+    /// The task is done, or its job is not known.
     Needless,
+    /// A run of the task with this number is known, and is the later one.
+    Superseded(u32),
     /// Another member of the gang has ended.
     GangBroken,
     /// The run makes no progress.
--- a/crates/plan/src/adopt.rs
+++ b/crates/plan/src/adopt.rs
@@ -6,9 +6,10 @@
 use work::{StepKey, TaskKey};
 
 use crate::{
+    action::StopCause,
     listing::ListedRun,
     planner::Planner,
-    step::TaskState,
+    step::TaskRun,
     target::{Availability, Phase, Run, Target, TargetId},
 };
 
@@ -117,48 +118,53 @@
         target_state.lease_granted_at = Some(now);
         for (task, run) in runs {
             let listed = ListedRun { task: task.clone(), run: *run, checkpoint: None, percent: 0 };
-            // A run that is not needed is stopped once the target answers.
-            let _ = self.adopt_run(id, &listed, now);
+            self.adopt_run(id, &listed, now);
         }
     }
 
-    /// Takes over a run of an earlier placer. Returns `false` if the run is not
-    /// needed.
-    pub(crate) fn adopt_run(&mut self, id: TargetId, listed: &ListedRun, now: Duration) -> bool {
-        let Some(job) = self.jobs.get(&listed.task.step.job) else {
-            return false;
+    /// Takes over a run of an earlier placer. The run is stopped if it is not
+    /// needed, and so are earlier runs of its task.
+    pub(crate) fn adopt_run(&mut self, id: TargetId, listed: &ListedRun, now: Duration) {
+        let ListedRun { task: key, run, .. } = listed;
+        let Some(job) = self.jobs.get(&key.step.job) else {
+            return self.stop_run(id, key, *run, StopCause::Needless, now);
         };
         let spec = Arc::clone(&job.spec);
-        let Some(step) = spec.steps.get(usize::from(listed.task.step.step)) else {
-            return false;
+        let Some(step) = spec.steps.get(usize::from(key.step.step)) else {
+            return self.stop_run(id, key, *run, StopCause::Needless, now);
         };
-        if self.targets[id.0 as usize].runs.contains_key(&listed.task) {
-            return false;
+        if let Some(known) = self.targets[id.0 as usize].runs.get(key) {
+            let cause = StopCause::Superseded(known.number);
+            return self.stop_run(id, key, *run, cause, now);
         }
         // A run takes resources whether it is needed or not. The earlier placer
         // may have granted a lease up to now.
-        let run = Run { confirmed_at: Some(now), ..Run::new(listed.run, step, Phase::Running) };
-        self.charge_run(id, &listed.task, &spec.team, run, now);
-        if !self.step_state(&listed.task.step).is_some_and(|state| state.is_open) {
-            self.begin_adopted(&listed.task.step, now);
+        let charged = Run { confirmed_at: Some(now), ..Run::new(*run, step, Phase::Running) };
+        self.charge_run(id, key, &spec.team, charged, now);
+        if !self.step_state(&key.step).is_some_and(|state| state.is_open) {
+            self.begin_adopted(&key.step, now);
         }
-        let Some(state) = self.step_state_mut(&listed.task.step) else {
-            return false;
+        let adopted = TaskRun { index: key.index, target: id, run: *run };
+        let Some(state) = self.step_state_mut(&key.step) else {
+            return self.stop_run(id, key, *run, StopCause::Needless, now);
         };
-        let Some(task) = state.tasks.get_mut(listed.task.index as usize) else {
-            return false;
-        };
-        if task.state != TaskState::Waiting {
-            return false;
+        let outdated = state.assign_latest(adopted, step);
+        let latest = state.current_run(key.index);
+        for TaskRun { index, target, run } in &outdated {
+            let task = TaskKey { step: key.step.clone(), index: *index };
+            let cause = match latest {
+                Some(latest) => StopCause::Superseded(latest.run),
+                None => StopCause::Needless,
+            };
+            self.stop_run(*target, &task, *run, cause, now);
+        }
+        if outdated.contains(&adopted) {
+            return;
         }
-        task.state = TaskState::Assigned { target: id, run: listed.run };
-        task.last_run = task.last_run.max(listed.run);
-        state.waiting.remove(&listed.task.index);
         if let Some(checkpoint) = &listed.checkpoint {
-            self.save_checkpoint(&listed.task, checkpoint);
+            self.save_checkpoint(key, checkpoint);
         }
-        self.mark_started(&listed.task.step.job);
-        true
+        self.mark_started(&key.step.job);
     }
 
     /// Begins occurrences of the job up to the one that an adopted run belongs
--- a/crates/plan/src/ends.rs
+++ b/crates/plan/src/ends.rs
@@ -9,7 +9,7 @@
 use crate::{
     action::StopCause,
     planner::Planner,
-    step::TaskState,
+    step::{TaskRun, TaskState},
     target::{Phase, TargetId},
 };
 
@@ -136,21 +136,26 @@
         let Some(state) = self.step_state_mut(&key.step) else {
             return;
         };
-        let Some(task) = state.tasks.get_mut(key.index as usize) else {
+        let Some(task) = state.tasks.get(key.index as usize) else {
             return;
         };
+        let was_done = task.state == TaskState::Done;
         let is_current = task.state == TaskState::Assigned { target: id, run };
+        let is_other = state.remove_other_run(TaskRun { index: key.index, target: id, run });
         if end == End::Done && !step.long_running {
             return self.finish_task(key, step, now);
         }
         let is_counted = end == End::Failed && !step.long_running;
-        if is_counted && task.state != TaskState::Done {
+        if is_counted && !was_done {
             let has_failed = state.record_failure(key.index, run, step) >= max_attempts;
             self.mark_unrecorded(&key.step.job, now);
             if has_failed {
                 return self.end_job(&key.step.job, JobState::Failed, now);
             }
         }
+        if is_other {
+            self.queue_step(&key.step);
+        }
         if !is_current {
             return;
         }
@@ -217,14 +222,8 @@
         let Some(state) = self.step_state(key) else {
             return;
         };
-        let members: Vec<_> = (0..)
-            .zip(&state.tasks)
-            .filter_map(|(index, task)| match task.state {
-                TaskState::Assigned { target, run } => Some((index, target, run)),
-                TaskState::Waiting | TaskState::Done => None,
-            })
-            .collect();
-        for (index, target, run) in members {
+        let members: Vec<_> = state.current_runs().collect();
+        for TaskRun { index, target, run } in members {
             let task = TaskKey { step: key.clone(), index };
             let is_stopping = self.targets[target.0 as usize]
                 .runs
--- a/crates/plan/src/listing.rs
+++ b/crates/plan/src/listing.rs
@@ -236,10 +236,7 @@
             self.track_progress(id, listed, now);
             return;
         }
-        if self.adopt_run(id, listed, now) {
-            return;
-        }
-        self.stop_run(id, &listed.task, listed.run, StopCause::Needless, now);
+        self.adopt_run(id, listed, now);
     }
 
     /// Ends the runs that a target no longer has: they were confirmed before
--- a/crates/plan/src/step.rs
+++ b/crates/plan/src/step.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeSet, HashSet};
 
 use base::Name;
-use smallvec::SmallVec;
+use smallvec::{SmallVec, smallvec};
 use work::{Step, StepProgress};
 
 use crate::{permission::Permissions, target::TargetId};
@@ -24,10 +24,24 @@
     Done,
 }
 
+/// Run of a task of the step that may exist on a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct TaskRun {
+    /// Number of the task.
+    pub(crate) index: u32,
+    /// Target of the run.
+    pub(crate) target: TargetId,
+    /// Number of the run.
+    pub(crate) run: u32,
+}
+
 /// Task of a step.
 #[derive(Clone, Debug)]
 pub(crate) struct Task {
     pub(crate) state: TaskState,
+    /// Runs beside the current one that may still exist. The task is not started
+    /// until all of them have ended.
+    pub(crate) other_runs: SmallVec<[TaskRun; 1]>,
     /// Number of the last run.
     pub(crate) last_run: u32,
     /// Numbers of the failed runs.
@@ -39,11 +53,21 @@
     pub(crate) preemptions: u32,
 }
 
+impl Task {
+    /// Returns the current run, where `index` is the number of the task.
+    fn current_run(&self, index: u32) -> Option<TaskRun> {
+        match self.state {
+            TaskState::Assigned { target, run } => Some(TaskRun { index, target, run }),
+            TaskState::Waiting | TaskState::Done => None,
+        }
+    }
+}
+
 /// State of a step.
 #[derive(Debug)]
 pub(crate) struct StepState {
     pub(crate) tasks: Vec<Task>,
-    /// Numbers of the waiting tasks.
+    /// Numbers of the waiting tasks that may be started.
     pub(crate) waiting: BTreeSet<u32>,
     /// Number of tasks that are done.
     pub(crate) done_count: u32,
@@ -58,6 +82,7 @@
     pub(crate) fn new(step: &Step, progress: Option<&StepProgress>) -> Self {
         let task = Task {
             state: TaskState::Waiting,
+            other_runs: SmallVec::new(),
             last_run: 0,
             failed_runs: SmallVec::new(),
             crashed_runs: SmallVec::new(),
@@ -123,8 +148,74 @@
         };
         if task.state != TaskState::Done {
             task.state = TaskState::Waiting;
-            self.waiting.insert(index);
+            if task.other_runs.is_empty() {
+                self.waiting.insert(index);
+            }
+        }
+    }
+
+    /// Makes a run the current one of its task, unless the task is done or a
+    /// later run is known. All members of a gang have the same run number, so a
+    /// later run of any member counts.
+    ///
+    /// Returns the runs to stop: earlier ones, or the run itself if it was not
+    /// taken. The placer that started the latest run had ruled out the earlier
+    /// ones, but they are tracked until their targets have confirmed that.
+    pub(crate) fn assign_latest(&mut self, latest: TaskRun, step: &Step) -> SmallVec<[TaskRun; 2]> {
+        let Some(task) = self.tasks.get(latest.index as usize) else {
+            return smallvec![latest];
+        };
+        if task.state == TaskState::Done {
+            return smallvec![latest];
+        }
+        let current = if step.gang {
+            self.current_runs().collect()
+        } else {
+            SmallVec::<[TaskRun; 2]>::from_iter(task.current_run(latest.index))
+        };
+        let is_outdated = |known: &TaskRun| {
+            known.run > latest.run || known.run == latest.run && known.index == latest.index
+        };
+        if current.iter().any(is_outdated) {
+            self.tasks[latest.index as usize].other_runs.push(latest);
+            return smallvec![latest];
+        }
+        let mut earlier = current;
+        earlier.retain(|known| known.run < latest.run);
+        for known in &earlier {
+            let task = &mut self.tasks[known.index as usize];
+            task.other_runs.push(*known);
+            task.state = TaskState::Waiting;
         }
+        let task = &mut self.tasks[latest.index as usize];
+        task.state = TaskState::Assigned { target: latest.target, run: latest.run };
+        task.last_run = task.last_run.max(latest.run);
+        self.waiting.remove(&latest.index);
+        earlier
+    }
+
+    /// Returns the current run of a task.
+    pub(crate) fn current_run(&self, index: u32) -> Option<TaskRun> {
+        self.tasks.get(index as usize)?.current_run(index)
+    }
+
+    /// Returns the current runs of all tasks.
+    pub(crate) fn current_runs(&self) -> impl Iterator<Item = TaskRun> {
+        (0..).zip(&self.tasks).filter_map(|(index, task)| task.current_run(index))
+    }
+
+    /// Removes a run that has ended from the runs beside the current one.
+    /// Returns whether it was among them.
+    pub(crate) fn remove_other_run(&mut self, ended: TaskRun) -> bool {
+        let Some(task) = self.tasks.get_mut(ended.index as usize) else {
+            return false;
+        };
+        let is_known = task.other_runs.contains(&ended);
+        task.other_runs.retain(|other| *other != ended);
+        if is_known && task.state == TaskState::Waiting {
+            self.mark_waiting(ended.index);
+        }
+        is_known
     }
 
     /// Records a failed run. Returns the number of failed runs of the task, or
@@ -162,7 +253,10 @@
 
     /// Returns the number of tasks that may have a run on `target`.
     pub(crate) fn count_on(&self, target: TargetId) -> u32 {
-        let is_there = |task: &&Task| matches!(task.state, TaskState::Assigned { target: on, .. } if on == target);
+        let is_there = |task: &&Task| {
+            matches!(task.state, TaskState::Assigned { target: on, .. } if on == target)
+                || task.other_runs.iter().any(|run| run.target == target)
+        };
         self.tasks.iter().filter(is_there).count() as u32
     }
 
--- a/crates/plan/tests/decisions/cell.rs
+++ b/crates/plan/tests/decisions/cell.rs
@@ -424,6 +424,16 @@
         next
     }
 
+    /// Lets a new placer take over by this record of closed targets. No target
+    /// has sent a listing to it.
+    pub fn take_over_with_closed(self, closed: &[ClosedTarget]) -> Self {
+        let mut next = self.take_over_without_listings();
+        for (target, runs) in closed {
+            next.planner.adopt_unreachable(target, runs, next.now);
+        }
+        next
+    }
+
     pub fn list_targets(&mut self) {
         self.update_targets(|_| {});
     }
--- a/crates/plan/tests/decisions/takeover.rs
+++ b/crates/plan/tests/decisions/takeover.rs
@@ -2,8 +2,9 @@
 
 use std::{collections::HashSet, time::Duration};
 
+use base::Name;
 use googletest::prelude::*;
-use plan::{Availability, StartAnswer};
+use plan::{Availability, ClosedTarget, Start, StartAnswer, Stop};
 use work::{End, JobState, Step};
 
 use crate::cell::{ATTEMPTS, Cell, step};
@@ -181,3 +182,106 @@
     next.end_run(&starts[0], End::Stopped);
     expect_that!(next.decide_starts().len(), eq(1));
 }
+
+/// Starts one job with this step, lets the first runs of it fail on a target
+/// that drains, and starts them again elsewhere. Returns the new runs, the
+/// draining target, and the record of closed targets that was written before
+/// the runs failed.
+fn restart_off_a_draining_target(
+    cell: &mut Cell,
+    step: Step,
+) -> (Vec<Start>, Name, Vec<ClosedTarget>) {
+    cell.accept("job", vec![step]);
+    let first = cell.decide_starts();
+    cell.answer_starts(&first, &StartAnswer::Started);
+    let draining = first[0].target.clone();
+    expect_that!(first, each(field!(Start.target, eq(&draining))));
+    cell.update_targets(|info| {
+        if info.id == draining {
+            info.availability = Availability::Draining;
+        }
+    });
+    let recorded = cell.close_targets();
+    for start in &first {
+        cell.end_run(start, End::Failed);
+    }
+    cell.record();
+    let second = cell.decide_starts();
+    expect_that!(second.len(), eq(first.len()));
+    cell.answer_starts(&second, &StartAnswer::Started);
+    (second, draining, recorded)
+}
+
+#[gtest]
+fn run_started_after_the_record_of_closed_targets_survives_a_takeover() {
+    // The new placer believed the older record, stopped the sound run and started
+    // its task beside it (review/1).
+    let mut cell = Cell::new(3);
+    let (second, draining, recorded) = restart_off_a_draining_target(&mut cell, step(1));
+    let mut next = cell.take_over_with_closed(&recorded);
+    next.advance(Duration::from_millis(20));
+    next.list_running(&second);
+    next.advance(Duration::from_millis(20));
+    next.list_nothing_on_others(&second[0].target);
+    let stopped = next.take_stops();
+    expect_that!(stopped, each(field!(Stop.target, eq(&draining))));
+    expect_that!(next.decide_starts(), is_empty());
+    next.end_run(&second[0], End::Done);
+    next.record();
+    expect_that!(next.state("job"), eq(JobState::Complete));
+}
+
+#[gtest]
+fn gang_started_after_the_record_of_closed_targets_survives_a_takeover() {
+    // A gang has one run number, so one listed member outdates the record of all.
+    let mut cell = Cell::new(3);
+    let gang = Step { gang: true, ..step(3) };
+    let (second, draining, recorded) = restart_off_a_draining_target(&mut cell, gang);
+    let mut next = cell.take_over_with_closed(&recorded);
+    next.advance(Duration::from_millis(20));
+    // The other members are listed only after the closed target has answered.
+    next.list_running(&second[..1]);
+    next.advance(Duration::from_millis(20));
+    next.list_nothing(&draining);
+    next.list_running(&second);
+    next.list_nothing_on_others(&second[0].target);
+    let stopped = next.take_stops();
+    expect_that!(stopped, each(field!(Stop.target, eq(&draining))));
+    expect_that!(next.decide_starts(), is_empty());
+}
+
+#[gtest]
+fn task_starts_only_after_all_its_runs_have_ended() {
+    // The run by the record counts until its target has answered.
+    let mut cell = Cell::new(3);
+    let (second, draining, recorded) = restart_off_a_draining_target(&mut cell, step(1));
+    let mut next = cell.take_over_with_closed(&recorded);
+    next.advance(Duration::from_millis(20));
+    next.list_running(&second);
+    next.list_nothing_on_others(&draining);
+    next.end_run(&second[0], End::Failed);
+    // The closed target has not answered, so its run may still exist.
+    expect_that!(next.decide_starts(), is_empty());
+    next.advance(Duration::from_millis(20));
+    next.list_nothing_on_others("");
+    expect_that!(next.decide_starts().len(), eq(1));
+}
+
+#[gtest]
+fn outdated_run_listed_beside_a_later_one_is_stopped_before_the_task_starts_again() {
+    // Only the last run of a task was tracked, so its end started the task beside
+    // the other run, which was still being stopped (review/1).
+    let mut cell = Cell::new(3);
+    cell.accept("job", vec![step(1)]);
+    let first = cell.decide_starts();
+    cell.answer_starts(&first, &StartAnswer::Started);
+    // An order that was carried out late, with a number below the current one.
+    let other = if *first[0].target == *"target-1" { "target-2" } else { "target-1" };
+    let late = vec![Start { target: Name::from(other), run: 0, ..first[0].clone() }];
+    cell.list_running(&late);
+    expect_that!(cell.take_stops(), elements_are![field!(Stop.target, eq(&late[0].target))]);
+    cell.end_run(&first[0], End::Failed);
+    expect_that!(cell.decide_starts(), is_empty());
+    cell.end_run(&late[0], End::Stopped);
+    expect_that!(cell.decide_starts().len(), eq(1));
+}
