Steps that cannot start no longer use up a round: searches for targets are limited, and rotate

A team at its limit had more than 256 jobs waiting, and jobs of other teams never began, on 126 idle cores of 128.

Cause: a round considered the first 256 waiting steps by rank, whether they could start or not. Those of the team at its limit were late, so while the cell was idle they ranked first in each round.

Change: what is known without looking at targets is checked first and not counted (the team's limit, a reservation, an unfinished takeover, a pool without open targets, a task as large as one that found no room in this round). The limit counts searches; a quarter of them rotates among lower-ranked steps. A counter shows rounds that did not get through. The same cause stood on related paths: unsuitable steps, a full pool, inherited jobs, and steps that wait for advice had the same effect, each with a test.

Evidence: the five tests of decisions/backlog.rs fail without the change.

Ruled out: a larger limit (moves the number, longer rounds); leaving out teams at their limit before the round (room for one task and 300 jobs has the same effect within the round).

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -36,6 +36,8 @@
     /// Crashes of targets under tasks; the outcome tells whether the task was
     /// given up.
     pub(crate) crashes: Family<Labels, Counter>,
+    /// Placement rounds that ended before all waiting steps were considered.
+    pub(crate) limited_rounds: Counter,
     /// Terms that this node has started as leader.
     pub(crate) takeovers: Counter,
     /// 1 while this node leads, 0 otherwise.
@@ -62,6 +64,7 @@
             advice: Family::default(),
             releases: Family::default(),
             crashes: Family::default(),
+            limited_rounds: Counter::default(),
             takeovers: Counter::default(),
             leads: Gauge::default(),
             write_time: histogram(),
@@ -80,6 +83,11 @@
             metrics.releases.clone(),
         );
         registry.register("crashes", "Crashes of targets under tasks", metrics.crashes.clone());
+        registry.register(
+            "limited_rounds",
+            "Rounds that ended before all waiting steps were considered",
+            metrics.limited_rounds.clone(),
+        );
         registry.register("takeovers", "Takeovers of the lead", metrics.takeovers.clone());
         registry.register("leads", "Whether this node leads", metrics.leads.clone());
         let times = [
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -296,6 +296,7 @@
             // Under load, the wait lets a round process many events at once.
             let duration = clock::now().saturating_sub(now);
             Metrics::observe(&self.ctx.metrics.round_time, duration);
+            self.ctx.metrics.limited_rounds.inc_by(self.planner.take_limited_rounds());
             self.next_round_at = now + duration * ROUND_INTERVAL_FACTOR;
         }
         for request in std::mem::take(&mut self.unsent_advice) {
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -26,6 +26,7 @@
 mod preempt;
 mod progress;
 mod rank;
+mod search;
 mod settings;
 mod share;
 mod speed;
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -43,6 +43,10 @@
     pub(crate) team_usage: Usage,
     /// Steps with waiting tasks.
     pub(crate) waiting_steps: BTreeSet<StepKey>,
+    /// Lower-ranked steps that have had their turn in the rotation of searches.
+    pub(crate) searched_steps: HashSet<StepKey>,
+    /// Rounds that ended before all waiting steps were considered.
+    pub(crate) limited_rounds: u64,
     /// Room that is reserved for gangs.
     pub(crate) reservations: BTreeMap<StepKey, Reservation>,
     /// Cache of the runs that may be preempted.
@@ -342,6 +346,12 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Returns the number of rounds since the last call that ended before all
+    /// waiting steps were considered.
+    pub fn take_limited_rounds(&mut self) -> u64 {
+        std::mem::take(&mut self.limited_rounds)
+    }
+
     /// Removes and returns the latest state of each job whose state has
     /// changed; empty until the publish interval has passed.
     pub fn take_state_changes(&mut self, now: Duration) -> Vec<(Name, JobState)> {
--- a/crates/plan/src/rank.rs
+++ b/crates/plan/src/rank.rs
@@ -89,7 +89,7 @@
 }
 
 impl Planner {
-    /// Returns the steps to consider in one round, in order of rank.
+    /// Returns the waiting steps in order of rank.
     pub(crate) fn ordered_steps(&self, unix_ms: u64) -> Vec<StepKey> {
         let has_spare_capacity = self.has_spare_capacity();
         let mut ranks: Vec<Rank> =
@@ -105,7 +105,6 @@
             }
         }
         ranks.sort_unstable();
-        ranks.truncate(self.settings.max_steps_per_round);
         ranks.into_iter().map(|rank| rank.key).collect()
     }
 
--- a/crates/plan/src/settings.rs
+++ b/crates/plan/src/settings.rs
@@ -47,8 +47,8 @@
     /// Number of targets without room on which a step requests advice, in
     /// addition to those with room.
     pub max_full_targets_per_step: usize,
-    /// Maximum number of steps to consider in one round.
-    pub max_steps_per_round: usize,
+    /// Maximum number of steps for which targets are searched in one round.
+    pub max_searches_per_round: usize,
     /// Maximum total expected time of the short advice requests in flight, per
     /// instance without a long one. Requests beyond that wait in the planner,
     /// where more urgent ones overtake them.
@@ -136,7 +136,7 @@
             run_numbers_per_term: 1000,
             max_slots_per_step: 400,
             max_full_targets_per_step: 64,
-            max_steps_per_round: 256,
+            max_searches_per_round: 256,
             max_advice_backlog: Duration::from_millis(150),
             long_request_threshold: Duration::from_millis(150),
             max_targets_per_request: 100,
--- /dev/null
+++ b/crates/plan/tests/decisions/backlog.rs
@@ -0,0 +1,97 @@
+//! Large numbers of waiting steps that cannot start.
+
+use std::time::Duration;
+
+use base::Name;
+use googletest::prelude::*;
+use plan::StartAnswer;
+use work::{Advice, Step};
+
+use crate::cell::{Cell, OTHER_QUEUE, QUEUE, step};
+
+/// Number of waiting steps; more than are searched for in one round.
+const BACKLOG: u32 = 600;
+
+/// Number of rounds within which a step must start that has room. Rounds are
+/// 25 ms apart, and urgent work has to start within seconds.
+const MAX_ROUNDS: usize = 20;
+
+fn accept_backlog(cell: &mut Cell, each: &Step) {
+    for number in 0..BACKLOG {
+        cell.accept(&format!("backlog-{number}"), vec![each.clone()]);
+    }
+}
+
+/// Returns the number of rounds until a task of the job starts.
+fn rounds_until_start(cell: &mut Cell, job: &str) -> Option<usize> {
+    let mut starts = (1..=MAX_ROUNDS).map(|round| (round, cell.decide_starts()));
+    let found = starts.find(|(_, starts)| starts.iter().any(|start| &*start.task.step.job == job));
+    found.map(|(round, _)| round)
+}
+
+#[gtest]
+fn backlog_of_a_team_at_its_limit_holds_up_no_other_team() {
+    // The backlog filled each round, so idle targets got no work (review/3).
+    let mut cell = Cell::new(4);
+    cell.limit_team(2);
+    accept_backlog(&mut cell, &step(1));
+    cell.advance(Duration::from_secs(60));
+    cell.list_nothing_on_others("");
+    cell.accept_from_other_team("other", vec![step(1)]);
+    expect_that!(rounds_until_start(&mut cell, "other"), some(eq(1)));
+}
+
+#[gtest]
+fn backlog_without_a_suitable_target_holds_up_no_other_job() {
+    let mut cell = Cell::new(4);
+    accept_backlog(&mut cell, &Step { label: Some(Name::from("none has it")), ..step(1) });
+    for number in 0..BACKLOG {
+        let size = step(1).size * 9 + step(1).size * number;
+        cell.accept(&format!("large-{number}"), vec![Step { size, ..step(1) }]);
+    }
+    cell.advance(Duration::from_secs(60));
+    cell.list_nothing_on_others("");
+    cell.accept("other", vec![step(1)]);
+    expect_that!(rounds_until_start(&mut cell, "other"), some(eq(1)));
+}
+
+#[gtest]
+fn backlog_of_a_full_pool_holds_up_no_other_pool() {
+    let mut cell = Cell::new(2);
+    cell.split_pools();
+    cell.accept("full", vec![step(8)]);
+    let starts = cell.decide_starts();
+    cell.answer_starts(&starts, &StartAnswer::Started);
+    accept_backlog(&mut cell, &step(1));
+    cell.advance(Duration::from_secs(4));
+    cell.list_running(&starts);
+    cell.list_nothing_on_others(&starts[0].target);
+    cell.accept_in(OTHER_QUEUE, "other", vec![step(1)]);
+    expect_that!(rounds_until_start(&mut cell, "other"), some(eq(1)));
+}
+
+#[gtest]
+fn backlog_of_inherited_jobs_holds_up_no_new_job() {
+    // Jobs of earlier terms wait until all targets have answered.
+    let mut cell = Cell::new(2);
+    accept_backlog(&mut cell, &step(1));
+    let mut next = cell.take_over_without_listings();
+    next.accept("other", vec![step(1)]);
+    expect_that!(rounds_until_start(&mut next, "other"), some(eq(1)));
+}
+
+#[gtest]
+fn backlog_that_needs_searches_holds_up_no_other_job_for_long() {
+    // Each of these steps is searched for in vain: they wait for advice, or for
+    // targets without a run of the same step.
+    let advice = Advice { request_us: 1000, target_us: 10, valid_ms: 1500 };
+    let mut cell = Cell::new(2);
+    cell.planner.set_instances(4, cell.now);
+    cell.split_pools();
+    cell.set_advice(QUEUE, advice);
+    accept_backlog(&mut cell, &step(1));
+    cell.advance(Duration::from_secs(60));
+    cell.list_nothing_on_others("");
+    cell.accept_in(OTHER_QUEUE, "other", vec![step(1)]);
+    expect_that!(rounds_until_start(&mut cell, "other"), some(anything()));
+}
--- a/crates/plan/tests/decisions/main.rs
+++ b/crates/plan/tests/decisions/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod advice;
+mod backlog;
 mod cell;
 mod crashes;
 mod gangs;
