A takeover waits until targets have listed all their ends, not only the first 500

Tasks ended while no node led; the new leader started those again whose ends came after the first 500 of a target's listing.

Cause: a target counted as verified with its first listing, also if further ends were to follow. Tasks without a run and without a listed end counted as waiting.

Change: the adapter says whether further ends may follow, as only it knows the limit and the rows that can't be read. A target is verified once it has listed all ends; under a lease of this term jobs of earlier terms wait for that beyond the expiry of earlier leases; a target with ends to follow is not recorded as closed. The stand-in lists 500 ends at a time.

Ruled out: reading all ends before recording any; a target returns the same ones until they are recorded.

--- a/crates/plan/src/adopt.rs
+++ b/crates/plan/src/adopt.rs
@@ -103,7 +103,10 @@
         let is_unverified = |id: &str| self.unverified_targets.contains(id);
         let is_verified = now >= self.recovered_at
             || !is_unverified(&target.info.id) && !is_unverified(UNKNOWN_TARGETS);
-        is_verified && target.unrecorded_ends.is_empty() && !target.has_unknown_runs
+        is_verified
+            && target.unrecorded_ends.is_empty()
+            && !target.has_unread_ends
+            && !target.has_unknown_runs
     }
 
     /// Takes over a target that did not answer the previous placer, with the
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -140,6 +140,7 @@
         self.last_round_unix_ms = unix_ms;
         self.last_round_at = now;
         self.end_lapsed_runs(now);
+        self.drop_expired_targets(now);
         self.clear_ended_jobs(now);
         self.resend_stops(now);
         self.begin_due_occurrences(unix_ms, now);
--- a/crates/plan/src/listing.rs
+++ b/crates/plan/src/listing.rs
@@ -13,9 +13,6 @@
     target::{Phase, TargetId},
 };
 
-/// Maximum number of ends in one listing; the rest follows in later listings.
-const MAX_ENDS_PER_LISTING: usize = 500;
-
 /// Runs and ends that a target reports.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Listing {
@@ -23,8 +20,11 @@
     pub born_unix_ms: u64,
     /// Runs on the target.
     pub running: Vec<ListedRun>,
-    /// Ends that the target has not been told to forget.
+    /// Ends that the target has not been told to forget, from the first on.
     pub ended: Vec<RunEnd>,
+    /// Whether there may be further ends, which follow once the target has been
+    /// told to forget these.
+    pub has_more_ends: bool,
 }
 
 /// Run in a listing.
@@ -161,8 +161,11 @@
         let Some(&id) = self.target_ids.get(target) else {
             return;
         };
-        self.unverified_targets.remove(target);
+        if !listing.has_more_ends {
+            self.unverified_targets.remove(target);
+        }
         let target_state = &mut self.targets[id.0 as usize];
+        target_state.has_unread_ends = listing.has_more_ends;
         if target_state.last_contact_at.is_none() {
             self.is_changed = true;
         }
@@ -198,7 +201,7 @@
         // Runs of unknown jobs take an unknown amount of resources.
         target_state.has_unknown_runs =
             listing.running.iter().any(|listed| !target_state.runs.contains_key(&listed.task));
-        if listing.ended.len() < MAX_ENDS_PER_LISTING {
+        if !listing.has_more_ends {
             self.end_missing_runs(id, requested_at, listing, now);
         }
         self.stop_unconfirmed_runs(id, requested_at, now);
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -80,7 +80,8 @@
     pub(crate) unpublished_ends: HashSet<Name>,
     /// Number above which the run numbers of inherited jobs start.
     pub(crate) run_number_base: u32,
-    /// Targets that may hold runs of earlier terms and have not answered yet.
+    /// Targets that may hold runs of earlier terms, or ends of such runs, and
+    /// have not listed all of them yet.
     pub(crate) unverified_targets: HashSet<Name>,
     /// Whether inherited jobs that have ended were marked for removal.
     pub(crate) has_cleared_ended_jobs: bool,
@@ -401,9 +402,34 @@
         })
     }
 
-    /// Returns whether all runs of earlier terms are known or have expired.
+    /// Returns whether all runs of earlier terms and their ends are known, or
+    /// the leases of their targets have expired.
     pub fn is_recovered(&self, now: Duration) -> bool {
-        self.unverified_targets.is_empty() || now >= self.recovered_at
+        self.unverified_targets.is_empty()
+            || now >= self.recovered_at
+                && !self.unverified_targets.iter().any(|id| self.is_reading_ends(id, now))
+    }
+
+    /// Drops the targets that the planner no longer waits for, since leases of
+    /// earlier terms have expired.
+    pub(crate) fn drop_expired_targets(&mut self, now: Duration) {
+        if now >= self.recovered_at && !self.unverified_targets.is_empty() {
+            let mut unverified = std::mem::take(&mut self.unverified_targets);
+            unverified.retain(|id| self.is_reading_ends(id, now));
+            self.unverified_targets = unverified;
+        }
+    }
+
+    /// Returns whether a target under a lease of this term has ends that it has
+    /// not listed yet. An end before the expiry of a lease still counts.
+    fn is_reading_ends(&self, id: &Name, now: Duration) -> bool {
+        let target = self.target_ids.get(id).map(|id| &self.targets[id.0 as usize]);
+        target.is_some_and(|target| {
+            let is_granted = target.lease_granted_at.is_some_and(|granted| {
+                now.saturating_sub(granted) <= self.settings.lapse_timeout()
+            });
+            target.has_unread_ends && is_granted
+        })
     }
 
     /// Returns the targets that may hold runs: listed ones, and those with runs
--- a/crates/plan/src/target.rs
+++ b/crates/plan/src/target.rs
@@ -154,6 +154,8 @@
     pub(crate) last_end: u64,
     /// Ends that were applied but are not recorded yet: their numbers and jobs.
     pub(crate) unrecorded_ends: VecDeque<(u64, Name)>,
+    /// Whether the last listing lacked some of the target's ends.
+    pub(crate) has_unread_ends: bool,
     pub(crate) health: Health,
     pub(crate) speed: Speed,
     /// Whether the target lists runs that the planner does not know.
--- a/crates/plan/tests/decisions/cell.rs
+++ b/crates/plan/tests/decisions/cell.rs
@@ -268,12 +268,28 @@
     fn list_end(&mut self, start: &Start, end: End, number: u64, checkpoint: Option<Name>) {
         let ended = RunEnd { number, task: start.task.clone(), run: start.run, end, checkpoint };
         let born_unix_ms = self.born_unix_ms(&start.target);
-        let listing = Listing { born_unix_ms, running: Vec::new(), ended: vec![ended] };
+        let listing = Listing { born_unix_ms, ended: vec![ended], ..Listing::default() };
         // Requested before the starts were confirmed, so the listing says
         // nothing about other runs.
         self.planner.apply_listing(&start.target, Duration::ZERO, &listing, self.now);
     }
 
+    /// Makes the target of these runs list them as done, and say that further
+    /// ends may follow.
+    pub fn end_runs_of_many(&mut self, starts: &[Start]) {
+        let target = starts[0].target.clone();
+        let mut ended = Vec::new();
+        for start in starts {
+            let number = self.ends.entry(target.clone()).or_default();
+            *number += 1;
+            let (number, task) = (*number, start.task.clone());
+            ended.push(RunEnd { number, task, run: start.run, end: End::Done, checkpoint: None });
+        }
+        let born_unix_ms = self.born_unix_ms(&target);
+        let listing = Listing { born_unix_ms, ended, has_more_ends: true, ..Listing::default() };
+        self.planner.apply_listing(&target, self.now, &listing, self.now);
+    }
+
     /// Makes a target list no runs.
     pub fn list_nothing(&mut self, target: &str) {
         self.list_nothing_as_of(target, self.now);
@@ -300,7 +316,7 @@
             };
             let running = on_target.iter().map(listed).collect();
             let born_unix_ms = self.born_unix_ms(&target);
-            let listing = Listing { born_unix_ms, running, ended: Vec::new() };
+            let listing = Listing { born_unix_ms, running, ..Listing::default() };
             self.planner.apply_listing(&target, self.now, &listing, self.now);
         }
     }
@@ -321,7 +337,8 @@
                 percent: percent(&target),
             });
             let born_unix_ms = self.born_unix_ms(&target);
-            let listing = Listing { born_unix_ms, running: running.collect(), ended: Vec::new() };
+            let listing =
+                Listing { born_unix_ms, running: running.collect(), ..Listing::default() };
             self.planner.apply_listing(&target, self.now, &listing, self.now);
         }
     }
--- a/crates/plan/tests/decisions/takeover.rs
+++ b/crates/plan/tests/decisions/takeover.rs
@@ -285,3 +285,63 @@
     cell.end_run(&late[0], End::Stopped);
     expect_that!(cell.decide_starts().len(), eq(1));
 }
+
+/// Returns a new placer that took over while eight runs of one job were on the
+/// second of two targets, and these runs.
+fn take_over_with_runs_on_the_second_target() -> (Cell, Vec<Start>) {
+    let mut cell = Cell::new(2);
+    cell.make_unreachable("target-0");
+    cell.accept("job", vec![step(8)]);
+    let starts = cell.decide_starts();
+    expect_that!(starts, each(field!(Start.target, displays_as(eq("target-1")))));
+    cell.answer_starts(&starts, &StartAnswer::Started);
+    (cell.take_over_without_listings(), starts)
+}
+
+#[gtest]
+fn inherited_task_waits_until_its_target_has_listed_all_ends() {
+    // A listing holds a limited number of ends. Tasks whose ends were to follow
+    // were started again although they were done (review/2).
+    let (mut next, starts) = take_over_with_runs_on_the_second_target();
+    next.end_runs_of_many(&starts[..5]);
+    expect_that!(next.decide_starts(), is_empty());
+    next.record();
+    expect_that!(next.decide_starts(), is_empty());
+    for start in &starts[5..] {
+        next.end_run(start, End::Done);
+    }
+    expect_that!(next.decide_starts(), is_empty());
+    next.record();
+    expect_that!(next.state("job"), eq(JobState::Complete));
+}
+
+#[gtest]
+fn inherited_task_waits_for_ends_that_are_listed_late() {
+    // Recording may be slow, and an end counts unless the target's lease expires.
+    let (mut next, starts) = take_over_with_runs_on_the_second_target();
+    for _ in 0..5 {
+        next.planner.lease_granted("target-1", next.now);
+        next.end_runs_of_many(&starts[..5]);
+        next.list_nothing("target-0");
+        expect_that!(next.decide_starts(), is_empty());
+        next.advance(Duration::from_secs(3));
+    }
+    next.advance(Duration::from_secs(7));
+    next.list_nothing("target-0");
+    expect_that!(next.decide_starts().len(), eq(3));
+}
+
+#[gtest]
+fn target_is_not_closed_while_ends_are_to_follow() {
+    // The record would name no run of a task whose end is not listed yet.
+    let mut cell = Cell::new(1);
+    cell.accept("job", vec![step(8)]);
+    let starts = cell.decide_starts();
+    cell.answer_starts(&starts, &StartAnswer::Started);
+    cell.update_targets(|info| info.availability = Availability::Draining);
+    cell.end_runs_of_many(&starts[..5]);
+    cell.record();
+    expect_that!(cell.close_targets(), is_empty());
+    cell.list_nothing("target-0");
+    expect_that!(cell.close_targets().len(), eq(1));
+}
--- a/crates/standin/src/cell/simulation/mod.rs
+++ b/crates/standin/src/cell/simulation/mod.rs
@@ -422,7 +422,8 @@
             percent: percent(run),
         };
         let running = state.runs.iter().map(seen).collect();
-        let listing = Listing { born_unix_ms: 1, running, ended: state.ends.clone() };
+        let listing =
+            Listing { born_unix_ms: 1, running, ended: state.ends.clone(), has_more_ends: false };
         self.planner.lease_granted(target, self.now);
         self.planner.apply_listing(target, self.now, &listing, self.now);
     }
--- a/crates/standin/src/cell/targets.rs
+++ b/crates/standin/src/cell/targets.rs
@@ -25,6 +25,9 @@
 /// [`RESTART_TIME`] later.
 pub const CRASHING_PAYLOAD: &str = "crash";
 
+/// Maximum number of ends in one listing; further ones follow in later listings.
+const MAX_ENDS_PER_LISTING: usize = 500;
+
 /// Time for which a target is down after a crash.
 pub const RESTART_TIME: Duration = Duration::from_millis(500);
 
@@ -279,7 +282,12 @@
             checkpoint: None,
             percent: run.percent(now),
         });
-        Listing { born_unix_ms: self.born, running: running.collect(), ended: self.ended.clone() }
+        Listing {
+            born_unix_ms: self.born,
+            running: running.collect(),
+            ended: self.ended.iter().take(MAX_ENDS_PER_LISTING).cloned().collect(),
+            has_more_ends: self.ended.len() > MAX_ENDS_PER_LISTING,
+        }
     }
 }
 
