A task that fails everywhere no longer has all targets suspected

Two jobs of lasting tasks that fail soon after each start had all targets suspected; others' jobs waited up to 26 s while 128 of 128 cores were idle.

Cause: each failure was charged to the target. A task that fails wherever it runs has one target after the other suspected, and, being late at once, it is also the probe that fails next.

Change: a task that has failed on three targets is faulty; its failures no longer count, and those of its job are taken back. It is a probe only if nothing else was for 3 s. Conclusions are logged (154, 155, 536) and counted.

Evidence: two of the three new tests failed before (no start of a sound job in any round); the third guards that a failing target beside faulty jobs still gets probes only.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -101,6 +101,7 @@
     RunEnded = 533, "run ended";
     RunReleased = 534, "run taken for ended without an end listed by its target";
     TargetCrashed = 535, "target crashed under a task";
+    TaskFaulty = 536, "task fails on one target after another";
     AdviceReceived = 540, "advice received";
     AdviceFailed = 541, "advice request failed";
     RecordFailed = 550, "write of records to the key-value service failed";
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -36,6 +36,8 @@
     /// Crashes of targets under tasks; the outcome tells whether the task was
     /// given up.
     pub(crate) crashes: Family<Labels, Counter>,
+    /// Targets suspected or cleared, and tasks taken for faulty.
+    pub(crate) suspicions: Family<Labels, Counter>,
     /// Placement rounds that ended before all waiting steps were considered.
     pub(crate) limited_rounds: Counter,
     /// Terms that this node has started as leader.
@@ -64,6 +66,7 @@
             advice: Family::default(),
             releases: Family::default(),
             crashes: Family::default(),
+            suspicions: Family::default(),
             limited_rounds: Counter::default(),
             takeovers: Counter::default(),
             leads: Gauge::default(),
@@ -83,6 +86,11 @@
             metrics.releases.clone(),
         );
         registry.register("crashes", "Crashes of targets under tasks", metrics.crashes.clone());
+        registry.register(
+            "suspicions",
+            "Targets suspected or cleared, and tasks taken for faulty",
+            metrics.suspicions.clone(),
+        );
         registry.register(
             "limited_rounds",
             "Rounds that ended before all waiting steps were considered",
--- a/crates/node/src/placer/report.rs
+++ b/crates/node/src/placer/report.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base::{Name, emit};
-use plan::{Crash, Evidence, Listing, ReleasedRun};
+use plan::{Blame, Crash, Evidence, Listing, ReleasedRun, Transition};
 
 use crate::{metrics::Metrics, placer::run::Placer};
 
@@ -45,6 +45,27 @@
             "lease_age_ms" => run.lease_age.as_millis() as u64);
     }
 
+    /// Logs and counts a conclusion from failed runs.
+    pub(super) fn log_blame(&self, blame: &Blame) {
+        let suspicions = &self.ctx.metrics.suspicions;
+        match blame {
+            Blame::Target { target, job, transition: Transition::Suspected } => {
+                Metrics::count(suspicions, "target", "suspected");
+                emit!(self.ctx.log, warn, TargetSuspected; "target" => %target, "job" => %job);
+            }
+            Blame::Target { target, job, transition: Transition::Cleared } => {
+                Metrics::count(suspicions, "target", "cleared");
+                emit!(self.ctx.log, info, TargetCleared; "target" => %target, "job" => %job);
+            }
+            Blame::Task { task, targets } => {
+                Metrics::count(suspicions, "task", "suspected");
+                emit!(self.ctx.log, warn, TaskFaulty; "job" => %task.step.job,
+                    "occurrence" => task.step.occurrence, "step" => task.step.step,
+                    "task" => task.index, "targets" => targets.join(","));
+            }
+        }
+    }
+
     /// Logs and counts the crash of a target under a task.
     pub(super) fn log_crash(&self, crash: &Crash) {
         let step = &crash.task.step;
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -305,6 +305,9 @@
         for run in self.planner.take_released_runs() {
             self.log_release(&run);
         }
+        for blame in self.planner.take_blames() {
+            self.log_blame(&blame);
+        }
         for crash in self.planner.take_crashes() {
             self.log_crash(&crash);
         }
--- a/crates/place/src/health.rs
+++ b/crates/place/src/health.rs
@@ -56,15 +56,25 @@
     Cleared,
 }
 
+/// Maximum number of jobs whose failures are counted for a worker. Failures of
+/// further jobs add nothing to the evidence.
+const MAX_JOBS: usize = 8;
+
 /// Recent failures of a worker and its circuit breaker.
 #[derive(Clone, Debug, Default)]
 pub struct Health {
     thresholds: Thresholds,
-    failures: u32,
-    jobs: SmallVec<[Name; 2]>,
+    failures: SmallVec<[JobFailures; 2]>,
     backoff: Option<Backoff>,
 }
 
+/// Failures of one job on a worker since the last success there.
+#[derive(Clone, Debug)]
+struct JobFailures {
+    job: Name,
+    count: u32,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Backoff {
     delay: Duration,
@@ -101,6 +111,13 @@
         self.backoff.is_some_and(|backoff| now >= backoff.next_probe)
     }
 
+    /// Returns whether a probe has been due for as long as the first probe is
+    /// delayed.
+    pub fn is_probe_overdue(&self, now: Duration) -> bool {
+        let delay = self.thresholds.min_backoff;
+        self.backoff.is_some_and(|backoff| now >= backoff.next_probe + delay)
+    }
+
     /// Notes that a probe was sent at `now`, which delays the next one by the
     /// current backoff.
     pub fn start_probe(&mut self, now: Duration) {
@@ -109,14 +126,23 @@
         }
     }
 
+    /// Takes back the failures of a job that was found to be at fault; returns
+    /// the change of health, if any.
+    pub fn forgive(&mut self, job: &Name) -> Option<Transition> {
+        self.failures.retain(|failures| failures.job != *job);
+        if self.has_evidence() {
+            return None;
+        }
+        self.backoff.take().map(|_| Transition::Cleared)
+    }
+
     fn record_failure(&mut self, job: &Name, now: Duration) -> Option<Transition> {
-        self.failures = self.failures.saturating_add(1);
-        if self.jobs.len() < self.thresholds.min_jobs && !self.jobs.contains(job) {
-            self.jobs.push(job.clone());
+        if let Some(known) = self.failures.iter_mut().find(|failures| failures.job == *job) {
+            known.count = known.count.saturating_add(1);
+        } else if self.failures.len() < MAX_JOBS {
+            self.failures.push(JobFailures { job: job.clone(), count: 1 });
         }
-        if self.failures < self.thresholds.min_failures
-            || self.jobs.len() < self.thresholds.min_jobs
-        {
+        if !self.has_evidence() {
             return None;
         }
         let transition = self.backoff.is_none().then_some(Transition::Suspected);
@@ -125,4 +151,11 @@
         self.backoff = Some(Backoff { delay, next_probe: now + delay });
         transition
     }
+
+    /// Returns whether the failures suffice to suspect the worker.
+    fn has_evidence(&self) -> bool {
+        let count =
+            self.failures.iter().map(|failures| failures.count).fold(0, u32::saturating_add);
+        count >= self.thresholds.min_failures && self.failures.len() >= self.thresholds.min_jobs
+    }
 }
--- a/crates/plan/src/crash.rs
+++ b/crates/plan/src/crash.rs
@@ -45,9 +45,9 @@
         std::mem::take(&mut self.crashes)
     }
 
-    /// Forgets the crashes under a task if its run, confirmed at `confirmed_at`,
-    /// has lasted.
-    pub(crate) fn clear_crashes(
+    /// Forgets the crashes under a task, and its failures, if its run, confirmed
+    /// at `confirmed_at`, has lasted.
+    pub(crate) fn clear_lasting(
         &mut self,
         key: &TaskKey,
         confirmed_at: Option<Duration>,
@@ -60,6 +60,7 @@
         let Some(task) = state.and_then(|state| state.tasks.get_mut(key.index as usize)) else {
             return;
         };
+        task.failed_targets.clear();
         if !std::mem::take(&mut task.crashed_runs).is_empty() {
             self.mark_unrecorded(&key.step.job, now);
         }
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -1,7 +1,7 @@
 //! Rounds of decisions, which place waiting tasks on targets.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     hash::{DefaultHasher, Hash, Hasher},
     ops::Range,
     sync::Arc,
@@ -49,6 +49,8 @@
     capacity: Resources,
     /// Whether the target may get at most one task, as a probe.
     is_probed: bool,
+    /// Whether a task that fails wherever it runs may be the probe.
+    takes_faulty: bool,
     /// Class of the target's usual speed.
     speed_class: i8,
 }
@@ -59,6 +61,7 @@
             free: target.free(),
             capacity: target.info.capacity,
             is_probed: target.health.is_suspected(),
+            takes_faulty: !target.health.is_suspected() || target.health.is_probe_overdue(now),
             speed_class: target.speed.class(now),
         }
     }
@@ -147,16 +150,8 @@
         if !self.is_list_current(now) || !std::mem::take(&mut self.is_changed) {
             return;
         }
-        let (contact_timeout, idle_timeout) =
-            (self.settings.contact_timeout, self.idle_contact_timeout);
-        let mut open_targets: HashMap<Name, Vec<TargetId>> = HashMap::new();
-        for (id, target) in (0..).map(TargetId).zip(&self.targets) {
-            if target.is_open(now, contact_timeout, idle_timeout) {
-                open_targets.entry(target.info.service.clone()).or_default().push(id);
-            }
-        }
         let mut round = Round {
-            open_targets,
+            open_targets: self.open_targets(now),
             headrooms: self.targets.iter().map(|target| Headroom::of(target, now)).collect(),
             unverified_usage: HashMap::new(),
             full_shapes: FullShapes::default(),
@@ -174,6 +169,32 @@
         self.preemptible = round.preemptible;
     }
 
+    /// Returns the targets that may get work, by pool. A suspected target gets a
+    /// probe when its back-off ends, or at once if all targets of its pool are
+    /// suspected and it is idle: work that waits then has no other chance.
+    fn open_targets(&self, now: Duration) -> HashMap<Name, Vec<TargetId>> {
+        let (contact_timeout, idle_timeout) =
+            (self.settings.contact_timeout, self.idle_contact_timeout);
+        let is_open = |target: &Target| target.is_open(now, contact_timeout, idle_timeout);
+        let numbered = || (0..).map(TargetId).zip(&self.targets);
+        let open = || numbered().filter(|(_, target)| is_open(target));
+        let sound_pools: HashSet<&Name> = open()
+            .filter(|(_, target)| !target.health.is_suspected())
+            .map(|(_, target)| &target.info.service)
+            .collect();
+        let mut open_targets: HashMap<Name, Vec<TargetId>> = HashMap::new();
+        for (id, target) in open() {
+            let service = &target.info.service;
+            let gets_work = !target.health.is_suspected()
+                || target.health.is_probe_due(now)
+                || !sound_pools.contains(service) && target.runs.is_empty();
+            if gets_work {
+                open_targets.entry(service.clone()).or_default().push(id);
+            }
+        }
+        open_targets
+    }
+
     /// Marks inherited jobs that have ended as unrecorded, once it is certain
     /// that no run of them exists. Their stored jobs are then removed.
     fn clear_ended_jobs(&mut self, now: Duration) {
@@ -350,7 +371,11 @@
         let (service, advice) = (policy.service.clone(), policy.advice);
         let mut slots = self.slots(key, step, &service, advice, round);
         // The slots of other steps depend on their own runs and tickets as well.
-        if slots.is_empty() && !step.gang && advice.is_none() && step.max_per_target.is_none() {
+        let has_own_limits = step.gang || advice.is_some() || step.max_per_target.is_some();
+        if slots.is_empty()
+            && !has_own_limits
+            && !self.step_state(key).is_some_and(StepState::has_waiting_faulty)
+        {
             round.full_shapes.insert(&service, step);
         }
         if self.reserve_room(key, step, &slots, advice, round, now) {
@@ -438,8 +463,12 @@
         let mut slots = Vec::with_capacity(open.len());
         let mut with_room = 0;
         let full = self.full_targets(key, step, state, advice, open.len());
+        let is_faulty = state.has_waiting_faulty();
         for (position, &id) in open.iter().enumerate() {
             let room = &round.headrooms[id.0 as usize];
+            if is_faulty && !room.takes_faulty {
+                continue;
+            }
             // Gangs also request advice on targets without room.
             let is_skipped = !step.gang && !step.size.fits(&room.free);
             if is_skipped && !full.contains(&position) {
@@ -496,7 +525,7 @@
         room: &Headroom,
         preemptible: Resources,
     ) -> Option<Slot> {
-        let Headroom { free, capacity, is_probed, speed_class } = *room;
+        let Headroom { free, capacity, is_probed, speed_class, .. } = *room;
         let target = || &self.targets[id.0 as usize];
         let suits = step.size.fits(&capacity)
             && step.label.as_ref().is_none_or(|label| target().info.labels.contains(label));
--- a/crates/plan/src/ends.rs
+++ b/crates/plan/src/ends.rs
@@ -125,7 +125,11 @@
         let Some(step) = spec.steps.get(usize::from(key.step.step)) else {
             return;
         };
-        self.record_health(id, &key.step.job, end, now);
+        match end {
+            End::Done => self.record_outcome(id, Outcome::Succeeded, &key.step.job, now),
+            End::Failed => self.record_failed_run(id, key, now),
+            End::Stopped | End::Lapsed | End::Broken | End::Alone => {}
+        }
         if let Some(started_at) = started_at.filter(|_| end == End::Done) {
             self.record_speed(id, &spec, step, now.saturating_sub(started_at), now);
         }
@@ -166,16 +170,6 @@
         if step.gang { self.leave_gang(&key.step, key.index, now) } else { self.release(key) }
     }
 
-    /// Updates the health of a target with the outcome of a run.
-    fn record_health(&mut self, id: TargetId, job: &Name, end: End, now: Duration) {
-        let outcome = match end {
-            End::Done => Outcome::Succeeded,
-            End::Failed => Outcome::Failed,
-            End::Stopped | End::Lapsed | End::Broken | End::Alone => return,
-        };
-        self.targets[id.0 as usize].health.record(outcome, job, now);
-    }
-
     /// Updates the speed of a target with the run time of a whole run.
     fn record_speed(
         &mut self,
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -14,6 +14,7 @@
 use crate::{
     action::{Action, Stop, StopCause},
     admit::RequestLoad,
+    blame::Blame,
     crash::Crash,
     ends::ReleasedRun,
     job::{Job, Origin},
@@ -66,6 +67,7 @@
     pub(crate) actions: Vec<Action>,
     pub(crate) released_runs: Vec<ReleasedRun>,
     pub(crate) crashes: Vec<Crash>,
+    pub(crate) blames: Vec<Blame>,
     pub(crate) state_changes: Vec<(Name, JobState)>,
     /// Earliest time of the next publication of state changes.
     next_publish_at: Duration,
--- a/crates/plan/src/progress.rs
+++ b/crates/plan/src/progress.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use place::Outcome;
-
 use crate::{
     action::StopCause,
     listing::ListedRun,
@@ -45,7 +43,7 @@
             && percent < COMPLETE_PERCENT
         {
             let number = run.number;
-            target.health.record(Outcome::Failed, &listed.task.step.job, now);
+            self.record_failed_run(id, &listed.task, now);
             return self.stop_run(id, &listed.task, number, StopCause::Stuck, now);
         }
         let (percent, sampled_at) = *run.last_sample.get_or_insert((listed.percent, now));
--- a/crates/plan/src/step.rs
+++ b/crates/plan/src/step.rs
@@ -6,7 +6,7 @@
 use smallvec::{SmallVec, smallvec};
 use work::{Step, StepProgress};
 
-use crate::{permission::Permissions, target::TargetId};
+use crate::{blame, permission::Permissions, target::TargetId};
 
 /// State of a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,12 +48,20 @@
     pub(crate) failed_runs: SmallVec<[u32; 4]>,
     /// Numbers of the runs that were lost in crashes of targets.
     pub(crate) crashed_runs: SmallVec<[u32; 4]>,
+    /// Targets on which runs failed in this term, up to those that show that the
+    /// task is faulty.
+    pub(crate) failed_targets: SmallVec<[TargetId; 3]>,
     pub(crate) checkpoint: Option<Name>,
     /// Number of times that the task was preempted in this term.
     pub(crate) preemptions: u32,
 }
 
 impl Task {
+    /// Returns whether the task fails wherever it runs.
+    pub(crate) fn is_faulty(&self) -> bool {
+        blame::is_faulty(self.failed_targets.len())
+    }
+
     /// Returns the current run, where `index` is the number of the task.
     fn current_run(&self, index: u32) -> Option<TaskRun> {
         match self.state {
@@ -86,6 +94,7 @@
             last_run: 0,
             failed_runs: SmallVec::new(),
             crashed_runs: SmallVec::new(),
+            failed_targets: SmallVec::new(),
             checkpoint: None,
             preemptions: 0,
         };
@@ -251,6 +260,12 @@
         waiting.any(|task| !task.crashed_runs.is_empty())
     }
 
+    /// Returns whether a task that waits fails wherever it runs.
+    pub(crate) fn has_waiting_faulty(&self) -> bool {
+        let mut waiting = self.waiting.iter().filter_map(|index| self.tasks.get(*index as usize));
+        waiting.any(Task::is_faulty)
+    }
+
     /// Returns the number of tasks that may have a run on `target`.
     pub(crate) fn count_on(&self, target: TargetId) -> u32 {
         let is_there = |task: &&Task| {
--- a/crates/plan/src/target.rs
+++ b/crates/plan/src/target.rs
@@ -188,7 +188,7 @@
         sharing == Sharing::Any || self.runs.values().all(|run| run.sharing.is_compatible(sharing))
     }
 
-    /// Returns whether the target may get new work.
+    /// Returns whether the target may get new work, as far as its health allows.
     pub(crate) fn is_open(
         &self,
         now: Duration,
@@ -204,7 +204,6 @@
             && !self.has_unknown_runs
             && !self.is_closed
             && now >= self.backoff_until
-            && (!self.health.is_suspected() || self.health.is_probe_due(now))
             && !self.speed.is_slow(now)
     }
 
--- /dev/null
+++ b/crates/plan/tests/decisions/blame.rs
@@ -0,0 +1,129 @@
+//! Failing runs: whether the target or the task is to blame.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use plan::{Start, StartAnswer};
+use work::{End, Step};
+
+use crate::cell::{Cell, step};
+
+const TARGETS: u32 = 8;
+
+/// Time between two looks at the cell.
+const INTERVAL: Duration = Duration::from_millis(300);
+
+/// Cell whose runs fail or end as a test says.
+struct Trial {
+    cell: Cell,
+    running: Vec<Start>,
+}
+
+impl Trial {
+    fn new() -> Self {
+        Self { cell: Cell::new(TARGETS), running: Vec::new() }
+    }
+
+    /// Accepts a job of four lasting tasks; two such jobs share a target.
+    fn accept_lasting(&mut self, id: &str) {
+        self.cell.accept(id, vec![Step { long_running: true, estimate_ms: 0, ..step(4) }]);
+    }
+
+    /// Starts what can start, and returns the new runs.
+    fn start(&mut self) -> Vec<Start> {
+        let starts = self.cell.decide_starts();
+        self.cell.answer_starts(&starts, &StartAnswer::Started);
+        self.running.extend(starts.iter().cloned());
+        starts
+    }
+
+    /// Passes some time, ends all runs by `end_of`, and lists what runs.
+    fn pass(&mut self, end_of: impl Fn(&Start) -> Option<End>) {
+        self.cell.advance(INTERVAL);
+        for start in std::mem::take(&mut self.running) {
+            match end_of(&start) {
+                Some(end) => self.cell.end_run(&start, end),
+                None => self.running.push(start),
+            }
+        }
+        self.cell.list_running(&self.running);
+        for target in (0..TARGETS).map(|number| format!("target-{number}")) {
+            if self.running.iter().all(|start| *start.target != *target) {
+                self.cell.list_nothing(&target);
+            }
+        }
+    }
+}
+
+fn job(start: &Start) -> &str {
+    &start.task.step.job
+}
+
+/// Ends runs of jobs named `faulty` as failed, and all others as done.
+fn fails_if_faulty(start: &Start) -> Option<End> {
+    Some(if job(start).starts_with("faulty") { End::Failed } else { End::Done })
+}
+
+#[gtest]
+fn jobs_that_fail_everywhere_leave_the_targets_to_other_jobs() {
+    // Two such jobs had all targets suspected, and nothing ran at all (review/4).
+    let mut trial = Trial::new();
+    trial.accept_lasting("faulty-a");
+    trial.accept_lasting("faulty-b");
+    for round in 0..120 {
+        let small = format!("small-{round}");
+        // Failures follow on one another without an end that clears a target.
+        let is_due = round % 10 == 9;
+        if is_due {
+            trial.cell.accept(&small, vec![step(1)]);
+        }
+        let starts = trial.start();
+        let started = starts.iter().filter(|start| job(start) == small).count();
+        expect_that!(started, eq(usize::from(is_due)), "{small}");
+        trial.pass(fails_if_faulty);
+    }
+    // Tasks that last are restarted however they end.
+    let faulty = trial.start().iter().filter(|start| job(start).starts_with("faulty")).count();
+    expect_that!(faulty, eq(8));
+}
+
+#[gtest]
+fn failing_target_gets_only_probes_beside_jobs_that_fail_everywhere() {
+    let bad = "target-3";
+    let mut trial = Trial::new();
+    trial.accept_lasting("faulty-a");
+    trial.accept_lasting("faulty-b");
+    let end_of = |start: &Start| {
+        if *start.target == *bad { Some(End::Failed) } else { fails_if_faulty(start) }
+    };
+    let mut probes = Vec::new();
+    for number in 0..100 {
+        // All targets get work.
+        trial.cell.accept(&format!("small-{number}"), vec![step(48)]);
+        let starts = trial.start();
+        if number >= 20 {
+            probes.extend(starts.into_iter().filter(|start| *start.target == *bad));
+        }
+        trial.pass(end_of);
+    }
+    // Probes are at least 3 s apart, in 24 s.
+    expect_that!(probes.len(), le(8));
+    let by_faulty = probes.iter().filter(|start| job(start).starts_with("faulty"));
+    expect_that!(by_faulty.count(), eq(0));
+}
+
+#[gtest]
+fn sound_job_starts_at_once_although_all_targets_are_suspected() {
+    // A burst of jobs that can never be done fails on all targets, each on a few.
+    let mut trial = Trial::new();
+    for number in 0..32 {
+        trial.cell.accept(&format!("faulty-{number}"), vec![step(2)]);
+    }
+    for _ in 0..6 {
+        trial.start();
+        trial.pass(fails_if_faulty);
+    }
+    trial.cell.accept("sound", vec![step(1)]);
+    let starts = trial.start();
+    expect_that!(starts.iter().filter(|start| job(start) == "sound").count(), eq(1));
+}
--- a/crates/plan/tests/decisions/main.rs
+++ b/crates/plan/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod advice;
 mod backlog;
+mod blame;
 mod cell;
 mod crashes;
 mod gangs;
