A silent link is replaced although a send on it never returns

What callers would see: with connections between nodes silent for good, a node whose link buffers are full never opens another link to the leader, gets no job states, and goes on counting as joined there.

Cause: one task sent and received in turns and looked for silence in between, so a send that did not return kept it from looking.

Ruled out: a time limit on sends (states of all jobs over a slow link may take longer than any silence).

--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -2,8 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use base::{Failure, Name, clock, emit};
-use futures::{SinkExt, StreamExt};
+use base::{Failure, Name, emit};
+use futures::{
+    SinkExt, StreamExt,
+    stream::{SplitSink, SplitStream},
+};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::{net::TcpStream, sync::mpsc, time};
 use tokio_tungstenite::{
@@ -25,6 +28,9 @@
 /// accept a connection.
 const DIAL_BACKOFF: Duration = Duration::from_millis(150);
 
+/// Sending side of a link.
+type FrameSink = SplitSink<WebSocketStream<TcpStream>, Message>;
+
 /// Frame sent by the leader to a node.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum LeaderFrame {
@@ -250,42 +256,61 @@
 /// Sends and receives frames until the link fails or either channel is closed.
 /// Returns the reason.
 async fn exchange<S: Serialize, R: DeserializeOwned>(
-    mut socket: WebSocketStream<TcpStream>,
-    mut outgoing: mpsc::UnboundedReceiver<S>,
+    socket: WebSocketStream<TcpStream>,
+    outgoing: mpsc::UnboundedReceiver<S>,
     heartbeat: S,
     incoming: mpsc::UnboundedSender<R>,
 ) -> String {
-    let mut last_received_at = clock::now();
+    let (sink, stream) = socket.split();
+    // On a silent connection with full buffers a send never returns, so receiving,
+    // which notices the silence, must not wait for it.
+    tokio::select! {
+        reason = send_frames(sink, outgoing, heartbeat) => reason,
+        reason = receive_frames(stream, incoming) => reason,
+    }
+}
+
+/// Sends frames and heartbeats until a send fails or the channel is closed.
+/// Returns the reason.
+async fn send_frames<S: Serialize>(
+    mut sink: FrameSink,
+    mut outgoing: mpsc::UnboundedReceiver<S>,
+    heartbeat: S,
+) -> String {
     let mut heartbeats = time::interval(HEARTBEAT_INTERVAL);
     loop {
-        tokio::select! {
+        let sent = tokio::select! {
             frame = outgoing.recv() => {
                 let Some(frame) = frame else {
                     return "closed".to_owned();
                 };
-                if let Err(error) = send_all(&mut socket, frame, &mut outgoing).await {
-                    return error.to_string();
-                }
-            }
-            message = socket.next() => {
-                let frame = match message {
-                    Some(Ok(message)) => decode(&message),
-                    Some(Err(error)) => return error.to_string(),
-                    None => return "closed by the other side".to_owned(),
-                };
-                last_received_at = clock::now();
-                if let Some(frame) = frame && incoming.send(frame).is_err() {
-                    return "closed".to_owned();
-                }
-            }
-            _ = heartbeats.tick() => {
-                if clock::now().saturating_sub(last_received_at) > SILENCE_TIMEOUT {
-                    return "silent".to_owned();
-                }
-                if let Err(error) = socket.send(encode(&heartbeat)).await {
-                    return error.to_string();
-                }
+                send_all(&mut sink, frame, &mut outgoing).await
             }
+            _ = heartbeats.tick() => sink.send(encode(&heartbeat)).await,
+        };
+        if let Err(error) = sent {
+            return error.to_string();
+        }
+    }
+}
+
+/// Receives frames until the link fails, is silent, or the channel is closed.
+/// Returns the reason.
+async fn receive_frames<R: DeserializeOwned>(
+    mut stream: SplitStream<WebSocketStream<TcpStream>>,
+    incoming: mpsc::UnboundedSender<R>,
+) -> String {
+    loop {
+        let frame = match time::timeout(SILENCE_TIMEOUT, stream.next()).await {
+            Ok(Some(Ok(message))) => decode(&message),
+            Ok(Some(Err(error))) => return error.to_string(),
+            Ok(None) => return "closed by the other side".to_owned(),
+            Err(_) => return "silent".to_owned(),
+        };
+        if let Some(frame) = frame
+            && incoming.send(frame).is_err()
+        {
+            return "closed".to_owned();
         }
     }
 }
@@ -293,16 +318,16 @@
 /// Sends a frame together with all frames queued behind it, in as few packets
 /// as possible.
 async fn send_all<S: Serialize>(
-    socket: &mut WebSocketStream<TcpStream>,
+    sink: &mut FrameSink,
     first: S,
     waiting: &mut mpsc::UnboundedReceiver<S>,
 ) -> Result<(), tungstenite::Error> {
     let mut next = Some(first);
     while let Some(frame) = next {
-        socket.feed(encode(&frame)).await?;
+        sink.feed(encode(&frame)).await?;
         next = waiting.try_recv().ok();
     }
-    socket.flush().await
+    sink.flush().await
 }
 
 fn encode<T: Serialize>(frame: &T) -> Message {
--- a/crates/node/tests/cell/main.rs
+++ b/crates/node/tests/cell/main.rs
@@ -4,6 +4,7 @@
 mod common;
 mod jobs;
 mod leadership;
+mod links;
 mod slow_store;
 mod store;
 mod targets;
