A job counts as begun once a target has confirmed a run of it

With all targets full but one, which refused starts, pending was 4 where 20 jobs waited, and 16 were shown as active.

Cause: a job was made active when a start was decided; a refused or unanswered start, or a recorded run that never existed, did not take that back.

Change: the answer to a start, a listed run or a listed end makes a job active.

--- a/crates/plan/src/adopt.rs
+++ b/crates/plan/src/adopt.rs
@@ -167,7 +167,6 @@
         if let Some(checkpoint) = &listed.checkpoint {
             self.save_checkpoint(key, checkpoint);
         }
-        self.mark_started(&key.step.job);
     }
 
     /// Begins occurrences of the job up to the one that an adopted run belongs
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -271,7 +271,7 @@
         }
     }
 
-    /// Makes a queued job active, because a run of it has started.
+    /// Makes a queued job active, because a target has confirmed a run of it.
     pub(crate) fn mark_started(&mut self, id: &Name) {
         if self.jobs.get(id).is_some_and(|job| job.state == JobState::Queued) {
             self.set_state(id, JobState::Active);
@@ -622,7 +622,6 @@
         };
         self.charge_run(target, &task, &spec.team, entry, now);
         let target = self.targets[target.0 as usize].info.id.clone();
-        self.mark_started(&key.job);
         let payload = spec.payload.clone();
         self.actions.push(Action::Start(Start { target, task, run, payload, checkpoint, ticket }));
     }
--- a/crates/plan/src/listing.rs
+++ b/crates/plan/src/listing.rs
@@ -108,6 +108,7 @@
                 if known.phase == Phase::Starting {
                     known.phase = Phase::Running;
                 }
+                self.mark_started(&task.step.job);
             }
             StartAnswer::Refused(refusal) => {
                 if *refusal == Refusal::Ticket
@@ -191,6 +192,7 @@
             }
             target_state.last_end = end.number;
             target_state.unrecorded_ends.push_back((end.number, end.task.step.job.clone()));
+            self.mark_started(&end.task.step.job);
             self.end_run(id, &end.task, end.run, end.end, end.checkpoint.clone(), now);
         }
         self.drop_recorded_ends(id);
@@ -224,6 +226,7 @@
     /// Applies a run in a listing, which may have been started by an earlier
     /// placer.
     fn apply_listed_run(&mut self, id: TargetId, listed: &ListedRun, now: Duration) {
+        self.mark_started(&listed.task.step.job);
         if let Some(known) = self.targets[id.0 as usize].runs.get_mut(&listed.task)
             && known.number == listed.run
         {
