The chains of a job's steps are computed once, in linear time

An accepted job of 2,000 steps took a whole core of each node that led, and nothing of any team ran.

Cause: ranking a waiting step computed the chains of all steps of its job, in quadratic time, for each waiting step in each round.

Change: the chains are kept with the job, and computed in one pass over steps and dependencies.

--- a/crates/plan/src/job.rs
+++ b/crates/plan/src/job.rs
@@ -4,7 +4,7 @@
 
 use work::{JobState, Progress, Spec, StepProgress};
 
-use crate::{share::Entitlement, step::StepState};
+use crate::{rank::Chains, share::Entitlement, step::StepState};
 
 /// Term in which a job was accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,6 +19,7 @@
 #[derive(Debug)]
 pub(crate) struct Job {
     pub(crate) spec: Arc<Spec>,
+    pub(crate) chains: Chains,
     pub(crate) origin: Origin,
     pub(crate) entitlement: Entitlement,
     pub(crate) state: JobState,
@@ -35,6 +36,7 @@
 impl Job {
     pub(crate) fn new(spec: Arc<Spec>, origin: Origin, progress: Option<&Progress>) -> Self {
         let mut job = Self {
+            chains: Chains::of(&spec.steps),
             spec,
             origin,
             entitlement: Entitlement::default(),
--- a/crates/plan/src/rank.rs
+++ b/crates/plan/src/rank.rs
@@ -183,12 +183,12 @@
     }
 
     fn times(&self, key: &StepKey) -> Option<Times> {
-        let spec = &self.jobs.get(&key.job)?.spec;
+        let job = self.jobs.get(&key.job)?;
+        let spec = &job.spec;
         let policy = self.config.policy(&spec.queue, &spec.policy);
         let since_ms = spec.accepted_unix_ms.max(spec.due_unix_ms(key.occurrence));
-        let chain_estimates_ms = chain_estimates_ms(&spec.steps);
-        let objective_ms = objective_ms(&chain_estimates_ms, policy);
-        let remaining_ms = chain_estimates_ms[usize::from(key.step)];
+        let objective_ms = job.chains.objective_ms(policy);
+        let remaining_ms = job.chains.from_step_ms(usize::from(key.step))?;
         let latest_start_ms = (since_ms + objective_ms).saturating_sub(remaining_ms);
         let last_useful_start_ms =
             (since_ms + objective_ms * USELESS_OBJECTIVE_RATIO).saturating_sub(remaining_ms);
@@ -196,30 +196,49 @@
     }
 }
 
-/// Returns the time within which a job with these steps has to be done, in
-/// milliseconds.
-pub fn job_objective_ms(steps: &[Step], policy: &Policy) -> u64 {
-    objective_ms(&chain_estimates_ms(steps), policy)
+/// Estimated times of the longest chains of a job's steps. They depend only on
+/// the job, so they are computed once rather than in each round.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Chains {
+    /// Time of the longest chain that begins with each step, in milliseconds.
+    from_step_ms: Vec<u64>,
+    /// Time of the longest chain, in milliseconds.
+    longest_ms: u64,
 }
 
-/// Returns the objective of a job from the estimates of its chains of steps, in
-/// milliseconds.
-pub(crate) fn objective_ms(chain_estimates_ms: &[u64], policy: &Policy) -> u64 {
-    let longest = chain_estimates_ms.iter().max().copied().unwrap_or(0);
-    longest * u64::from(policy.objective_factor_milli) / 1000 + u64::from(policy.objective_ms)
-}
+impl Chains {
+    pub(crate) fn of(steps: &[Step]) -> Self {
+        // Steps only depend on earlier ones, so one pass from the end suffices:
+        // each step extends the chains of those that it waits for.
+        let mut from_step_ms = vec![0; steps.len()];
+        for (number, step) in steps.iter().enumerate().rev() {
+            from_step_ms[number] += u64::from(step.estimate_ms);
+            let chain_ms = from_step_ms[number];
+            for before in step.after.iter().map(|before| usize::from(*before)) {
+                if let Some(later_ms) = from_step_ms.get_mut(before).filter(|_| before < number) {
+                    *later_ms = chain_ms.max(*later_ms);
+                }
+            }
+        }
+        let longest_ms = from_step_ms.iter().max().copied().unwrap_or(0);
+        Self { from_step_ms, longest_ms }
+    }
 
-/// Returns the estimated time of the longest chain that begins with each step,
-/// in milliseconds.
-pub(crate) fn chain_estimates_ms(steps: &[Step]) -> Vec<u64> {
-    // Steps only depend on earlier ones, so one pass from the end suffices.
-    let mut chains = vec![0; steps.len()];
-    for number in (0..steps.len()).rev() {
-        let later = (number + 1..steps.len())
-            .filter(|later| steps[*later].after.iter().any(|b| usize::from(*b) == number))
-            .map(|later| chains[later])
-            .max();
-        chains[number] = u64::from(steps[number].estimate_ms) + later.unwrap_or(0);
+    /// Returns the time of the longest chain that begins with a step, in
+    /// milliseconds.
+    pub(crate) fn from_step_ms(&self, step: usize) -> Option<u64> {
+        self.from_step_ms.get(step).copied()
+    }
+
+    /// Returns the time within which the job has to be done, in milliseconds.
+    pub(crate) fn objective_ms(&self, policy: &Policy) -> u64 {
+        self.longest_ms * u64::from(policy.objective_factor_milli) / 1000
+            + u64::from(policy.objective_ms)
     }
-    chains
+}
+
+/// Returns the time within which a job with these steps has to be done, in
+/// milliseconds.
+pub fn job_objective_ms(steps: &[Step], policy: &Policy) -> u64 {
+    Chains::of(steps).objective_ms(policy)
 }
--- a/crates/plan/tests/decisions/backlog.rs
+++ b/crates/plan/tests/decisions/backlog.rs
@@ -1,11 +1,11 @@
 //! Large numbers of waiting steps that cannot start.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base::Name;
 use googletest::prelude::*;
 use plan::StartAnswer;
-use work::{Advice, Step};
+use work::{Advice, End, Step};
 
 use crate::cell::{Cell, OTHER_QUEUE, QUEUE, step};
 
@@ -95,3 +95,38 @@
     cell.accept_in(OTHER_QUEUE, "other", vec![step(1)]);
     expect_that!(rounds_until_start(&mut cell, "other"), some(anything()));
 }
+
+/// Number of steps that fit in the largest body of a request.
+const MANY_STEPS: u32 = 6000;
+
+/// Interval between renewals of the lead, which must not wait for a round.
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(450);
+
+#[gtest]
+fn job_of_many_steps_holds_up_no_renewal_of_the_lead() {
+    // The chains of such a job were computed anew for each step in each round,
+    // which took each leader's processor for good (many-steps of the review).
+    let last = MANY_STEPS as u16 - 1;
+    let fan_in = Step { after: (0..last).collect(), ..step(1) };
+    let apart = vec![step(1); MANY_STEPS as usize];
+    let chained = |number| Step { after: (0..number).rev().take(1).collect(), ..step(1) };
+    let chain: Vec<Step> = (0..=last).map(chained).collect();
+    let mut joined = apart[1..].to_vec();
+    joined.push(fan_in);
+    for steps in [apart, chain, joined] {
+        let mut cell = Cell::new(4);
+        cell.accept("large", steps);
+        for _ in 0..10 {
+            let began_at = Instant::now();
+            let starts = cell.decide_starts();
+            cell.planner.overloads(cell.now);
+            expect_that!(began_at.elapsed(), lt(RENEWAL_INTERVAL));
+            cell.answer_starts(&starts, &StartAnswer::Started);
+            for start in &starts {
+                cell.end_run(start, End::Done);
+            }
+            cell.advance(Duration::from_millis(25));
+            cell.list_nothing_on_others("");
+        }
+    }
+}
