A job too large to be stored is refused as invalid

A body within the limit of a request may give a job that exceeds a value of the key-value service: 6,000 steps take 1,074,148 bytes (measured). Its write fails, and each failed write has the node, and then the leader that it asks, take the service for failing, so one job holds up the requests of others.

Change: limits.job_bytes (768 KiB by default, which leaves room for the job's progress); larger jobs are refused as invalid before any write. The new test was accepted in place of refused without the check.

--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -52,12 +52,15 @@
     pub cores: f64,
     /// Bandwidth of the network link, in megabits per second.
     pub link_mbps: f64,
+    /// Maximum size of a stored job, in bytes. Its progress is stored in one
+    /// value as well, and the key-value service limits the size of a value.
+    pub job_bytes: usize,
 }
 
-/// One core and a gigabit per second.
+/// One core, a gigabit per second, and three quarters of a value of 1 MiB.
 impl Default for Limits {
     fn default() -> Self {
-        Self { cpu_share: 1.0, cores: 1.0, link_mbps: 1000.0 }
+        Self { cpu_share: 1.0, cores: 1.0, link_mbps: 1000.0, job_bytes: 768 * 1024 }
     }
 }
 
--- a/crates/node/src/writes.rs
+++ b/crates/node/src/writes.rs
@@ -26,6 +26,10 @@
 
 /// Records an accepted job. Has no effect if the job is already recorded,
 /// because a job with the same id is a repeated request.
+///
+/// # Errors
+/// A job that is too large for one value is refused without a write, because a
+/// write that fails counts as a failure of the key-value service.
 pub(crate) async fn submit(
     ctx: &Context,
     id: &Name,
@@ -34,7 +38,14 @@
 ) -> Result<()> {
     let boxed = || Box::new(spec.clone());
     let request = |number| PeerFrame::Submit { number, id: id.clone(), spec: boxed() };
-    let outcome = commit_or_forward(ctx, job_commit(id, spec), request, time_left).await;
+    let commit = job_commit(id, spec);
+    let size: usize = commit.writes.iter().map(|write| write.value.len()).sum();
+    let max_size = ctx.settings.limits.job_bytes;
+    if size > max_size {
+        let reason = format!("the job takes {size} bytes to store, and may take {max_size}");
+        return Err(Failure::invalid(reason));
+    }
+    let outcome = commit_or_forward(ctx, commit, request, time_left).await;
     if outcome.is_ok() {
         ctx.uplink.send(PeerFrame::Accepted(id.clone(), boxed()));
     }
--- a/crates/node/tests/cell/jobs.rs
+++ b/crates/node/tests/cell/jobs.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use base::{Failure, Remedy};
 use googletest::prelude::*;
 use standin::cell::targets;
 use work::{JobState, Step};
@@ -28,6 +29,19 @@
     expect_that!(cell.world.targets.violations(), is_empty());
 }
 
+#[gtest]
+fn job_too_large_to_be_stored_is_refused_as_invalid() {
+    // Its write failed, which had the node take the store for failing.
+    const STEPS: usize = 6000;
+    let cell = Cell::start(1, 1);
+    let refused = cell.nodes[0].submit_steps("large", "work:10", vec![step(1); STEPS]);
+    expect_that!(refused, err(field!(Failure.remedy, eq(&Remedy::Fix))));
+    expect_that!(cell.world.store.value("skylarkspan/in/large"), none());
+    expect_that!(cell.nodes[0].state("large"), ok(eq(&None)));
+    expect_that!(cell.nodes[0].submit("small", "work:10", step(1)), ok(eq(&())));
+    cell.wait_for_state(0, "small", JobState::Complete);
+}
+
 #[gtest]
 fn job_at_its_failure_limit_is_failed_on_every_node() {
     let cell = Cell::start(2, 2);
