--- a/crates/plan/src/blame.rs
+++ b/crates/plan/src/blame.rs
@@ -26,7 +26,7 @@
     Target {
         /// Target that the runs were on.
         target: Name,
-        /// Job of the last run.
+        /// Job whose run changed that.
         job: Name,
         /// Change of the target's health.
         transition: Transition,
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -18,7 +18,7 @@
     planner::Planner,
     preempt::Preemptible,
     rank::SpeedPreference,
-    search::{FullShapes, SearchBudget},
+    search::FullShapes,
     step::{StepState, TaskState},
     target::{Phase, Run, Sharing, Target, TargetId},
 };
@@ -28,13 +28,13 @@
 #[derive(Debug)]
 pub(crate) struct Round {
     /// Targets that may get work, by pool, in ascending order.
-    open_targets: HashMap<Name, Vec<TargetId>>,
+    pub(crate) open_targets: HashMap<Name, Vec<TargetId>>,
     /// Headroom of each target, indexed by target.
     headrooms: Vec<Headroom>,
     /// Upper bound of the resources that each team's unknown runs may take.
     unverified_usage: HashMap<Name, Resources>,
     /// Shapes of tasks that no target has room for.
-    full_shapes: FullShapes,
+    pub(crate) full_shapes: FullShapes,
     /// Number of short advice requests that were deferred in this round.
     pub(crate) deferred_short_requests: u32,
     pub(crate) preemptible: Preemptible,
@@ -298,69 +298,14 @@
         }
     }
 
-    /// Places the waiting steps in order of rank, as far as the searches for
-    /// targets suffice.
-    fn place_waiting(&mut self, unix_ms: u64, round: &mut Round, now: Duration) {
-        let mut budget = SearchBudget::new(self.settings.max_searches_per_round);
-        for key in self.ordered_steps(unix_ms) {
-            if budget.is_spent() {
-                break;
-            }
-            if !budget.allows(&key, &self.searched_steps) {
-                continue;
-            }
-            if let Some(wanted) = self.startable_tasks(&key, round, now) {
-                budget.count(&key, &mut self.searched_steps);
-                self.place_step(&key, wanted, round, now);
-            }
-        }
-        if budget.is_spent() {
-            self.limited_rounds += 1;
-        } else {
-            self.searched_steps.clear();
-        }
-    }
-
-    /// Returns the number of tasks of a step to start, or `None` if no search
-    /// for targets is needed to know that none can start.
-    fn startable_tasks(&mut self, key: &StepKey, round: &Round, now: Duration) -> Option<u32> {
-        let job = self.jobs.get(&key.job)?;
-        if job.origin == Origin::Inherited && !self.is_recovered(now) {
-            return None;
-        }
-        if self.reservations.contains_key(key) {
-            return None;
-        }
-        let spec = &job.spec;
-        let step = &spec.steps[usize::from(key.step)];
-        let state = self.step_state(key)?;
-        let waiting = state.waiting.len() as u32;
-        if waiting == 0 {
-            // All tasks have been adopted since.
-            self.unqueue_step(key);
-            return None;
-        }
-        if step.gang && state.has_runs() {
-            // The rest of an earlier start of the gang has to end first.
-            self.stop_members(key, now);
-            return None;
-        }
-        let valid_at = now + self.settings.ticket_margin;
-        if step.gang && state.requested.is_some() && !state.permissions.has_ticket(valid_at) {
-            // The gang cannot start before its tickets arrive.
-            return None;
-        }
-        let allowed = self.allowed_tasks(&spec.team, step.size, round).min(waiting);
-        let wanted = if step.gang { step.count } else { allowed };
-        if wanted == 0 || allowed < wanted {
-            return None;
-        }
-        let service = &self.config.policy(&spec.queue, &spec.policy).service;
-        let is_open = round.open_targets.contains_key(service);
-        (is_open && !round.full_shapes.covers(service, step)).then_some(wanted)
-    }
-
-    fn place_step(&mut self, key: &StepKey, wanted: u32, round: &mut Round, now: Duration) {
+    /// Places up to `wanted` tasks of a step on targets that suit it.
+    pub(crate) fn place_step(
+        &mut self,
+        key: &StepKey,
+        wanted: u32,
+        round: &mut Round,
+        now: Duration,
+    ) {
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
--- a/crates/plan/src/rank.rs
+++ b/crates/plan/src/rank.rs
@@ -188,7 +188,7 @@
         let policy = self.config.policy(&spec.queue, &spec.policy);
         let since_ms = spec.accepted_unix_ms.max(spec.due_unix_ms(key.occurrence));
         let objective_ms = job.chains.objective_ms(policy);
-        let remaining_ms = job.chains.from_step_ms(usize::from(key.step))?;
+        let remaining_ms = job.chains.chain_ms(usize::from(key.step))?;
         let latest_start_ms = (since_ms + objective_ms).saturating_sub(remaining_ms);
         let last_useful_start_ms =
             (since_ms + objective_ms * USELESS_OBJECTIVE_RATIO).saturating_sub(remaining_ms);
@@ -226,7 +226,7 @@
 
     /// Returns the time of the longest chain that begins with a step, in
     /// milliseconds.
-    pub(crate) fn from_step_ms(&self, step: usize) -> Option<u64> {
+    pub(crate) fn chain_ms(&self, step: usize) -> Option<u64> {
         self.from_step_ms.get(step).copied()
     }
 
--- a/crates/plan/src/search.rs
+++ b/crates/plan/src/search.rs
@@ -6,12 +6,12 @@
 //! among the steps that rank too low for the others, so that each waiting step
 //! is considered within a few rounds, whatever ranks before it.
 
-use std::collections::HashSet;
+use std::{collections::HashSet, time::Duration};
 
 use base::{Name, Resources};
 use work::{Step, StepKey};
 
-use crate::target::Sharing;
+use crate::{decide::Round, job::Origin, planner::Planner, target::Sharing};
 
 /// One in this many searches rotates among lower-ranked steps.
 const ROTATION_DIVISOR: usize = 4;
@@ -94,3 +94,67 @@
         self.first == 0 && self.rotating == 0
     }
 }
+
+impl Planner {
+    /// Places the waiting steps in order of rank, as far as the searches for
+    /// targets suffice.
+    pub(crate) fn place_waiting(&mut self, unix_ms: u64, round: &mut Round, now: Duration) {
+        let mut budget = SearchBudget::new(self.settings.max_searches_per_round);
+        for key in self.ordered_steps(unix_ms) {
+            if budget.is_spent() {
+                break;
+            }
+            if !budget.allows(&key, &self.searched_steps) {
+                continue;
+            }
+            if let Some(wanted) = self.startable_tasks(&key, round, now) {
+                budget.count(&key, &mut self.searched_steps);
+                self.place_step(&key, wanted, round, now);
+            }
+        }
+        if budget.is_spent() {
+            self.limited_rounds += 1;
+        } else {
+            self.searched_steps.clear();
+        }
+    }
+
+    /// Returns the number of tasks of a step to start, or `None` if no search
+    /// for targets is needed to know that none can start.
+    fn startable_tasks(&mut self, key: &StepKey, round: &Round, now: Duration) -> Option<u32> {
+        let job = self.jobs.get(&key.job)?;
+        if job.origin == Origin::Inherited && !self.is_recovered(now) {
+            return None;
+        }
+        if self.reservations.contains_key(key) {
+            return None;
+        }
+        let spec = &job.spec;
+        let step = &spec.steps[usize::from(key.step)];
+        let state = self.step_state(key)?;
+        let waiting = state.waiting.len() as u32;
+        if waiting == 0 {
+            // All tasks have been adopted since.
+            self.unqueue_step(key);
+            return None;
+        }
+        if step.gang && state.has_runs() {
+            // The rest of an earlier start of the gang has to end first.
+            self.stop_members(key, now);
+            return None;
+        }
+        let valid_at = now + self.settings.ticket_margin;
+        if step.gang && state.requested.is_some() && !state.permissions.has_ticket(valid_at) {
+            // The gang cannot start before its tickets arrive.
+            return None;
+        }
+        let allowed = self.allowed_tasks(&spec.team, step.size, round).min(waiting);
+        let wanted = if step.gang { step.count } else { allowed };
+        if wanted == 0 || allowed < wanted {
+            return None;
+        }
+        let service = &self.config.policy(&spec.queue, &spec.policy).service;
+        let is_open = round.open_targets.contains_key(service);
+        (is_open && !round.full_shapes.covers(service, step)).then_some(wanted)
+    }
+}
