--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -18,7 +18,7 @@
     planner::Planner,
     preempt::Preemptible,
     rank::SpeedPreference,
-    search::FullShapes,
+    search::{self, FullShapes},
     step::{StepState, TaskState},
     target::{Phase, Run, Sharing, Target, TargetId},
 };
@@ -315,12 +315,11 @@
         let policy = self.config.policy(&spec.queue, &spec.policy);
         let (service, advice) = (policy.service.clone(), policy.advice);
         let mut slots = self.slots(key, step, &service, advice, round);
-        // The slots of other steps depend on their own runs and tickets as well.
-        let has_own_limits = step.gang || advice.is_some() || step.max_per_target.is_some();
-        if slots.is_empty()
-            && !has_own_limits
-            && !self.step_state(key).is_some_and(StepState::has_waiting_faulty)
-        {
+        // Steps with a limit per target and faulty tasks leave out targets with room.
+        let sees_all_room = search::needs_only_room(step, policy)
+            && step.max_per_target.is_none()
+            && !self.step_state(key).is_some_and(StepState::has_waiting_faulty);
+        if slots.is_empty() && sees_all_room {
             round.full_shapes.insert(&service, step);
         }
         if self.reserve_room(key, step, &slots, advice, round, now) {
--- a/crates/plan/src/search.rs
+++ b/crates/plan/src/search.rs
@@ -9,7 +9,7 @@
 use std::{collections::HashSet, time::Duration};
 
 use base::{Name, Resources};
-use work::{Step, StepKey};
+use work::{Policy, Step, StepKey};
 
 use crate::{decide::Round, job::Origin, planner::Planner, target::Sharing};
 
@@ -58,6 +58,12 @@
     }
 }
 
+/// Returns whether a search without room has no other use: room is made for
+/// gangs, and advice is requested on full targets as well.
+pub(crate) fn needs_only_room(step: &Step, policy: &Policy) -> bool {
+    !step.gang && policy.advice.is_none()
+}
+
 /// Allotment of the searches of one round to steps in order of rank.
 #[derive(Debug)]
 pub(crate) struct SearchBudget {
@@ -153,8 +159,12 @@
         if wanted == 0 || allowed < wanted {
             return None;
         }
-        let service = &self.config.policy(&spec.queue, &spec.policy).service;
-        let is_open = round.open_targets.contains_key(service);
-        (is_open && !round.full_shapes.covers(service, step)).then_some(wanted)
+        let policy = self.config.policy(&spec.queue, &spec.policy);
+        if !round.open_targets.contains_key(&policy.service) {
+            return None;
+        }
+        let is_full =
+            needs_only_room(step, policy) && round.full_shapes.covers(&policy.service, step);
+        (!is_full).then_some(wanted)
     }
 }
--- a/crates/plan/tests/decisions/preempt.rs
+++ b/crates/plan/tests/decisions/preempt.rs
@@ -80,6 +80,29 @@
     expect_that!(resumed.iter().all(|start| start.checkpoint == half), eq(true));
 }
 
+#[gtest]
+fn gang_preempts_runs_although_a_smaller_step_found_no_room() {
+    // That no target has room says nothing about room that can be made.
+    let (mut cell, running) = full_cell(1, SLACK, with_checkpoints(8));
+    cell.accept("small", vec![step(1)]);
+    cell.advance(Duration::from_millis(10));
+    cell.list_progress(&running, |_| 10);
+    expect_that!(runs_preempted_for(&mut cell, "gang", gang(4)).len(), eq(4));
+}
+
+#[gtest]
+fn advice_on_full_targets_is_requested_although_a_smaller_step_found_no_room() {
+    let (mut cell, running) = full_cell(1, SLACK, step(8));
+    cell.planner.set_instances(4, cell.now);
+    cell.add_queue("advised", ADVICE);
+    cell.accept("small", vec![step(1)]);
+    cell.advance(Duration::from_millis(10));
+    cell.list_progress(&running, |_| 10);
+    cell.accept_in("advised", "waiting", vec![step(1)]);
+    expect_that!(cell.decide_starts(), is_empty());
+    expect_that!(cell.take_advice_requests().len(), eq(1));
+}
+
 #[gtest]
 fn runs_that_would_lose_work_or_be_late_are_not_preempted() {
     let cases = [
