--- a/crates/plan/src/admit.rs
+++ b/crates/plan/src/admit.rs
@@ -16,12 +16,11 @@
 use std::{collections::HashMap, time::Duration};
 
 use base::{Name, Resources};
-use work::{Policy, Queue, Step};
+use work::{Policy, Queue};
 
 use crate::{
     advice::cost_us,
     planner::Planner,
-    rank::job_objective_ms,
     share::Entitlement,
     target::{Availability, Target},
 };
@@ -191,16 +190,11 @@
         self.config.queues.iter().filter_map(overload).collect()
     }
 
-    /// Updates the average objective of a queue's jobs with a new job.
-    pub(crate) fn update_average_objective(
-        &mut self,
-        queue: &Name,
-        steps: &[Step],
-        policy: &Policy,
-    ) {
-        let newest = job_objective_ms(steps, policy);
-        let average = self.average_objective_ms.entry(queue.clone()).or_insert(newest);
-        *average = (*average * (1000 - NEWEST_WEIGHT_MILLI) + newest * NEWEST_WEIGHT_MILLI) / 1000;
+    /// Updates the average objective of a queue's jobs with that of a new job.
+    pub(crate) fn update_average_objective(&mut self, queue: &Name, newest_ms: u64) {
+        let average = self.average_objective_ms.entry(queue.clone()).or_insert(newest_ms);
+        *average =
+            (*average * (1000 - NEWEST_WEIGHT_MILLI) + newest_ms * NEWEST_WEIGHT_MILLI) / 1000;
     }
 
     /// Returns the waiting work by priority and pool, for advice from
--- a/crates/plan/src/blame.rs
+++ b/crates/plan/src/blame.rs
@@ -2,8 +2,8 @@
 //!
 //! A failure counts against its target, and a target on which runs of several
 //! jobs fail in succession is suspected: it gets only probes. But a task may
-//! also fail wherever it runs. A task that has failed on several targets, and on
-//! each of them last, is faulty: its failures no longer count, and those of its
+//! also fail wherever it runs. A task that has failed on several targets without
+//! a run that lasted is faulty: its failures no longer count, and those of its
 //! job are taken back from the targets. Otherwise a few faulty jobs would have
 //! all targets suspected, one after the other.
 
@@ -17,7 +17,7 @@
 
 /// Number of targets on which a task fails before it is taken for faulty. Fewer
 /// would acquit failing targets, of which a sound task may meet two.
-const MIN_FAULTY_TARGETS: usize = 3;
+pub(crate) const MIN_FAULTY_TARGETS: usize = 3;
 
 /// Conclusion from failed runs.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -91,8 +91,3 @@
         }
     }
 }
-
-/// Returns whether a task that has failed on this many targets is faulty.
-pub(crate) fn is_faulty(failed_targets: usize) -> bool {
-    failed_targets >= MIN_FAULTY_TARGETS
-}
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -158,7 +158,7 @@
             deferred_short_requests: 0,
             preemptible: std::mem::take(&mut self.preemptible).refreshed(self.targets.len(), now),
         };
-        if !self.is_recovered(now) {
+        if !self.is_recovered() {
             round.unverified_usage = self.unverified_usage();
         }
         let reserved: Vec<StepKey> = self.reservations.keys().cloned().collect();
@@ -175,15 +175,18 @@
     fn open_targets(&self, now: Duration) -> HashMap<Name, Vec<TargetId>> {
         let (contact_timeout, idle_timeout) =
             (self.settings.contact_timeout, self.idle_contact_timeout);
-        let is_open = |target: &Target| target.is_open(now, contact_timeout, idle_timeout);
-        let numbered = || (0..).map(TargetId).zip(&self.targets);
-        let open = || numbered().filter(|(_, target)| is_open(target));
-        let sound_pools: HashSet<&Name> = open()
+        let open: Vec<(TargetId, &Target)> = (0..)
+            .map(TargetId)
+            .zip(&self.targets)
+            .filter(|(_, target)| target.is_open(now, contact_timeout, idle_timeout))
+            .collect();
+        let sound_pools: HashSet<&Name> = open
+            .iter()
             .filter(|(_, target)| !target.health.is_suspected())
             .map(|(_, target)| &target.info.service)
             .collect();
         let mut open_targets: HashMap<Name, Vec<TargetId>> = HashMap::new();
-        for (id, target) in open() {
+        for (id, target) in open {
             let service = &target.info.service;
             let gets_work = !target.health.is_suspected()
                 || target.health.is_probe_due(now)
@@ -198,7 +201,7 @@
     /// Marks inherited jobs that have ended as unrecorded, once it is certain
     /// that no run of them exists. Their stored jobs are then removed.
     fn clear_ended_jobs(&mut self, now: Duration) {
-        if self.has_cleared_ended_jobs || !self.is_recovered(now) {
+        if self.has_cleared_ended_jobs || !self.is_recovered() {
             return;
         }
         self.has_cleared_ended_jobs = true;
--- a/crates/plan/src/job.rs
+++ b/crates/plan/src/job.rs
@@ -19,6 +19,7 @@
 #[derive(Debug)]
 pub(crate) struct Job {
     pub(crate) spec: Arc<Spec>,
+    /// Estimated times of the chains of the job's steps.
     pub(crate) chains: Chains,
     pub(crate) origin: Origin,
     pub(crate) entitlement: Entitlement,
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -177,8 +177,8 @@
             job.entitlement = bucket.take(team.weight, now);
         }
         if job.spec.schedule.is_none() {
-            let spec = Arc::clone(&job.spec);
-            self.update_average_objective(&spec.queue, &spec.steps, &spec.policy);
+            let objective_ms = job.chains.objective_ms(&job.spec.policy);
+            self.update_average_objective(&job.spec.queue, objective_ms);
         }
         if !job.state.is_final() {
             self.state_changes.push((id.clone(), job.state));
@@ -405,11 +405,9 @@
     }
 
     /// Returns whether all runs of earlier terms and their ends are known, or
-    /// the leases of their targets have expired.
-    pub fn is_recovered(&self, now: Duration) -> bool {
+    /// the leases of their targets had expired at the beginning of the round.
+    pub(crate) fn is_recovered(&self) -> bool {
         self.unverified_targets.is_empty()
-            || now >= self.recovered_at
-                && !self.unverified_targets.iter().any(|id| self.is_reading_ends(id, now))
     }
 
     /// Drops the targets that the planner no longer waits for, since leases of
--- a/crates/plan/src/search.rs
+++ b/crates/plan/src/search.rs
@@ -58,8 +58,8 @@
     }
 }
 
-/// Returns whether a search without room has no other use: room is made for
-/// gangs, and advice is requested on full targets as well.
+/// Returns whether a search for the step is of no use if no target has room.
+/// For gangs, runs are preempted; advice is requested on full targets as well.
 pub(crate) fn needs_only_room(step: &Step, policy: &Policy) -> bool {
     !step.gang && policy.advice.is_none()
 }
@@ -129,7 +129,7 @@
     /// for targets is needed to know that none can start.
     fn startable_tasks(&mut self, key: &StepKey, round: &Round, now: Duration) -> Option<u32> {
         let job = self.jobs.get(&key.job)?;
-        if job.origin == Origin::Inherited && !self.is_recovered(now) {
+        if job.origin == Origin::Inherited && !self.is_recovered() {
             return None;
         }
         if self.reservations.contains_key(key) {
--- a/crates/plan/src/step.rs
+++ b/crates/plan/src/step.rs
@@ -6,7 +6,7 @@
 use smallvec::{SmallVec, smallvec};
 use work::{Step, StepProgress};
 
-use crate::{blame, permission::Permissions, target::TargetId};
+use crate::{blame::MIN_FAULTY_TARGETS, permission::Permissions, target::TargetId};
 
 /// State of a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,7 +59,7 @@
 impl Task {
     /// Returns whether the task fails wherever it runs.
     pub(crate) fn is_faulty(&self) -> bool {
-        blame::is_faulty(self.failed_targets.len())
+        self.failed_targets.len() >= MIN_FAULTY_TARGETS
     }
 
     /// Returns the current run, where `index` is the number of the task.
--- a/crates/plan/src/target.rs
+++ b/crates/plan/src/target.rs
@@ -188,7 +188,7 @@
         sharing == Sharing::Any || self.runs.values().all(|run| run.sharing.is_compatible(sharing))
     }
 
-    /// Returns whether the target may get new work, as far as its health allows.
+    /// Returns whether the target may get new work, regardless of its health.
     pub(crate) fn is_open(
         &self,
         now: Duration,
