--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -21,6 +21,7 @@
 mod decide;
 mod ends;
 mod job;
+mod lifecycle;
 mod listing;
 mod permission;
 mod planner;
--- a/crates/plan/tests/decisions/backlog.rs
+++ b/crates/plan/tests/decisions/backlog.rs
@@ -22,6 +22,12 @@
     }
 }
 
+/// Lets all waiting jobs become late, so that they rank first in an idle cell.
+fn make_late(cell: &mut Cell) {
+    cell.advance(Duration::from_secs(60));
+    cell.list_nothing_on_others("");
+}
+
 /// Returns the number of rounds until a task of the job starts.
 fn rounds_until_start(cell: &mut Cell, job: &str) -> Option<usize> {
     let mut starts = (1..=MAX_ROUNDS).map(|round| (round, cell.decide_starts()));
@@ -35,8 +41,7 @@
     let mut cell = Cell::new(4);
     cell.limit_team(2);
     accept_backlog(&mut cell, &step(1));
-    cell.advance(Duration::from_secs(60));
-    cell.list_nothing_on_others("");
+    make_late(&mut cell);
     cell.accept_from_other_team("other", vec![step(1)]);
     expect_that!(rounds_until_start(&mut cell, "other"), some(eq(1)));
 }
@@ -49,8 +54,7 @@
         let size = step(1).size * 9 + step(1).size * number;
         cell.accept(&format!("large-{number}"), vec![Step { size, ..step(1) }]);
     }
-    cell.advance(Duration::from_secs(60));
-    cell.list_nothing_on_others("");
+    make_late(&mut cell);
     cell.accept("other", vec![step(1)]);
     expect_that!(rounds_until_start(&mut cell, "other"), some(eq(1)));
 }
@@ -90,8 +94,7 @@
     cell.split_pools();
     cell.set_advice(QUEUE, advice);
     accept_backlog(&mut cell, &step(1));
-    cell.advance(Duration::from_secs(60));
-    cell.list_nothing_on_others("");
+    make_late(&mut cell);
     cell.accept_in(OTHER_QUEUE, "other", vec![step(1)]);
     expect_that!(rounds_until_start(&mut cell, "other"), some(anything()));
 }
