Log runs that are listed as running after they were taken for ended

A leader takes a run for ended by its target's lease, by a listing or by a refused start. Event 537 and a counter now report such a run with the evidence and its age. Nothing is decided by them.

--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -31,7 +31,8 @@
     pub(crate) orders: Family<Labels, Counter>,
     /// Advice requests.
     pub(crate) advice: Family<Labels, Counter>,
-    /// Runs taken for ended without an end listed by their targets, by evidence.
+    /// Runs taken for ended without an end listed by their targets, by evidence;
+    /// the outcome tells whether they were still running.
     pub(crate) releases: Family<Labels, Counter>,
     /// Crashes of targets under tasks; the outcome tells whether the task was
     /// given up.
--- a/crates/node/src/placer/report.rs
+++ b/crates/node/src/placer/report.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base::{Name, emit};
-use plan::{Blame, Crash, Evidence, Listing, ReleasedRun, Transition};
+use plan::{Blame, Crash, Evidence, Listing, ReappearedRun, ReleasedRun, Transition};
 
 use crate::{metrics::Metrics, placer::run::Placer};
 
@@ -34,17 +34,23 @@
     /// Logs and counts a run that was taken for ended.
     pub(super) fn log_release(&self, run: &ReleasedRun) {
         let (step, evidence) = (&run.task.step, run.evidence);
-        let kind = match evidence {
-            Evidence::LeaseExpired => "lease_expired",
-            Evidence::Unlisted => "unlisted",
-        };
-        Metrics::count(&self.ctx.metrics.releases, kind, "released");
+        Metrics::count(&self.ctx.metrics.releases, kind_of(evidence), "released");
         emit!(self.ctx.log, info, RunReleased; "job" => %step.job,
             "occurrence" => step.occurrence, "step" => step.step, "task" => run.task.index,
             "run" => run.run, "target" => %run.target, "evidence" => ?evidence,
             "lease_age_ms" => run.lease_age.as_millis() as u64);
     }
 
+    /// Logs and counts a run that was wrongly taken for ended.
+    pub(super) fn log_reappeared(&self, run: &ReappearedRun) {
+        let (step, evidence) = (&run.task.step, run.evidence);
+        Metrics::count(&self.ctx.metrics.releases, kind_of(evidence), "reappeared");
+        emit!(self.ctx.log, warn, RunReappeared; "job" => %step.job,
+            "occurrence" => step.occurrence, "step" => step.step, "task" => run.task.index,
+            "run" => run.run, "target" => %run.target, "evidence" => ?evidence,
+            "age_ms" => run.age.as_millis() as u64, "term" => self.leadership.term);
+    }
+
     /// Logs and counts a conclusion from failed runs.
     pub(super) fn log_blame(&self, blame: &Blame) {
         let suspicions = &self.ctx.metrics.suspicions;
@@ -77,3 +83,12 @@
             "given_up" => crash.is_given_up);
     }
 }
+
+/// Returns the label of evidence in the metrics.
+fn kind_of(evidence: Evidence) -> &'static str {
+    match evidence {
+        Evidence::LeaseExpired => "lease_expired",
+        Evidence::Unlisted => "unlisted",
+        Evidence::Refused => "refused",
+    }
+}
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -315,6 +315,9 @@
         for run in self.planner.take_released_runs() {
             self.log_release(&run);
         }
+        for run in self.planner.take_reappeared_runs() {
+            self.log_reappeared(&run);
+        }
         for blame in self.planner.take_blames() {
             self.log_blame(&blame);
         }
--- a/crates/plan/src/ends.rs
+++ b/crates/plan/src/ends.rs
@@ -20,6 +20,8 @@
     LeaseExpired,
     /// A listing requested after the run was confirmed lacks the run.
     Unlisted,
+    /// The start order was refused, or was not sent.
+    Refused,
 }
 
 /// Run that was given up without an end listed by its target.
@@ -43,7 +45,7 @@
         std::mem::take(&mut self.released_runs)
     }
 
-    /// Ends a run that its target has not listed as ended.
+    /// Ends and reports a run that its target has not listed as ended.
     pub(crate) fn release_run(
         &mut self,
         id: TargetId,
@@ -61,6 +63,19 @@
             evidence,
             lease_age: now.saturating_sub(granted_at),
         });
+        self.give_up_run(id, task, run, evidence, now);
+    }
+
+    /// Ends a run that its target has not listed as ended, without a report.
+    pub(crate) fn give_up_run(
+        &mut self,
+        id: TargetId,
+        task: &TaskKey,
+        run: u32,
+        evidence: Evidence,
+        now: Duration,
+    ) {
+        self.given_up_runs.insert((id, task.clone(), run), evidence, now);
         self.end_run(id, task, run, End::Lapsed, None, now);
     }
 
--- a/crates/plan/src/listing.rs
+++ b/crates/plan/src/listing.rs
@@ -124,7 +124,7 @@
                     // runs.
                     self.targets[id.0 as usize].last_contact_at = None;
                 }
-                self.end_run(id, task, run, End::Lapsed, None, now);
+                self.give_up_run(id, task, run, Evidence::Refused, now);
             }
             // A listing shows whether the run exists. If it does not, a stop
             // order ensures that it never will.
@@ -202,7 +202,7 @@
         }
         self.drop_recorded_ends(id);
         for listed in &listing.running {
-            self.apply_listed_run(id, listed, now);
+            self.apply_listed_run(id, listed, requested_at, now);
         }
         let target_state = &mut self.targets[id.0 as usize];
         // Runs of unknown jobs take an unknown amount of resources.
@@ -230,7 +230,13 @@
 
     /// Applies a run in a listing, which may have been started by an earlier
     /// placer.
-    fn apply_listed_run(&mut self, id: TargetId, listed: &ListedRun, now: Duration) {
+    fn apply_listed_run(
+        &mut self,
+        id: TargetId,
+        listed: &ListedRun,
+        requested_at: Duration,
+        now: Duration,
+    ) {
         self.mark_started(&listed.task.step.job);
         if let Some(known) = self.targets[id.0 as usize].runs.get_mut(&listed.task)
             && known.number == listed.run
@@ -247,6 +253,7 @@
             self.track_progress(id, listed, now);
             return;
         }
+        self.check_reappeared(id, listed, requested_at, now);
         self.adopt_run(id, listed, now);
     }
 
--- /dev/null
+++ b/crates/plan/src/reappeared.rs
@@ -0,0 +1,89 @@
+//! Runs that exist although they were taken for ended.
+//!
+//! A run is taken for ended by its target's listing, or by other evidence. If its
+//! target lists it as running later, the evidence was misleading, and the task may
+//! have run twice. Such runs are reported together with the evidence.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
+
+use base::Name;
+use work::TaskKey;
+
+use crate::{ends::Evidence, listing::ListedRun, planner::Planner, target::TargetId};
+
+/// Time for which a run is remembered after it was taken for ended. Targets may
+/// carry out an order seconds late, and then hold a lease of several seconds.
+const RETENTION: Duration = Duration::from_secs(30);
+
+/// Run that its target lists as running after it was taken for ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReappearedRun {
+    /// Target of the run.
+    pub target: Name,
+    /// Task of the run.
+    pub task: TaskKey,
+    /// Number of the run.
+    pub run: u32,
+    /// Evidence by which the run was taken for ended.
+    pub evidence: Evidence,
+    /// Time since the run was taken for ended.
+    pub age: Duration,
+}
+
+/// Run on a target.
+type RunKey = (TargetId, TaskKey, u32);
+
+/// Runs that were taken for ended without an end listed by their targets.
+#[derive(Debug, Default)]
+pub(crate) struct GivenUpRuns {
+    runs: HashMap<RunKey, (Evidence, Duration)>,
+    /// Keys of the runs, in the order of the times.
+    oldest: VecDeque<(Duration, RunKey)>,
+}
+
+impl GivenUpRuns {
+    /// Records that a run is taken for ended, and forgets old runs.
+    pub(crate) fn insert(&mut self, key: RunKey, evidence: Evidence, now: Duration) {
+        while let Some((at, oldest)) = self.oldest.front()
+            && now.saturating_sub(*at) > RETENTION
+        {
+            self.runs.remove(oldest);
+            self.oldest.pop_front();
+        }
+        self.oldest.push_back((now, key.clone()));
+        self.runs.insert(key, (evidence, now));
+    }
+}
+
+impl Planner {
+    /// Removes and returns the runs that have reappeared.
+    pub fn take_reappeared_runs(&mut self) -> Vec<ReappearedRun> {
+        std::mem::take(&mut self.reappeared_runs)
+    }
+
+    /// Notes a run in a listing requested at `requested_at` if the run was taken
+    /// for ended before.
+    pub(crate) fn check_reappeared(
+        &mut self,
+        id: TargetId,
+        listed: &ListedRun,
+        requested_at: Duration,
+        now: Duration,
+    ) {
+        let key = (id, listed.task.clone(), listed.run);
+        let given_up = self.given_up_runs.runs.get(&key);
+        if let Some(&(evidence, at)) = given_up.filter(|(_, at)| *at < requested_at) {
+            self.given_up_runs.runs.remove(&key);
+            self.reappeared_runs.push(ReappearedRun {
+                target: self.targets[id.0 as usize].info.id.clone(),
+                task: listed.task.clone(),
+                run: listed.run,
+                evidence,
+                age: now.saturating_sub(at),
+            });
+        }
+    }
+}
--- a/crates/plan/tests/decisions/leases.rs
+++ b/crates/plan/tests/decisions/leases.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use plan::{Start, StartAnswer};
+use plan::{Evidence, Refusal, Start, StartAnswer};
 
 use crate::cell::{Cell, MAX_LEASE, step};
 
@@ -117,3 +117,26 @@
     let mut last = next.take_over_without_listings();
     expect_restart_after(&mut last, &start.target, MAX_LEASE);
 }
+
+#[gtest]
+fn run_that_is_listed_after_it_was_given_up_is_reported_with_the_evidence() {
+    let cases = [
+        (StartAnswer::Started, Evidence::LeaseExpired),
+        (StartAnswer::Refused(Refusal::Ticket), Evidence::Refused),
+    ];
+    for (answer, evidence) in cases {
+        let mut cell = Cell::new(2);
+        cell.accept("job", vec![step(1)]);
+        let starts = cell.decide_starts();
+        cell.answer_starts(&starts, &answer);
+        cell.advance(MAX_LEASE);
+        cell.decide_starts();
+        expect_that!(cell.planner.take_reappeared_runs(), is_empty());
+        cell.advance(Duration::from_millis(100));
+        cell.list_running(&starts);
+        let reappeared = cell.planner.take_reappeared_runs();
+        expect_that!(reappeared.len(), eq(1));
+        expect_that!(reappeared[0].run, eq(starts[0].run));
+        expect_that!(reappeared[0].evidence, eq(evidence));
+    }
+}
