Event 537 also for the listed end of a run that was taken not to exist

The first form saw running runs only; a run that was refused or unlisted and has ended by the next listing went unreported.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -102,7 +102,7 @@
     RunReleased = 534, "run taken for ended without an end listed by its target";
     TargetCrashed = 535, "target crashed under a task";
     TaskFaulty = 536, "task fails on one target after another";
-    RunReappeared = 537, "run taken for ended is still running";
+    RunReappeared = 537, "run taken for ended has reappeared";
     AdviceReceived = 540, "advice received";
     AdviceFailed = 541, "advice request failed";
     RecordFailed = 550, "write of records to the key-value service failed";
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -32,7 +32,7 @@
     /// Advice requests.
     pub(crate) advice: Family<Labels, Counter>,
     /// Runs taken for ended without an end listed by their targets, by evidence;
-    /// the outcome tells whether they were still running.
+    /// the outcome tells whether they reappeared.
     pub(crate) releases: Family<Labels, Counter>,
     /// Crashes of targets under tasks; the outcome tells whether the task was
     /// given up.
--- a/crates/plan/src/listing.rs
+++ b/crates/plan/src/listing.rs
@@ -190,6 +190,7 @@
         } else {
             self.targets[id.0 as usize].lapsed_runs.clear();
         }
+        self.check_reappeared(id, listing, requested_at, now);
         for end in &listing.ended {
             let target_state = &mut self.targets[id.0 as usize];
             if end.number <= target_state.last_end {
@@ -202,7 +203,7 @@
         }
         self.drop_recorded_ends(id);
         for listed in &listing.running {
-            self.apply_listed_run(id, listed, requested_at, now);
+            self.apply_listed_run(id, listed, now);
         }
         let target_state = &mut self.targets[id.0 as usize];
         // Runs of unknown jobs take an unknown amount of resources.
@@ -230,13 +231,7 @@
 
     /// Applies a run in a listing, which may have been started by an earlier
     /// placer.
-    fn apply_listed_run(
-        &mut self,
-        id: TargetId,
-        listed: &ListedRun,
-        requested_at: Duration,
-        now: Duration,
-    ) {
+    fn apply_listed_run(&mut self, id: TargetId, listed: &ListedRun, now: Duration) {
         self.mark_started(&listed.task.step.job);
         if let Some(known) = self.targets[id.0 as usize].runs.get_mut(&listed.task)
             && known.number == listed.run
@@ -253,7 +248,6 @@
             self.track_progress(id, listed, now);
             return;
         }
-        self.check_reappeared(id, listed, requested_at, now);
         self.adopt_run(id, listed, now);
     }
 
--- a/crates/plan/src/reappeared.rs
+++ b/crates/plan/src/reappeared.rs
@@ -2,7 +2,9 @@
 //!
 //! A run is taken for ended by its target's listing, or by other evidence. If its
 //! target lists it as running later, the evidence was misleading, and the task may
-//! have run twice. Such runs are reported together with the evidence.
+//! have run twice. So does a listed end of a run that was taken not to exist; the
+//! end of a run whose lease had expired may be from before. Such runs are reported
+//! together with the evidence.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -12,13 +14,13 @@
 use base::Name;
 use work::TaskKey;
 
-use crate::{ends::Evidence, listing::ListedRun, planner::Planner, target::TargetId};
+use crate::{ends::Evidence, listing::Listing, planner::Planner, target::TargetId};
 
 /// Time for which a run is remembered after it was taken for ended. Targets may
 /// carry out an order seconds late, and then hold a lease of several seconds.
 const RETENTION: Duration = Duration::from_secs(30);
 
-/// Run that its target lists as running after it was taken for ended.
+/// Run that its target lists after it was taken for ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReappearedRun {
     /// Target of the run.
@@ -64,23 +66,31 @@
         std::mem::take(&mut self.reappeared_runs)
     }
 
-    /// Notes a run in a listing requested at `requested_at` if the run was taken
-    /// for ended before.
+    /// Notes the runs in a listing requested at `requested_at` that were taken for
+    /// ended before and are still there, or have ended since.
     pub(crate) fn check_reappeared(
         &mut self,
         id: TargetId,
-        listed: &ListedRun,
+        listing: &Listing,
         requested_at: Duration,
         now: Duration,
     ) {
-        let key = (id, listed.task.clone(), listed.run);
-        let given_up = self.given_up_runs.runs.get(&key);
-        if let Some(&(evidence, at)) = given_up.filter(|(_, at)| *at < requested_at) {
+        let running = listing.running.iter().map(|listed| (&listed.task, listed.run, true));
+        let ended = listing.ended.iter().map(|end| (&end.task, end.run, false));
+        for (task, run, is_running) in running.chain(ended) {
+            let key = (id, task.clone(), run);
+            let Some(&(evidence, at)) = self.given_up_runs.runs.get(&key) else {
+                continue;
+            };
+            let is_wrong = is_running || evidence != Evidence::LeaseExpired;
+            if !is_wrong || requested_at <= at {
+                continue;
+            }
             self.given_up_runs.runs.remove(&key);
             self.reappeared_runs.push(ReappearedRun {
                 target: self.targets[id.0 as usize].info.id.clone(),
-                task: listed.task.clone(),
-                run: listed.run,
+                task: task.clone(),
+                run,
                 evidence,
                 age: now.saturating_sub(at),
             });
