--- a/crates/node/tests/cell/restarts.rs
+++ b/crates/node/tests/cell/restarts.rs
@@ -85,3 +85,46 @@
     cut_off(&cell, &restarted, &other);
     expect_that!(cell.world.targets.violations(), is_empty());
 }
+
+/// Cell with a job whose tasks were started by orders for the earlier process of
+/// a target and answered by its new process, which has listed nothing yet. The
+/// other target is silent.
+fn cell_with_starts_on_an_unlisted_process(nodes: usize, fault: Fault) -> (Cell, Name, Name) {
+    let cell = Cell::start(nodes, 2);
+    let (restarted, other) = (Name::from("target-0"), Name::from("target-1"));
+    let targets = &cell.world.targets;
+    targets.set_fault(&other, Fault::Silent);
+    expect_that!(cell.nodes[0].submit("before", "work:10", step(1)), ok(eq(&())));
+    cell.wait_for_state(0, "before", JobState::Complete);
+    targets.set_fault(&restarted, fault);
+    // Until a renewal waits at the target.
+    std::thread::sleep(Duration::from_millis(100));
+    targets.restart(&restarted);
+    let long_step = Step { estimate_ms: 60_000, ..step(TASKS) };
+    expect_that!(cell.nodes[0].submit("job", "work:60000", long_step), ok(eq(&())));
+    wait_until("runs on the new process", || targets.runs_on(&restarted) == TASKS as usize);
+    (cell, restarted, other)
+}
+
+#[gtest]
+fn new_leader_starts_no_run_of_an_unlisted_process_elsewhere_while_its_lease_holds() {
+    let (mut cell, restarted, other) = cell_with_starts_on_an_unlisted_process(2, Fault::None);
+    std::thread::sleep(Duration::from_millis(100));
+    cell.world.targets.set_fault(&restarted, Fault::Silent);
+    let leader = cell.leader();
+    cell.nodes[leader].stop();
+    cut_off(&cell, &restarted, &other);
+    expect_that!(cell.world.targets.violations(), is_empty());
+}
+
+#[gtest]
+fn late_renewal_for_an_earlier_process_lets_no_run_start_elsewhere_too() {
+    let late = Fault::LateRenewals(Duration::from_millis(4500));
+    let (cell, restarted, other) = cell_with_starts_on_an_unlisted_process(1, late);
+    let targets = &cell.world.targets;
+    targets.set_fault(&restarted, Fault::Silent);
+    targets.set_fault(&other, Fault::None);
+    // Until the lease has expired that the late renewal has prolonged.
+    std::thread::sleep(Duration::from_secs(14));
+    expect_that!(targets.violations(), is_empty());
+}
--- a/crates/standin/src/cell/targets.rs
+++ b/crates/standin/src/cell/targets.rs
@@ -55,6 +55,8 @@
     LateStarts(Duration),
     /// No order is answered, and all are executed after this time.
     LateOrders(Duration),
+    /// Renewals are not answered and are executed after this time.
+    LateRenewals(Duration),
 }
 
 /// All targets of a cell.
@@ -163,6 +165,11 @@
         self.lock().targets.get(id).map_or(0, |target_state| target_state.runs.len())
     }
 
+    /// Returns the number of the target's current process.
+    fn process(&self, id: &str) -> Option<u64> {
+        self.lock().targets.get(id).map(|target_state| target_state.born)
+    }
+
     fn clock_ms(&self, id: &str) -> Option<u64> {
         let state = self.lock();
         state.targets.get(id).map(|target_state| target_state.clock_ms(Instant::now()))
@@ -362,7 +369,7 @@
         async move {
             time::sleep(LATENCY).await;
             match self.fault(target) {
-                Fault::None => {
+                Fault::None | Fault::LateRenewals(_) => {
                     let answer = self.0.lock().start(&target.id, start);
                     if matches!(self.fault(target), Fault::Down(_)) {
                         return (StartAnswer::Unknown, None);
@@ -418,7 +425,10 @@
                     time::sleep(timeout).await;
                     return Err(OrderError::NoAnswer("no answer".to_owned()));
                 }
-                Fault::None | Fault::LosingStartAnswers | Fault::LateStarts(_) => {}
+                Fault::None
+                | Fault::LosingStartAnswers
+                | Fault::LateStarts(_)
+                | Fault::LateRenewals(_) => {}
             }
             self.0.stop(&target.id, task, run, fence)
         }
@@ -435,13 +445,19 @@
             time::sleep(LATENCY).await;
             self.0.lock().listing_requests += 1;
             let end = Instant::now() + renewal.wait;
+            let process = self.0.process(&target.id);
             loop {
+                // The connection to an earlier process stays silent.
+                if self.0.process(&target.id) != process {
+                    time::sleep(timeout).await;
+                    return Err(OrderError::NoAnswer("no answer".to_owned()));
+                }
                 match self.fault(target) {
                     Fault::Silent | Fault::Down(_) => {
                         time::sleep(timeout).await;
                         return Err(OrderError::NoAnswer("no answer".to_owned()));
                     }
-                    Fault::LateOrders(delay) => {
+                    Fault::LateOrders(delay) | Fault::LateRenewals(delay) => {
                         let (targets, id) = (Arc::clone(&self.0), target.id.clone());
                         tokio::spawn(async move {
                             time::sleep(delay).await;
