Orders for an earlier process no longer end the account of a lease too early

What callers saw: two runs of a task at the same time, or a start after a noted end, after targets had restarted under their ids and were cut off.

Cause: a process that has just started has seen no fencing token, so it carries out what was sent for the earlier one, also seconds late. On its clock such an order asks for a lease far ahead, and each prolongs the lease to 10 s from when it is carried out. The leader could see this (events 564, 565), but concluded too little: it set the account to 10.5 s once, gave no new token before the next renewal, up to 2 s later, went on starting work there, and recorded nothing for a successor. The new process was known as such only by a listing. Class: evidence that arrives by several ways and has its consequences on one of them.

Change: each sign of another process (an answer whose clock shows it, a listing for the earlier token, an entry in the list of targets) has the same consequences. The target gets a new token and is asked for its runs at once; it gets no work until it has listed them in answer to that token; the restart is recorded. Until then, a run that the earlier process has not listed counts for the longest delay of an order and the longest lease (22.5 s). A new placer compares the list of targets with the recorded processes and waits as long for such targets. Listed runs end with the earlier process and count as before.

Why it works: a listing in answer to the token shows that the process refuses the orders for the earlier one, so that from then on its lease ends by 10.5 s.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -114,6 +114,7 @@
     TargetEntryInvalid = 563, "entry in the list of targets is not valid";
     TargetRestarted = 564, "target answers as another process";
     LeaseExceeded = 565, "target has taken a longer lease than was granted";
+    RestartSuspected = 566, "target may have a process that orders were not meant for";
     LinkOpened = 570, "link to the leader opened";
     LinkLost = 571, "link to the leader lost";
     SettingsReloaded = 580, "settings reloaded";
--- a/crates/node/src/placer/event.rs
+++ b/crates/node/src/placer/event.rs
@@ -44,6 +44,11 @@
         /// Time of the answer.
         at: Duration,
     },
+    /// A target has another process than the one that orders were for.
+    RestartSuspected {
+        /// Name of the target.
+        target: Name,
+    },
     /// A target answered a lease renewal or a poll.
     TargetListed {
         /// Name of the target.
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -315,6 +315,10 @@
         for run in self.planner.take_released_runs() {
             self.log_release(&run);
         }
+        for target in self.planner.take_suspected_restarts() {
+            emit!(self.ctx.log, warn, RestartSuspected; "target" => %target,
+                "term" => self.leadership.term);
+        }
         for run in self.planner.take_reappeared_runs() {
             self.log_reappeared(&run);
         }
@@ -406,9 +410,11 @@
             Event::Cancelled(id) => self.planner.cancel(&id, now),
             Event::ConfigChanged(config) => self.planner.configure(config),
             Event::TargetsChanged(listed) => {
-                self.planner.set_targets(listed.values().map(|(info, _)| info.clone()).collect());
+                let targets = listed.values().map(|(info, _)| info.clone()).collect();
+                self.planner.set_targets(targets, now);
                 self.listed = listed;
                 self.start_sessions();
+                self.record_restarts();
             }
             Event::TargetsConfirmed(at) => self.planner.targets_confirmed(at),
             Event::SnapshotRecorded(held) => {
@@ -430,6 +436,10 @@
             Event::LeaseTaken { target, lease, at } => {
                 self.planner.lease_taken(&target, lease, at);
             }
+            Event::RestartSuspected { target } => {
+                self.planner.restart_suspected(&target, now);
+                self.record_restarts();
+            }
             Event::TargetListed { target, requested_at, listing } => {
                 self.log_ends(&target, &listing);
                 self.planner.apply_listing(&target, requested_at, &listing, now);
--- a/crates/node/src/placer/session.rs
+++ b/crates/node/src/placer/session.rs
@@ -251,7 +251,7 @@
                 let born_unix_ms = listing.born_unix_ms;
                 match self.identify(ctx, process.fence, born_unix_ms, clock_ms, clock::now()) {
                     Origin::Expected => Some(Event::TargetListed { target, requested_at, listing }),
-                    Origin::Unknown => unreachable(target, "the target has started again"),
+                    Origin::Unknown => Some(Event::RestartSuspected { target }),
                     Origin::Outdated => None,
                 }
             }
@@ -264,11 +264,12 @@
 
     /// Reports a lease that is longer on the clock of the process that took it
     /// than on the clock for which it was granted. If it is much longer, that
-    /// process is another one.
+    /// process is another one, and gets a token of its own.
     pub(crate) fn report_excess_lease(
         &self,
         ctx: &Context,
         events: &mpsc::UnboundedSender<Event>,
+        fence: Fence,
         granted: Duration,
         lease_until_ms: u64,
         clock_ms: u64,
@@ -282,11 +283,22 @@
             emit!(ctx.log, warn, LeaseExceeded; "target" => %target,
                 "granted_ms" => granted.as_millis() as u64,
                 "taken_ms" => taken.as_millis() as u64);
+            self.forget_process(fence);
+            let _ = events.send(Event::RestartSuspected { target: target.clone() });
         }
         // A send error means that the placer has ended.
         let _ = events.send(Event::LeaseTaken { target, lease: taken, at: clock::now() });
     }
 
+    /// Gives the target a new token, since another process than the one with the
+    /// token `fence` has answered.
+    fn forget_process(&self, fence: Fence) {
+        let mut process = self.lock_process();
+        if process.fence == fence {
+            *process = Process::new(self.fences.next(), 0);
+        }
+    }
+
     /// Ends the pause between requests, because a run is about to start on the
     /// target.
     pub(crate) fn expect_start(&self, now: Duration) {
--- a/crates/plan/src/ends.rs
+++ b/crates/plan/src/ends.rs
@@ -86,8 +86,9 @@
             if target.may_hold_lease(now) || target.runs.is_empty() {
                 continue;
             }
-            let gone: Vec<_> =
-                target.runs.iter().map(|(task, run)| (task.clone(), run.number)).collect();
+            let until = self.unconfirmed_until(target);
+            let gone = target.runs.iter().filter(|(_, run)| !target.may_exist(run, now, until));
+            let gone: Vec<_> = gone.map(|(task, run)| (task.clone(), run.number)).collect();
             for (task, run) in gone {
                 let id = TargetId(index as u32);
                 self.targets[index].lapsed_runs.push((task.clone(), run));
--- a/crates/plan/src/listing.rs
+++ b/crates/plan/src/listing.rs
@@ -174,6 +174,10 @@
             self.is_changed = true;
         }
         target_state.last_contact_at = target_state.last_contact_at.max(Some(requested_at));
+        // The process that lists its runs has seen its token, so that orders for an
+        // earlier one no longer take effect.
+        target_state.unconfirmed_since =
+            target_state.unconfirmed_since.filter(|since| requested_at < *since);
         let known_born = target_state.born_unix_ms;
         if known_born != listing.born_unix_ms {
             self.process_changed(id, listing.born_unix_ms, now);
@@ -236,6 +240,7 @@
         if let Some(known) = self.targets[id.0 as usize].runs.get_mut(&listed.task)
             && known.number == listed.run
         {
+            known.is_listed = true;
             if matches!(known.phase, Phase::Starting | Phase::Unanswered(_)) {
                 known.phase = Phase::Running;
                 known.confirmed_at = Some(now);
@@ -249,6 +254,11 @@
             return;
         }
         self.adopt_run(id, listed, now);
+        if let Some(adopted) = self.targets[id.0 as usize].runs.get_mut(&listed.task)
+            && adopted.number == listed.run
+        {
+            adopted.is_listed = true;
+        }
     }
 
     /// Ends the runs that a target no longer has: they were confirmed before
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -94,6 +94,11 @@
     pub(crate) inherited_processes: ProcessRecord,
     /// Targets whose last restart is not recorded yet.
     pub(crate) unrecorded_restarts: Vec<TargetId>,
+    /// Targets that were found to have an unconfirmed process.
+    pub(crate) suspected_restarts: Vec<Name>,
+    /// Time at which the leases of unconfirmed processes have expired that got
+    /// orders of earlier placers.
+    pub(crate) inherited_unconfirmed_until: Duration,
     /// Time at which the leases of targets that were recorded as restarted have
     /// expired, if they are the longest that targets accept.
     pub(crate) inherited_restarts_until: Duration,
@@ -290,7 +295,7 @@
 
     /// Replaces the list of targets. Known targets that are missing from
     /// `targets` become unlisted.
-    pub fn set_targets(&mut self, targets: Vec<TargetInfo>) {
+    pub fn set_targets(&mut self, targets: Vec<TargetInfo>, now: Duration) {
         let mut unlisted: HashSet<TargetId> = self.target_ids.values().copied().collect();
         for info in targets {
             let id = self.target_id(&info.id);
@@ -298,6 +303,7 @@
             let target = &mut self.targets[id.0 as usize];
             target.has_drained = info.availability == Availability::Draining;
             target.info = info;
+            self.check_listed_process(id, now);
         }
         for id in unlisted {
             self.targets[id.0 as usize].info.availability = Availability::Unlisted;
@@ -452,8 +458,9 @@
     /// whose lease may not have expired.
     pub fn held_targets(&self, now: Duration) -> HashSet<Name> {
         let may_run = |target: &&Target| {
+            let until = self.unconfirmed_until(target);
             target.info.availability != Availability::Unlisted
-                || (target.may_hold_lease(now) && !target.runs.is_empty())
+                || target.runs.values().any(|run| target.may_exist(run, now, until))
         };
         let unverified_targets = self.unverified_targets.iter();
         let unverified_targets = unverified_targets
--- a/crates/plan/src/restarts.rs
+++ b/crates/plan/src/restarts.rs
@@ -1,5 +1,12 @@
 //! Targets that have restarted.
 //!
+//! A process that has just started has seen no fencing token and carries out what
+//! was meant for the earlier one, also seconds late. Until a listing confirms that
+//! it has seen a token of its own, its lease may be prolonged again and again, so a
+//! run that is not known to be on the earlier process counts for the longest delay
+//! of an order and the longest lease. Such a process shows itself in answers to
+//! orders, by its clock, and in the list of targets.
+//!
 //! The new process of a target may have carried out orders for the earlier one.
 //! Their leases end by another clock, so its lease may be as long as targets
 //! accept. The next placer has to know this, too: it must wait for the leases of
@@ -14,7 +21,12 @@
 
 use base::Name;
 
-use crate::{adopt::UNKNOWN_TARGETS, planner::Planner, target::TargetId};
+use crate::{
+    action::Action,
+    adopt::UNKNOWN_TARGETS,
+    planner::Planner,
+    target::{Target, TargetId},
+};
 
 /// Processes of the targets, as recorded for the next placer.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -39,6 +51,7 @@
         }
         self.inherited_processes = record;
         self.inherited_restarts_until = expired_at;
+        self.inherited_unconfirmed_until = now + self.settings.unconfirmed_lapse_timeout();
     }
 
     /// Returns the record of the processes of these targets for the next placer.
@@ -79,6 +92,64 @@
         unrecorded.any(|id| self.targets[id.0 as usize].has_unrecorded_restart(now))
     }
 
+    /// Removes and returns the targets that were found to have an unconfirmed
+    /// process.
+    pub fn take_suspected_restarts(&mut self) -> Vec<Name> {
+        std::mem::take(&mut self.suspected_restarts)
+    }
+
+    /// Records that a target has another process than the known one, which may have
+    /// carried out orders for that one and has not seen a token of its own.
+    pub fn restart_suspected(&mut self, target: &str, now: Duration) {
+        if let Some(&id) = self.target_ids.get(target) {
+            self.suspect_restart(id, now);
+        }
+    }
+
+    fn suspect_restart(&mut self, id: TargetId, now: Duration) {
+        let until = now + self.settings.unconfirmed_lapse_timeout();
+        let target = &mut self.targets[id.0 as usize];
+        target.last_contact_at = None;
+        if target.unconfirmed_since.is_some() {
+            return;
+        }
+        target.unconfirmed_since = Some(now);
+        target.restarted_until = target.restarted_until.max(Some(until));
+        target.is_restart_recorded = false;
+        let name = target.info.id.clone();
+        if !self.unrecorded_restarts.contains(&id) {
+            self.unrecorded_restarts.push(id);
+        }
+        // The request carries the token of the new process.
+        self.actions.push(Action::Poll(name.clone()));
+        self.suspected_restarts.push(name);
+    }
+
+    /// Returns the time at which a lease has expired that orders for an earlier
+    /// process may have prolonged; `None` if the target has no unconfirmed process.
+    pub(crate) fn unconfirmed_until(&self, target: &Target) -> Option<Duration> {
+        let since = target.unconfirmed_since?;
+        let last_order_at = target.lease_granted_at.map_or(since, |granted| granted.max(since));
+        Some(last_order_at + self.settings.unconfirmed_lapse_timeout())
+    }
+
+    /// Suspects a restart if the entry of a target in the list is by a later
+    /// process than the known one.
+    pub(crate) fn check_listed_process(&mut self, id: TargetId, now: Duration) {
+        let target = &self.targets[id.0 as usize];
+        let listed = target.info.born_unix_ms;
+        let recorded = self.inherited_processes.born_unix_ms.get(&target.info.id).copied();
+        let known = Some(target.born_unix_ms).filter(|born| *born != 0).or(recorded);
+        // The entry of an earlier process may be seen after a listing of a later one.
+        if known.is_none_or(|known| known == 0 || listed <= known) {
+            return;
+        }
+        if let Some(expired_at) = self.unverified_targets.get_mut(&target.info.id) {
+            *expired_at = self.inherited_unconfirmed_until.max(*expired_at);
+        }
+        self.suspect_restart(id, now);
+    }
+
     /// Sets which targets are recorded as restarted.
     pub fn set_recorded_restarts(&mut self, recorded: &HashSet<Name>) {
         self.is_changed |= !self.unrecorded_restarts.is_empty();
--- a/crates/plan/src/settings.rs
+++ b/crates/plan/src/settings.rs
@@ -13,6 +13,9 @@
     pub target_lease: Duration,
     /// Longest lease that a target accepts. It shortens longer ones to this.
     pub max_target_lease: Duration,
+    /// Longest time after which a target carries out an order that it has not
+    /// answered.
+    pub max_order_delay: Duration,
     /// Maximum amount by which the clock of a target runs slow, in thousandths.
     pub max_clock_drift_milli: u32,
     /// Time since the last contact after which a target gets no new work.
@@ -120,6 +123,7 @@
         Self {
             target_lease: Duration::from_secs(6),
             max_target_lease: Duration::from_secs(10),
+            max_order_delay: Duration::from_secs(12),
             max_clock_drift_milli: 20,
             contact_timeout: Duration::from_millis(2500),
             idle_contact_margin: Duration::from_millis(1500),
@@ -188,6 +192,12 @@
         self.expiry_of(self.max_target_lease)
     }
 
+    /// Returns the time after which a lease has expired that a late order for an
+    /// earlier process may have prolonged.
+    pub(crate) fn unconfirmed_lapse_timeout(&self) -> Duration {
+        self.max_order_delay + self.max_lapse_timeout()
+    }
+
     /// Returns the time after which `lease` has expired by any clock.
     pub(crate) fn expiry_of(&self, lease: Duration) -> Duration {
         /// Covers the time to send a grant, since the time of a grant is taken
--- a/crates/plan/src/target.rs
+++ b/crates/plan/src/target.rs
@@ -117,6 +117,8 @@
     pub(crate) progress: Option<(u32, Duration)>,
     /// Progress in percent and time of the last speed sample.
     pub(crate) last_sample: Option<(u32, Duration)>,
+    /// Whether the target has listed the run.
+    pub(crate) is_listed: bool,
     /// Whether a target has crashed under the task.
     pub(crate) is_suspect: bool,
     /// Time of the start order; `None` if the time of the whole run would say
@@ -135,6 +137,7 @@
             confirmed_at: None,
             progress: None,
             last_sample: None,
+            is_listed: false,
             is_suspect: false,
             started_at: None,
         }
@@ -155,6 +158,9 @@
     /// Time at which the target's lease has expired by any clock; `None` if it
     /// has none.
     pub(crate) lease_expires_at: Option<Duration>,
+    /// Time since which the target may have another process that has not seen a
+    /// token of its own; `None` if it has not.
+    pub(crate) unconfirmed_since: Option<Duration>,
     /// Time until which the lease may be longer than was granted, because the
     /// target has restarted; `None` if it has not.
     pub(crate) restarted_until: Option<Duration>,
@@ -206,6 +212,19 @@
         self.lease_expires_at.is_some_and(|expires_at| now <= expires_at)
     }
 
+    /// Returns whether a run may exist at `now`. A run that the known process has
+    /// not listed may be on an unconfirmed one, whose lease holds until
+    /// `unconfirmed_until`.
+    pub(crate) fn may_exist(
+        &self,
+        run: &Run,
+        now: Duration,
+        unconfirmed_until: Option<Duration>,
+    ) -> bool {
+        let is_unconfirmed = || unconfirmed_until.is_some_and(|until| now <= until);
+        self.may_hold_lease(now) || !run.is_listed && is_unconfirmed()
+    }
+
     /// Returns whether the lease may be longer than was granted.
     pub(crate) fn has_restarted(&self, now: Duration) -> bool {
         self.restarted_until.is_some_and(|until| now <= until)
@@ -240,6 +259,7 @@
             && self
                 .last_contact_at
                 .is_some_and(|contact| now.saturating_sub(contact) < contact_timeout)
+            && self.unconfirmed_since.is_none()
             && self.is_same_process()
             && !self.has_unknown_runs
             && !self.has_unrecorded_restart(now)
--- a/crates/plan/tests/decisions/cell.rs
+++ b/crates/plan/tests/decisions/cell.rs
@@ -353,6 +353,19 @@
         self.ends.remove(target);
     }
 
+    /// Lists all targets with the start times of their processes.
+    pub fn list_processes(&mut self) {
+        let born_unix_ms = self.born_unix_ms.clone();
+        self.update_targets(|info| {
+            info.born_unix_ms = born_unix_ms.get(&info.id).copied().unwrap_or(1);
+        });
+    }
+
+    /// Lists all targets with the start times of their first processes.
+    pub fn list_earlier_processes(&mut self) {
+        self.update_targets(|info| info.born_unix_ms = 1);
+    }
+
     /// Records which targets have restarted.
     pub fn record_restarts(&mut self) {
         let record = self.planner.processes(&HashSet::new(), self.now);
@@ -478,7 +491,7 @@
             change(&mut info);
             info
         };
-        self.planner.set_targets(self.targets.iter().map(info).collect());
+        self.planner.set_targets(self.targets.iter().map(info).collect(), self.now);
     }
 
     /// Removes a target from the list of targets.
--- a/crates/plan/tests/decisions/leases.rs
+++ b/crates/plan/tests/decisions/leases.rs
@@ -140,3 +140,87 @@
         expect_that!(reappeared[0].evidence, eq(evidence));
     }
 }
+
+/// Longest time for which a run may exist on a process that has not seen a token
+/// of its own: the longest delay of an order, then the longest lease.
+const UNCONFIRMED: Duration = Duration::from_millis(22_200);
+
+/// Cell with two targets and a run on the second one, which has not listed it.
+fn cell_with_unlisted_run() -> (Cell, Start) {
+    let mut cell = Cell::new(2);
+    cell.make_unreachable("target-0");
+    cell.accept("job", vec![step(1)]);
+    let start = start_one(&mut cell);
+    cell.list_nothing("target-0");
+    (cell, start)
+}
+
+#[gtest]
+fn unlisted_run_counts_until_no_late_order_can_prolong_the_lease_of_an_unconfirmed_process() {
+    let (mut cell, start) = cell_with_unlisted_run();
+    cell.planner.restart_suspected(&start.target, cell.now);
+    expect_restart_after(&mut cell, &start.target, UNCONFIRMED);
+}
+
+#[gtest]
+fn listed_run_of_an_earlier_process_counts_for_its_own_lease_only() {
+    let (mut cell, start) = cell_with_unlisted_run();
+    cell.list_running(std::slice::from_ref(&start));
+    cell.planner.restart_suspected(&start.target, cell.now);
+    expect_restart_after(&mut cell, &start.target, Duration::from_millis(6120));
+}
+
+#[gtest]
+fn entry_of_a_later_process_in_the_list_makes_unlisted_runs_count_for_longer() {
+    let (mut cell, start) = cell_with_unlisted_run();
+    cell.restart_target(&start.target);
+    cell.list_processes();
+    expect_that!(cell.planner.take_suspected_restarts(), elements_are![eq(&start.target)]);
+    expect_restart_after(&mut cell, &start.target, UNCONFIRMED);
+}
+
+#[gtest]
+fn entry_of_an_earlier_process_in_the_list_suspects_nothing() {
+    let mut cell = Cell::new(1);
+    cell.list_processes();
+    cell.restart_target("target-0");
+    cell.list_nothing("target-0");
+    cell.record_restarts();
+    cell.list_earlier_processes();
+    expect_that!(cell.planner.take_suspected_restarts(), is_empty());
+}
+
+#[gtest]
+fn unconfirmed_process_gets_no_work_until_it_has_listed_its_runs() {
+    let mut cell = Cell::new(1);
+    cell.planner.restart_suspected("target-0", cell.now);
+    // Requested before the restart was suspected.
+    cell.list_nothing_as_of("target-0", cell.now - Duration::from_millis(1));
+    cell.accept("job", vec![step(1)]);
+    expect_that!(cell.decide_starts(), is_empty());
+    cell.restart_target("target-0");
+    cell.list_nothing("target-0");
+    cell.record_restarts();
+    expect_that!(cell.decide_starts().len(), eq(1));
+}
+
+#[gtest]
+fn task_of_an_earlier_term_waits_for_a_target_whose_entry_is_by_a_later_process() {
+    let (mut cell, start) = cell_with_unlisted_run();
+    cell.list_processes();
+    cell.restart_target(&start.target);
+    let mut next = cell.take_over_without_listings();
+    next.list_processes();
+    expect_restart_after(&mut next, &start.target, UNCONFIRMED);
+}
+
+#[gtest]
+fn run_handed_over_counts_for_longer_if_the_entry_of_its_target_is_by_a_later_process() {
+    let (mut cell, start) = cell_with_unlisted_run();
+    cell.make_unreachable(&start.target);
+    let unreachable = cell.planner.unreachable_targets(cell.now);
+    cell.restart_target(&start.target);
+    let mut next = cell.take_over_with_closed(&unreachable);
+    next.list_processes();
+    expect_restart_after(&mut next, &start.target, UNCONFIRMED);
+}
--- a/crates/standin/src/cell/simulation/mod.rs
+++ b/crates/standin/src/cell/simulation/mod.rs
@@ -168,7 +168,7 @@
             capacity: workload.capacity,
             ..TargetInfo::default()
         };
-        planner.set_targets(names.iter().map(info).collect());
+        planner.set_targets(names.iter().map(info).collect(), Duration::ZERO);
         planner.set_instances(workload.instances, now);
         let factors = workload.time_factors.iter().copied().cycle();
         let targets = factors.map(Target::new);
