A target is held as long as ends listed by it are not recorded

What callers would see: a task that is done starts again. Cause: a target without runs was no longer held once it left the list, although ends that it had listed were not recorded. If the leader then ended before the record, its successor did not wait for the target and started the tasks again; the target would list the ends later. Class: what may exist is counted by runs, and an end that nobody has recorded is left out.

Change: such a target is held until its ends are recorded, and one that has further ends to list as long as its lease.

--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -454,12 +454,14 @@
         target.is_some_and(|target| target.has_unread_ends && target.may_hold_lease(now))
     }
 
-    /// Returns the targets that may hold runs: listed ones, and those with runs
-    /// whose lease may not have expired.
+    /// Returns the targets that may hold runs, or ends that are not recorded: listed
+    /// ones, and those with such ends or with runs that may exist.
     pub fn held_targets(&self, now: Duration) -> HashSet<Name> {
         let may_run = |target: &&Target| {
             let until = self.unconfirmed_until(target);
             target.info.availability != Availability::Unlisted
+                || !target.unrecorded_ends.is_empty()
+                || target.has_unread_ends && target.may_hold_lease(now)
                 || target.runs.values().any(|run| target.may_exist(run, now, until))
         };
         let unverified_targets = self.unverified_targets.iter();
--- a/crates/plan/tests/decisions/takeover.rs
+++ b/crates/plan/tests/decisions/takeover.rs
@@ -345,3 +345,19 @@
     cell.list_nothing("target-0");
     expect_that!(cell.close_targets().len(), eq(1));
 }
+
+#[gtest]
+fn done_task_does_not_start_again_when_its_target_leaves_the_list_before_the_record() {
+    let mut cell = Cell::new(2);
+    cell.make_unreachable("target-0");
+    cell.accept("job", vec![step(2)]);
+    let starts = cell.decide_starts();
+    expect_that!(starts, each(field!(Start.target, displays_as(eq("target-1")))));
+    cell.answer_starts(&starts, &StartAnswer::Started);
+    for start in &starts {
+        cell.end_run(start, End::Done);
+    }
+    cell.unlist_target("target-1");
+    let mut next = cell.take_over_without_listings();
+    expect_that!(next.decide_starts(), is_empty());
+}
