A run that is handed over and recorded on a closed target is taken over once

What callers saw: nothing in the record; a sound run is stopped after a handover. Cause: a target that was handed over as unreachable and is also in the record of closed targets was taken over twice, and the second time its runs were stopped as superseded by themselves. Why it works: a run with the number that is known is that run.

--- a/crates/plan/src/adopt.rs
+++ b/crates/plan/src/adopt.rs
@@ -146,6 +146,9 @@
             return self.stop_run(id, key, *run, StopCause::Needless, now);
         };
         if let Some(known) = self.targets[id.0 as usize].runs.get(key) {
+            if known.number == *run {
+                return;
+            }
             let cause = StopCause::Superseded(known.number);
             return self.stop_run(id, key, *run, cause, now);
         }
--- a/crates/plan/tests/decisions/takeover.rs
+++ b/crates/plan/tests/decisions/takeover.rs
@@ -361,3 +361,20 @@
     let mut next = cell.take_over_without_listings();
     expect_that!(next.decide_starts(), is_empty());
 }
+
+#[gtest]
+fn run_on_a_target_that_is_both_closed_and_handed_over_is_not_stopped() {
+    let mut cell = Cell::new(2);
+    cell.accept("job", vec![step(1)]);
+    let starts = cell.decide_starts();
+    cell.answer_starts(&starts, &StartAnswer::Started);
+    cell.make_unreachable(&starts[0].target);
+    cell.planner.count_unreachable();
+    cell.planner.count_unreachable();
+    let closed = cell.close_targets();
+    let mut handed_over = cell.planner.unreachable_targets(cell.now);
+    expect_that!(handed_over, eq(&closed));
+    handed_over.extend(closed);
+    let mut next = cell.take_over_with_closed(&handed_over);
+    expect_that!(next.take_stops(), is_empty());
+}
