A successor learns of restarted targets that could not be recorded

Change: the handover and the record name restarted targets and those whose new process is not confirmed. Fields are optional, so that versions before and after this one understand each other.

--- a/crates/node/src/leadership.rs
+++ b/crates/node/src/leadership.rs
@@ -19,7 +19,7 @@
 //! has ended.
 
 use std::{
-    collections::VecDeque,
+    collections::{HashSet, VecDeque},
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -88,6 +88,10 @@
     /// Targets that did not answer the previous leader, each with all runs that
     /// may be on it; empty unless the previous leader handed over.
     pub(crate) unreachable_targets: Vec<(Name, Vec<(TaskKey, u32)>)>,
+    /// Targets whose lease may be longer than the previous leader has granted.
+    pub(crate) restarted: HashSet<Name>,
+    /// Targets with an unconfirmed process, as known to the previous leader.
+    pub(crate) unconfirmed: HashSet<Name>,
 }
 
 /// Prerequisites for taking the leadership.
@@ -223,12 +227,15 @@
             None
         }
     };
-    let Some(Succession { revision, unreachable_targets }) = succession else {
+    let Some(Succession { revision, unreachable_targets, restarted, unconfirmed }) = succession
+    else {
         return Ok(None);
     };
     let acquired = acquire_with(ctx, candidate, Revision(revision)).await?;
-    Ok(acquired
-        .map(|(leadership, leader)| (Leadership { unreachable_targets, ..leadership }, leader)))
+    Ok(acquired.map(|(leadership, leader)| {
+        let handed_over = Leadership { unreachable_targets, restarted, unconfirmed, ..leadership };
+        (handed_over, leader)
+    }))
 }
 
 /// Takes the leadership if the leader key still has the expected revision.
@@ -304,6 +311,8 @@
         valid_until_ms: AtomicU64::new(0),
         unconfirmed_since_ms: AtomicU64::new(NONE_UNCONFIRMED),
         unreachable_targets: Vec::new(),
+        restarted: HashSet::new(),
+        unconfirmed: HashSet::new(),
     };
     leadership.extend(requested_at, granted.saturating_sub(lease_margin(ctx)));
     Ok(Some((leadership, leader)))
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -1,6 +1,6 @@
 //! Links from the nodes to the leader, in CBOR over WebSocket messages.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use base::{Failure, Name, emit};
 use futures::{
@@ -86,6 +86,13 @@
     /// Targets that do not answer, each with all runs that may be on it.
     #[serde(rename = "silent")]
     pub(crate) unreachable_targets: Vec<(Name, Vec<(TaskKey, u32)>)>,
+    /// Targets whose lease may be longer than was granted. The last record of them
+    /// may have failed.
+    #[serde(default)]
+    pub(crate) restarted: HashSet<Name>,
+    /// Targets with an unconfirmed process.
+    #[serde(default)]
+    pub(crate) unconfirmed: HashSet<Name>,
 }
 
 /// Frame sent by a node to the leader.
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -179,7 +179,10 @@
         let mut planner =
             Planner::new(settings, leadership.term as u32, recorded.held.clone(), now);
         planner.configure(ctx.configs.current());
-        planner.inherit_processes(recorded.closed.processes(), now);
+        let mut processes = recorded.closed.processes();
+        processes.restarted.extend(leadership.restarted.iter().cloned());
+        processes.unconfirmed.extend(leadership.unconfirmed.iter().cloned());
+        planner.inherit_processes(processes, now);
         planner.expect_instances(expected_instances);
         for (id, spec, progress) in recorded.jobs {
             planner.inherit(&id, spec, progress.as_ref(), now);
--- a/crates/node/src/placer/snapshot.rs
+++ b/crates/node/src/placer/snapshot.rs
@@ -65,18 +65,25 @@
     /// restarted.
     #[serde(default)]
     restarted: HashSet<Name>,
+    /// Targets with an unconfirmed process, whose lease may be prolonged again.
+    #[serde(default)]
+    unconfirmed: HashSet<Name>,
 }
 
 impl ClosedRecord {
     /// Returns the record to use if the stored one is unreadable: closed targets
     /// count as held, so that the placer waits for them, and all as restarted.
     pub(crate) fn unreadable(held: &HashSet<Name>) -> Self {
-        Self { restarted: held.clone(), ..Self::default() }
+        Self { restarted: held.clone(), unconfirmed: held.clone(), ..Self::default() }
     }
 
     /// Returns the processes of the held targets.
     pub(crate) fn processes(&self) -> ProcessRecord {
-        ProcessRecord { born_unix_ms: self.born_unix_ms.clone(), restarted: self.restarted.clone() }
+        ProcessRecord {
+            born_unix_ms: self.born_unix_ms.clone(),
+            restarted: self.restarted.clone(),
+            unconfirmed: self.unconfirmed.clone(),
+        }
     }
 }
 
@@ -102,10 +109,15 @@
 ) {
     let Snapshot { held, closed, processes, instances } = snapshot;
     let closed_names = closed.iter().map(|(name, _)| name.clone()).collect();
-    let ProcessRecord { born_unix_ms, restarted } = processes;
-    let names = restarted.clone();
-    let record =
-        ClosedRecord { term: leadership.term, closed, instances, born_unix_ms, restarted: names };
+    let ProcessRecord { born_unix_ms, restarted, unconfirmed } = processes;
+    let record = ClosedRecord {
+        term: leadership.term,
+        closed,
+        instances,
+        born_unix_ms,
+        restarted: restarted.clone(),
+        unconfirmed,
+    };
     let write = |key: &str, value: Vec<u8>| Write {
         key: key.to_owned(),
         value: Bytes::from(value),
--- a/crates/node/src/placer/succession.rs
+++ b/crates/node/src/placer/succession.rs
@@ -1,6 +1,6 @@
 //! Handover of the leadership.
 
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
 use base::{Name, clock, emit};
 use tokio::{
@@ -73,11 +73,14 @@
         }
         self.leadership.invalidate();
         let unreachable_targets = self.planner.unreachable_targets(clock::now());
+        let processes = self.planner.processes(&HashSet::new(), clock::now());
         send_frame(
             sender,
             LeaderFrame::Succeed(Succession {
                 revision: self.leadership.revision.0,
                 unreachable_targets,
+                restarted: processes.restarted,
+                unconfirmed: processes.unconfirmed,
             }),
         );
         // The frame must be sent before the links are closed.
--- a/crates/plan/src/adopt.rs
+++ b/crates/plan/src/adopt.rs
@@ -128,6 +128,9 @@
             target_state.extend_lease(until);
             target_state.restarted_until = Some(until);
         }
+        if self.inherited_processes.unconfirmed.contains(target) {
+            self.suspect_restart(id, now);
+        }
         for (task, run) in runs {
             let listed = ListedRun { task: task.clone(), run: *run, checkpoint: None, percent: 0 };
             self.adopt_run(id, &listed, now);
--- a/crates/plan/src/restarts.rs
+++ b/crates/plan/src/restarts.rs
@@ -37,6 +37,8 @@
     /// Targets whose lease may be longer than was granted, because they have
     /// restarted.
     pub restarted: HashSet<Name>,
+    /// Targets with an unconfirmed process, whose lease may be prolonged again.
+    pub unconfirmed: HashSet<Name>,
 }
 
 impl Planner {
@@ -44,14 +46,17 @@
     /// is taken over.
     pub fn inherit_processes(&mut self, record: ProcessRecord, now: Duration) {
         let expired_at = now + self.settings.max_lapse_timeout();
+        let unconfirmed_until = now + self.settings.unconfirmed_lapse_timeout();
         for (name, at) in &mut self.unverified_targets {
-            if record.restarted.contains(name) || &**name == UNKNOWN_TARGETS {
+            if record.unconfirmed.contains(name) {
+                *at = unconfirmed_until;
+            } else if record.restarted.contains(name) || &**name == UNKNOWN_TARGETS {
                 *at = expired_at;
             }
         }
         self.inherited_processes = record;
         self.inherited_restarts_until = expired_at;
-        self.inherited_unconfirmed_until = now + self.settings.unconfirmed_lapse_timeout();
+        self.inherited_unconfirmed_until = unconfirmed_until;
     }
 
     /// Returns the record of the processes of these targets for the next placer.
@@ -67,9 +72,18 @@
         ProcessRecord {
             born_unix_ms: held.iter().filter_map(born).collect(),
             restarted: self.restarted_targets(now),
+            unconfirmed: self.unconfirmed_targets(),
         }
     }
 
+    /// Returns the targets with an unconfirmed process.
+    fn unconfirmed_targets(&self) -> HashSet<Name> {
+        let known = self.targets.iter().filter(|target| target.unconfirmed_since.is_some());
+        let inherited = self.inherited_processes.unconfirmed.iter();
+        let inherited = inherited.filter(|name| self.unverified_targets.contains_key(*name));
+        known.map(|target| target.info.id.clone()).chain(inherited.cloned()).collect()
+    }
+
     /// Returns the targets whose lease may be longer than was granted, because
     /// they have restarted.
     fn restarted_targets(&self, now: Duration) -> HashSet<Name> {
@@ -106,7 +120,7 @@
         }
     }
 
-    fn suspect_restart(&mut self, id: TargetId, now: Duration) {
+    pub(crate) fn suspect_restart(&mut self, id: TargetId, now: Duration) {
         let until = now + self.settings.unconfirmed_lapse_timeout();
         let target = &mut self.targets[id.0 as usize];
         target.last_contact_at = None;
--- a/crates/plan/tests/decisions/leases.rs
+++ b/crates/plan/tests/decisions/leases.rs
@@ -224,3 +224,22 @@
     next.list_processes();
     expect_restart_after(&mut next, &start.target, UNCONFIRMED);
 }
+
+#[gtest]
+fn unconfirmed_process_is_passed_on_to_the_next_placer() {
+    let (mut cell, start) = cell_with_unlisted_run();
+    cell.planner.restart_suspected(&start.target, cell.now);
+    let next = cell.take_over_without_listings();
+    let mut last = next.take_over_without_listings();
+    expect_restart_after(&mut last, &start.target, UNCONFIRMED);
+}
+
+#[gtest]
+fn unconfirmed_process_is_passed_on_with_the_runs_that_are_handed_over() {
+    let (mut cell, start) = cell_with_unlisted_run();
+    cell.planner.restart_suspected(&start.target, cell.now);
+    let unreachable = cell.planner.unreachable_targets(cell.now);
+    let mut next = cell.take_over_with_closed(&unreachable);
+    next.list_targets();
+    expect_restart_after(&mut next, &start.target, UNCONFIRMED);
+}
