--- a/crates/plan/src/adopt.rs
+++ b/crates/plan/src/adopt.rs
@@ -106,8 +106,7 @@
         };
         !is_unverified(&target.info.id)
             && !is_unverified(UNKNOWN_TARGETS)
-            && target.unrecorded_ends.is_empty()
-            && !target.has_unread_ends
+            && !target.has_open_ends()
             && !target.has_unknown_runs
     }
 
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -455,13 +455,13 @@
     }
 
     /// Returns the targets that may hold runs, or ends that are not recorded: listed
-    /// ones, and those with such ends or with runs that may exist.
+    /// ones, those with runs that may exist, and those with such ends until their
+    /// lease has expired.
     pub fn held_targets(&self, now: Duration) -> HashSet<Name> {
         let may_run = |target: &&Target| {
             let until = self.unconfirmed_until(target);
             target.info.availability != Availability::Unlisted
-                || !target.unrecorded_ends.is_empty()
-                || target.has_unread_ends && target.may_hold_lease(now)
+                || target.may_hold_lease(now) && target.has_open_ends()
                 || target.runs.values().any(|run| target.may_exist(run, now, until))
         };
         let unverified_targets = self.unverified_targets.iter();
--- a/crates/plan/src/target.rs
+++ b/crates/plan/src/target.rs
@@ -225,6 +225,11 @@
         self.may_hold_lease(now) || !run.is_listed && is_unconfirmed()
     }
 
+    /// Returns whether the target has ends that are not recorded or not listed yet.
+    pub(crate) fn has_open_ends(&self) -> bool {
+        !self.unrecorded_ends.is_empty() || self.has_unread_ends
+    }
+
     /// Returns whether the lease may be longer than was granted.
     pub(crate) fn has_restarted(&self, now: Duration) -> bool {
         self.restarted_until.is_some_and(|until| now <= until)
