--- a/crates/plan/tests/decisions/main.rs
+++ b/crates/plan/tests/decisions/main.rs
@@ -11,5 +11,6 @@
 mod lifecycle;
 mod placement;
 mod preempt;
+mod random_faults;
 mod takeover;
 mod targets;
