--- a/crates/plan/tests/decisions/random_faults.rs
+++ b/crates/plan/tests/decisions/random_faults.rs
@@ -20,11 +20,13 @@
 
 use googletest::prelude::*;
 
-use self::world::{Orders, play};
+use self::{faults::Orders, world::play};
 
 /// Days that are played with all other tests.
 const DAYS: Range<u64> = 0..40;
 
+const ALL_ORDERS: [Orders; 3] = [Orders::Bound, Orders::Connected, Orders::Outliving];
+
 /// Variable with the days of a hunt, as `FIRST..LAST`.
 const HUNT_VARIABLE: &str = "RANDOM_FAULTS";
 
@@ -32,7 +34,8 @@
 fn no_task_runs_twice_under_random_faults() {
     let (mut starts, mut noted, mut terms, mut restarts) = (0, 0, 0, 0);
     for seed in DAYS {
-        let day = play(seed, Orders::ReachTheirProcess, None);
+        // Orders that outlive their process are not ruled out yet (issue 37).
+        let day = play(seed, Orders::Connected, None);
         expect_that!(day.violations, is_empty(), "seed {seed}");
         starts += day.starts;
         noted += day.noted;
@@ -50,7 +53,7 @@
 #[gtest]
 fn day_of_random_faults_is_deterministic() {
     for seed in DAYS.take(10) {
-        let day = || play(seed, Orders::ReachAnyProcess, None);
+        let day = || play(seed, Orders::Outliving, None);
         expect_that!(day(), eq(&day()), "seed {seed}");
     }
 }
@@ -63,7 +66,7 @@
     let Some((Ok(first), Ok(last))) = days else {
         panic!("{HUNT_VARIABLE} has to be FIRST..LAST");
     };
-    for orders in [Orders::ReachTheirProcess, Orders::ReachAnyProcess] {
+    for orders in ALL_ORDERS {
         for seed in first..last {
             let day = play(seed, orders, None);
             expect_that!(day.violations, is_empty(), "seed {seed}, {orders:?}");
@@ -76,7 +79,7 @@
 fn print_a_day_of_random_faults() {
     let days = env::var(HUNT_VARIABLE).unwrap_or_default();
     let seed = days.split("..").next().and_then(|seed| seed.parse().ok()).unwrap_or(0);
-    for orders in [Orders::ReachTheirProcess, Orders::ReachAnyProcess] {
+    for orders in ALL_ORDERS {
         let mut trace = Vec::new();
         let day = play(seed, orders, Some(&mut trace));
         println!("{orders:?}\n{}\n{day:#?}", trace.join("\n"));
--- a/crates/plan/tests/decisions/random_faults/faults.rs
+++ b/crates/plan/tests/decisions/random_faults/faults.rs
@@ -31,6 +31,20 @@
     (Kind::Store, 0.15),
 ];
 
+/// Which processes of a target carry out an order, unless they have seen a
+/// higher token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Orders {
+    /// Starts and leases have no effect on a process other than the one that the
+    /// leader takes the target for.
+    Bound,
+    /// Orders reach the process to which a connection is made.
+    Connected,
+    /// Late orders may outlive the process to which they were sent, and reach a
+    /// later one.
+    Outliving,
+}
+
 /// Faults of one day. Each day has some kinds only, so that faults which mask
 /// one another also strike alone.
 #[derive(Clone, Debug)]
@@ -39,8 +53,7 @@
     pub rates: Vec<(Kind, f64)>,
     /// Share of orders that are carried out seconds later, without an answer.
     pub late_ratio: f64,
-    /// Whether orders for a process may be carried out by the next one.
-    pub reaches_next_process: bool,
+    pub orders: Orders,
     /// Maximum number of ends in a listing; small to have backlogs of ends with
     /// few runs.
     pub max_ends: usize,
@@ -49,7 +62,7 @@
 }
 
 impl Faults {
-    pub fn draw(reaches_next_process: bool, rng: &mut StdRng) -> Self {
+    pub fn draw(orders: Orders, rng: &mut StdRng) -> Self {
         let mut rates = Vec::new();
         for (kind, rate) in KINDS {
             if rng.random_bool(0.6) {
@@ -59,7 +72,7 @@
         Self {
             rates,
             late_ratio: [0.0, 0.005, 0.05][rng.random_range(0..3)],
-            reaches_next_process,
+            orders,
             max_ends: [500, 500, 3][rng.random_range(0..3)],
             enforces_capacity: rng.random_bool(0.3),
         }
--- a/crates/plan/tests/decisions/random_faults/network.rs
+++ b/crates/plan/tests/decisions/random_faults/network.rs
@@ -8,6 +8,7 @@
 use work::{End, StepKey, TaskKey};
 
 use super::{
+    faults::Orders,
     judge::Place,
     message::{Call, Order, Reply},
     target::{Cut, Impairment, Run},
@@ -111,25 +112,24 @@
             if self.rng.random_bool(0.6) {
                 let after = self.latency();
                 self.answer(&call, Reply::NotSent, after);
-            } else if self.faults.reaches_next_process && self.now < until {
+            } else if self.faults.orders > Orders::Bound && self.now < until {
                 let arrival = Arrival { call, born, until, is_answered, delay };
                 self.schedule(Duration::from_millis(50), Event::Arrival(arrival));
             }
             return;
         };
         let is_meant = [0, process.born].contains(&call.born);
-        if !self.faults.reaches_next_process {
-            if born != Some(process.born) {
-                return;
-            }
-            if !is_meant {
-                match &mut call.order {
-                    Order::Start { .. } => return,
-                    Order::Stop { .. } => {}
-                    Order::Hold { until_ms, last_seen, .. } => {
-                        *until_ms = None;
-                        *last_seen = 0;
-                    }
+        let is_lost = born.is_some_and(|born| born != process.born);
+        if is_lost && self.faults.orders < Orders::Outliving {
+            return;
+        }
+        if !is_meant && self.faults.orders == Orders::Bound {
+            match &mut call.order {
+                Order::Start { .. } => return,
+                Order::Stop { .. } => {}
+                Order::Hold { until_ms, last_seen, .. } => {
+                    *until_ms = None;
+                    *last_seen = 0;
                 }
             }
         }
--- a/crates/plan/tests/decisions/random_faults/world.rs
+++ b/crates/plan/tests/decisions/random_faults/world.rs
@@ -14,7 +14,7 @@
 
 use super::{
     disruption::{Disruption, Trouble},
-    faults::{Faults, Kind},
+    faults::{Faults, Kind, Orders},
     judge::Judge,
     leader::{self, Effect, Leader, target_info, unix_ms},
     message::{Call, Reply},
@@ -54,17 +54,6 @@
     Begin(u32, Vec<ClosedTarget>),
 }
 
-/// Which processes of a target carry out an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Orders {
-    /// Starts and leases have no effect on a process other than the one that the
-    /// leader takes the target for.
-    ReachTheirProcess,
-    /// A process that has started since carries out orders for the earlier one,
-    /// until it has seen a token of its own.
-    ReachAnyProcess,
-}
-
 /// Results of a day.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Day {
@@ -106,7 +95,7 @@
 /// Plays a day. Equal seeds give equal days.
 pub fn play(seed: u64, orders: Orders, trace: Option<&mut Vec<String>>) -> Day {
     let mut rng = StdRng::seed_from_u64(seed);
-    let faults = Faults::draw(orders == Orders::ReachAnyProcess, &mut rng);
+    let faults = Faults::draw(orders, &mut rng);
     let mut world = World::new(faults, rng, trace.is_some());
     world.run();
     if let (Some(trace), Some(lines)) = (trace, world.trace) {
