--- a/crates/plan/tests/decisions/random_faults/session.rs
+++ b/crates/plan/tests/decisions/random_faults/session.rs
@@ -87,6 +87,11 @@
         Origin::Unknown
     }
 
+    /// Gives the target another token, as another process has answered.
+    pub fn forget_process(&mut self, next_fence: u64) {
+        self.process = Process::new(next_fence, 0);
+    }
+
     pub fn set_recorded_end(&mut self, end: RecordedEnd) {
         if self.process.born_unix_ms == end.born_unix_ms {
             self.process.recorded_end = end.number;
