--- a/crates/standin/src/cell/targets.rs
+++ b/crates/standin/src/cell/targets.rs
@@ -91,6 +91,8 @@
     min_run: HashMap<TaskKey, u32>,
     ended: Vec<RunEnd>,
     last_end: u64,
+    /// Number of listings that were sent.
+    listings: u32,
 }
 
 struct Run {
@@ -116,6 +118,7 @@
             min_run: HashMap::new(),
             ended: Vec::new(),
             last_end: 0,
+            listings: 0,
         };
         self.lock().targets.insert(id.clone(), target_state);
     }
@@ -153,6 +156,11 @@
         self.lock().listing_requests
     }
 
+    /// Returns the number of listings that a target has sent.
+    pub fn listings(&self, id: &str) -> u32 {
+        self.lock().targets.get(id).map_or(0, |target_state| target_state.listings)
+    }
+
     /// Returns the number of current runs of a job.
     pub fn running(&self, job: &str) -> usize {
         let state = self.lock();
@@ -470,6 +478,9 @@
                 }
                 let (listing, clock_ms) = self.0.renew(&target.id, renewal)?;
                 if !listing.ended.is_empty() || Instant::now() >= end {
+                    if let Some(target_state) = self.0.lock().targets.get_mut(&target.id) {
+                        target_state.listings += 1;
+                    }
                     return Ok((listing, clock_ms));
                 }
                 time::sleep(Duration::from_millis(5)).await;
