--- a/crates/node/src/placer/order.rs
+++ b/crates/node/src/placer/order.rs
@@ -51,8 +51,14 @@
                 ctx.services.orders.start(&session.target, &order, ORDER_TIMEOUT).await;
             Metrics::observe(&ctx.metrics.start_time, clock::now().saturating_sub(now));
             if let Some(clock_ms) = clock_ms {
-                let fence = process.fence;
-                session.report_excess_lease(&ctx, &events, fence, lease, lease_until_ms, clock_ms);
+                session.report_excess_lease(
+                    &ctx,
+                    &events,
+                    process,
+                    lease,
+                    lease_until_ms,
+                    clock_ms,
+                );
             }
             match answer {
                 StartAnswer::Refused(Refusal::Fenced) if !session.is_current(process.fence) => {
--- a/crates/node/src/placer/report.rs
+++ b/crates/node/src/placer/report.rs
@@ -41,6 +41,17 @@
             "lease_age_ms" => run.lease_age.as_millis() as u64);
     }
 
+    /// Logs the targets that were found to have an unconfirmed process, and returns
+    /// them.
+    pub(super) fn note_suspected_restarts(&mut self) -> Vec<Name> {
+        let suspected = self.planner.take_suspected_restarts();
+        for target in &suspected {
+            emit!(self.ctx.log, warn, RestartSuspected; "target" => %target,
+                "term" => self.leadership.term);
+        }
+        suspected
+    }
+
     /// Logs and counts a run that was wrongly taken for ended.
     pub(super) fn log_reappeared(&self, run: &ReappearedRun) {
         let (step, evidence) = (&run.task.step, run.evidence);
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -318,10 +318,6 @@
         for run in self.planner.take_released_runs() {
             self.log_release(&run);
         }
-        for target in self.planner.take_suspected_restarts() {
-            emit!(self.ctx.log, warn, RestartSuspected; "target" => %target,
-                "term" => self.leadership.term);
-        }
         for run in self.planner.take_reappeared_runs() {
             self.log_reappeared(&run);
         }
@@ -415,6 +411,11 @@
             Event::TargetsChanged(listed) => {
                 let targets = listed.values().map(|(info, _)| info.clone()).collect();
                 self.planner.set_targets(targets, now);
+                for target in self.note_suspected_restarts() {
+                    if let Some(session) = self.sessions.get(&target) {
+                        session.forget_process(session.process().fence);
+                    }
+                }
                 self.listed = listed;
                 self.start_sessions();
                 self.record_restarts();
@@ -441,6 +442,7 @@
             }
             Event::RestartSuspected { target } => {
                 self.planner.restart_suspected(&target, now);
+                self.note_suspected_restarts();
                 self.record_restarts();
             }
             Event::TargetListed { target, requested_at, listing } => {
--- a/crates/node/src/placer/session.rs
+++ b/crates/node/src/placer/session.rs
@@ -56,9 +56,13 @@
 /// links of a new leader need not wait for thousands of connections.
 const MAX_CONCURRENT_CLAIMS: usize = 128;
 
-/// Maximum error of a target's clock as computed from its last reading.
+/// Maximum error of a reading of a target's clock.
 const MAX_CLOCK_ERROR: Duration = Duration::from_millis(200);
 
+/// Divisor of the age of a reading; the quotient is the maximum drift of the
+/// target's clock since then.
+const CLOCK_DRIFT_DIVISOR: u32 = 50;
+
 /// Time within which a target lists a run after the start order; the order
 /// itself takes at most 0.5 s.
 const START_LISTING_TIMEOUT: Duration = Duration::from_millis(2000);
@@ -135,6 +139,12 @@
         self.listed_end > self.recorded_end
     }
 
+    /// Returns the maximum error of the clock as computed from its last reading.
+    fn max_clock_error(&self, now: Duration) -> Duration {
+        let age = self.clock.map_or(Duration::ZERO, |(_, read_at)| now.saturating_sub(read_at));
+        MAX_CLOCK_ERROR + age / CLOCK_DRIFT_DIVISOR
+    }
+
     /// Returns the end of a lease granted at `now`, in milliseconds on the
     /// target's clock; `None` until the clock is known.
     pub(crate) fn lease_until_ms(&self, lease: Duration, now: Duration) -> Option<u64> {
@@ -269,7 +279,7 @@
         &self,
         ctx: &Context,
         events: &mpsc::UnboundedSender<Event>,
-        fence: Fence,
+        process: Process,
         granted: Duration,
         lease_until_ms: u64,
         clock_ms: u64,
@@ -279,24 +289,27 @@
             return;
         }
         let target = self.target.id.clone();
-        if taken > granted + MAX_CLOCK_ERROR {
+        if taken > granted + process.max_clock_error(clock::now()) {
             emit!(ctx.log, warn, LeaseExceeded; "target" => %target,
                 "granted_ms" => granted.as_millis() as u64,
                 "taken_ms" => taken.as_millis() as u64);
-            self.forget_process(fence);
-            let _ = events.send(Event::RestartSuspected { target: target.clone() });
+            if self.forget_process(process.fence) {
+                let _ = events.send(Event::RestartSuspected { target: target.clone() });
+            }
         }
         // A send error means that the placer has ended.
         let _ = events.send(Event::LeaseTaken { target, lease: taken, at: clock::now() });
     }
 
-    /// Gives the target a new token, since another process than the one with the
-    /// token `fence` has answered.
-    fn forget_process(&self, fence: Fence) {
+    /// Gives the target a new token, since it has another process than the one with
+    /// the token `fence`. Returns whether that was the last token.
+    pub(crate) fn forget_process(&self, fence: Fence) -> bool {
         let mut process = self.lock_process();
-        if process.fence == fence {
+        let is_current = process.fence == fence;
+        if is_current {
             *process = Process::new(self.fences.next(), 0);
         }
+        is_current
     }
 
     /// Ends the pause between requests, because a run is about to start on the
--- a/crates/node/src/placer/snapshot.rs
+++ b/crates/node/src/placer/snapshot.rs
@@ -74,7 +74,7 @@
     /// Returns the record to use if the stored one is unreadable: closed targets
     /// count as held, so that the placer waits for them, and all as restarted.
     pub(crate) fn unreadable(held: &HashSet<Name>) -> Self {
-        Self { restarted: held.clone(), unconfirmed: held.clone(), ..Self::default() }
+        Self { restarted: held.clone(), ..Self::default() }
     }
 
     /// Returns the processes of the held targets.
--- a/crates/node/tests/cell/restarts.rs
+++ b/crates/node/tests/cell/restarts.rs
@@ -197,3 +197,18 @@
     cut_off(&cell, &restarted, &other);
     expect_that!(cell.world.targets.violations(), is_empty());
 }
+
+#[gtest]
+fn new_leader_waits_for_the_lease_that_a_late_renewal_has_prolonged() {
+    let late = Fault::LateRenewals(Duration::from_millis(4500));
+    let (mut cell, restarted, other) = cell_with_starts_on_an_unlisted_process(2, late);
+    // Until the restart is recorded.
+    std::thread::sleep(Duration::from_millis(100));
+    cell.world.targets.set_fault(&restarted, Fault::Silent);
+    let leader = cell.leader();
+    cell.nodes[leader].stop();
+    cell.world.targets.set_fault(&other, Fault::None);
+    // Until the lease has expired that the late renewal has prolonged.
+    std::thread::sleep(Duration::from_secs(14));
+    expect_that!(cell.world.targets.violations(), is_empty());
+}
--- a/crates/plan/src/listing.rs
+++ b/crates/plan/src/listing.rs
@@ -174,17 +174,15 @@
             self.is_changed = true;
         }
         target_state.last_contact_at = target_state.last_contact_at.max(Some(requested_at));
-        // The process that lists its runs has seen its token, so that orders for an
-        // earlier one no longer take effect.
-        target_state.unconfirmed_since =
-            target_state.unconfirmed_since.filter(|since| requested_at < *since);
         let known_born = target_state.born_unix_ms;
+        self.settle_suspicion(id, requested_at);
         if known_born != listing.born_unix_ms {
             self.process_changed(id, listing.born_unix_ms, now);
             let target_state = &mut self.targets[id.0 as usize];
             // A new process numbers its ends from 1 again, and may run on other
             // hardware.
             target_state.speed = Speed::default();
+            target_state.earlier_born_unix_ms = known_born;
             target_state.born_unix_ms = listing.born_unix_ms;
             target_state.last_end = 0;
             target_state.unrecorded_ends.clear();
--- a/crates/plan/src/restarts.rs
+++ b/crates/plan/src/restarts.rs
@@ -25,7 +25,7 @@
     action::Action,
     adopt::UNKNOWN_TARGETS,
     planner::Planner,
-    target::{Target, TargetId},
+    target::{Suspicion, Target, TargetId},
 };
 
 /// Processes of the targets, as recorded for the next placer.
@@ -78,7 +78,7 @@
 
     /// Returns the targets with an unconfirmed process.
     fn unconfirmed_targets(&self) -> HashSet<Name> {
-        let known = self.targets.iter().filter(|target| target.unconfirmed_since.is_some());
+        let known = self.targets.iter().filter(|target| target.suspicion.is_some());
         let inherited = self.inherited_processes.unconfirmed.iter();
         let inherited = inherited.filter(|name| self.unverified_targets.contains_key(*name));
         known.map(|target| target.info.id.clone()).chain(inherited.cloned()).collect()
@@ -107,7 +107,7 @@
     }
 
     /// Removes and returns the targets that were found to have an unconfirmed
-    /// process.
+    /// process since the last call.
     pub fn take_suspected_restarts(&mut self) -> Vec<Name> {
         std::mem::take(&mut self.suspected_restarts)
     }
@@ -124,40 +124,64 @@
         let until = now + self.settings.unconfirmed_lapse_timeout();
         let target = &mut self.targets[id.0 as usize];
         target.last_contact_at = None;
-        if target.unconfirmed_since.is_some() {
+        if target.suspicion.is_some() {
             return;
         }
-        target.unconfirmed_since = Some(now);
-        target.restarted_until = target.restarted_until.max(Some(until));
+        let Target { restarted_until, is_restart_recorded, .. } = *target;
+        target.suspicion = Some(Suspicion { since: now, restarted_until, is_restart_recorded });
+        target.restarted_until = restarted_until.max(Some(until));
         target.is_restart_recorded = false;
         let name = target.info.id.clone();
         if !self.unrecorded_restarts.contains(&id) {
             self.unrecorded_restarts.push(id);
         }
-        // The request carries the token of the new process.
         self.actions.push(Action::Poll(name.clone()));
         self.suspected_restarts.push(name);
     }
 
+    /// Ends a suspicion by a listing that was requested at `requested_at`. The
+    /// process that lists its runs has seen its token, so that orders for an earlier
+    /// one no longer take effect.
+    pub(crate) fn settle_suspicion(&mut self, id: TargetId, requested_at: Duration) {
+        let target = &mut self.targets[id.0 as usize];
+        if let Some(suspicion) = target.suspicion.filter(|known| known.since <= requested_at) {
+            target.suspicion = None;
+            target.restarted_until = suspicion.restarted_until;
+            target.is_restart_recorded = suspicion.is_restart_recorded;
+        }
+    }
+
     /// Returns the time at which a lease has expired that orders for an earlier
     /// process may have prolonged; `None` if the target has no unconfirmed process.
     pub(crate) fn unconfirmed_until(&self, target: &Target) -> Option<Duration> {
-        let since = target.unconfirmed_since?;
+        let since = target.suspicion?.since;
         let last_order_at = target.lease_granted_at.map_or(since, |granted| granted.max(since));
         Some(last_order_at + self.settings.unconfirmed_lapse_timeout())
     }
 
-    /// Suspects a restart if the entry of a target in the list is by a later
+    /// Returns the start time of the known process of a target, in milliseconds
+    /// since 1970.
+    fn known_process(&self, target: &Target) -> Option<u64> {
+        let recorded = self.inherited_processes.born_unix_ms.get(&target.info.id).copied();
+        Some(target.born_unix_ms).filter(|born| *born != 0).or(recorded)
+    }
+
+    /// Suspects a restart if the entry of a target in the list is by another
     /// process than the known one.
     pub(crate) fn check_listed_process(&mut self, id: TargetId, now: Duration) {
         let target = &self.targets[id.0 as usize];
         let listed = target.info.born_unix_ms;
-        let recorded = self.inherited_processes.born_unix_ms.get(&target.info.id).copied();
-        let known = Some(target.born_unix_ms).filter(|born| *born != 0).or(recorded);
+        let Some(known) = self.known_process(target) else {
+            return;
+        };
         // The entry of an earlier process may be seen after a listing of a later one.
-        if known.is_none_or(|known| known == 0 || listed <= known) {
+        let is_known = [0, known, target.earlier_born_unix_ms, target.suspected_born_unix_ms]
+            .contains(&listed);
+        if known == 0 || is_known {
             return;
         }
+        self.targets[id.0 as usize].suspected_born_unix_ms = listed;
+        let target = &self.targets[id.0 as usize];
         if let Some(expired_at) = self.unverified_targets.get_mut(&target.info.id) {
             *expired_at = self.inherited_unconfirmed_until.max(*expired_at);
         }
@@ -178,11 +202,10 @@
     /// Notes that another process of a target sends listings than before.
     pub(crate) fn process_changed(&mut self, id: TargetId, born_unix_ms: u64, now: Duration) {
         let until = now + self.settings.max_lapse_timeout();
+        let known = self.known_process(&self.targets[id.0 as usize]);
+        let is_restart = known.is_some_and(|known| known != born_unix_ms);
         let target = &mut self.targets[id.0 as usize];
         let name = &target.info.id;
-        let recorded = self.inherited_processes.born_unix_ms.get(name).copied();
-        let known = Some(target.born_unix_ms).filter(|born| *born != 0).or(recorded);
-        let is_restart = known.is_some_and(|known| known != born_unix_ms);
         if is_restart || self.inherited_processes.restarted.contains(name) {
             target.extend_lease(until);
             target.restarted_until = Some(until);
--- a/crates/plan/src/target.rs
+++ b/crates/plan/src/target.rs
@@ -144,6 +144,16 @@
     }
 }
 
+/// Sign that another process of a target may carry out orders for the known one.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Suspicion {
+    pub(crate) since: Duration,
+    /// Restart that was known before.
+    pub(crate) restarted_until: Option<Duration>,
+    /// Whether that restart is recorded.
+    pub(crate) is_restart_recorded: bool,
+}
+
 /// Target with the runs that may exist on it.
 #[derive(Debug, Default)]
 pub(crate) struct Target {
@@ -158,9 +168,11 @@
     /// Time at which the target's lease has expired by any clock; `None` if it
     /// has none.
     pub(crate) lease_expires_at: Option<Duration>,
-    /// Time since which the target may have another process that has not seen a
-    /// token of its own; `None` if it has not.
-    pub(crate) unconfirmed_since: Option<Duration>,
+    /// Sign of another process that has not seen a token of its own.
+    pub(crate) suspicion: Option<Suspicion>,
+    /// Start time of the process of the last suspected entry in the list of
+    /// targets, in milliseconds since 1970.
+    pub(crate) suspected_born_unix_ms: u64,
     /// Time until which the lease may be longer than was granted, because the
     /// target has restarted; `None` if it has not.
     pub(crate) restarted_until: Option<Duration>,
@@ -169,6 +181,8 @@
     /// Start time of the target process that sent the last listing, in
     /// milliseconds since 1970.
     pub(crate) born_unix_ms: u64,
+    /// Start time of the process before that one.
+    pub(crate) earlier_born_unix_ms: u64,
     /// Whether the target was last listed as about to leave.
     pub(crate) has_drained: bool,
     /// Runs that were given up since the last listing because the lease had
@@ -264,7 +278,7 @@
             && self
                 .last_contact_at
                 .is_some_and(|contact| now.saturating_sub(contact) < contact_timeout)
-            && self.unconfirmed_since.is_none()
+            && self.suspicion.is_none()
             && self.is_same_process()
             && !self.has_unknown_runs
             && !self.has_unrecorded_restart(now)
--- a/crates/plan/tests/decisions/leases.rs
+++ b/crates/plan/tests/decisions/leases.rs
@@ -243,3 +243,52 @@
     next.list_targets();
     expect_restart_after(&mut next, &start.target, UNCONFIRMED);
 }
+
+#[gtest]
+fn unconfirmed_process_is_passed_on_after_its_entry_has_left_the_list() {
+    let (mut cell, start) = cell_with_unlisted_run();
+    cell.restart_target(&start.target);
+    cell.list_processes();
+    cell.unlist_target(&start.target);
+    let mut next = cell.take_over_without_listings();
+    next.unlist_target(&start.target);
+    expect_restart_after(&mut next, &start.target, UNCONFIRMED);
+}
+
+#[gtest]
+fn suspicion_that_a_listing_of_the_known_process_refutes_leaves_nothing_behind() {
+    let mut cell = Cell::new(1);
+    cell.planner.restart_suspected("target-0", cell.now);
+    cell.advance(Duration::from_millis(10));
+    cell.list_nothing("target-0");
+    expect_that!(cell.planner.has_restarts(cell.now), eq(false));
+    cell.accept("job", vec![step(1)]);
+    expect_that!(cell.decide_starts().len(), eq(1));
+}
+
+#[gtest]
+fn entry_that_stays_ahead_of_the_listed_process_is_suspected_once() {
+    let mut cell = Cell::new(1);
+    let mut suspicions = 0;
+    for _ in 0..20 {
+        cell.update_targets(|info| info.born_unix_ms = 9);
+        suspicions += cell.planner.take_suspected_restarts().len();
+        cell.advance(Duration::from_millis(250));
+        cell.list_nothing("target-0");
+    }
+    expect_that!(suspicions, eq(1));
+}
+
+#[gtest]
+fn entry_of_a_process_with_an_earlier_wall_clock_is_suspected() {
+    let mut cell = Cell::new(1);
+    for _ in 0..9 {
+        cell.restart_target("target-0");
+    }
+    cell.list_nothing("target-0");
+    cell.update_targets(|info| info.born_unix_ms = 5);
+    expect_that!(
+        cell.planner.take_suspected_restarts(),
+        elements_are![displays_as(eq("target-0"))]
+    );
+}
--- a/crates/plan/tests/decisions/random_faults/leader.rs
+++ b/crates/plan/tests/decisions/random_faults/leader.rs
@@ -231,6 +231,11 @@
             }
             Event::TargetsChanged(listed) => {
                 self.planner.set_targets(listed.clone(), now);
+                for target in self.planner.take_suspected_restarts() {
+                    if let Some(&session) = self.sessions.get(&target) {
+                        self.forget_process(session, self.fence(session));
+                    }
+                }
                 self.record_restarts(now);
                 self.listed = listed.into_iter().map(|info| (info.id.clone(), info)).collect();
                 self.start_sessions(now);
--- a/crates/plan/tests/decisions/random_faults/order.rs
+++ b/crates/plan/tests/decisions/random_faults/order.rs
@@ -34,7 +34,7 @@
 
 impl Leader {
     /// Returns the tokens of the present and the next process of a session.
-    fn fence(&self, session: u64) -> u64 {
+    pub(super) fn fence(&self, session: u64) -> u64 {
         self.all_sessions[&session].process.fence
     }
 
@@ -135,8 +135,7 @@
                     && taken > LEASE
                 {
                     self.planner.lease_taken(&target, taken, now);
-                    if taken > LEASE + MAX_CLOCK_ERROR {
-                        self.forget_process(session, fence);
+                    if taken > LEASE + MAX_CLOCK_ERROR && self.forget_process(session, fence) {
                         self.suspect_restart(&target, now);
                     }
                 }
@@ -224,12 +223,14 @@
         self.record_restarts(now);
     }
 
-    fn forget_process(&mut self, session: u64, fence: u64) {
-        if self.is_current(session, fence) {
+    pub(super) fn forget_process(&mut self, session: u64, fence: u64) -> bool {
+        let is_current = self.is_current(session, fence);
+        if is_current {
             let next = self.next_fence();
             let known = self.all_sessions.get_mut(&session).expect("sessions are kept");
             known.forget_process(next);
         }
+        is_current
     }
 
     fn apply(&mut self, session: u64, requested_at: Duration, answer: Answer, now: Duration) {
--- a/crates/standin/src/cell/targets.rs
+++ b/crates/standin/src/cell/targets.rs
@@ -51,11 +51,14 @@
     LosingStartAnswers,
     /// The target is down and answers again as another process at this time.
     Down(Instant),
-    /// Starts are not answered and are executed after this time.
+    /// Starts are not answered and are executed after this time, even if the sender
+    /// has ended.
     LateStarts(Duration),
-    /// No order is answered, and all are executed after this time.
+    /// No order is answered, and all are executed after this time, even if the
+    /// sender has ended.
     LateOrders(Duration),
-    /// Renewals are not answered and are executed after this time.
+    /// Renewals are not answered and are executed after this time, even if the
+    /// sender has ended.
     LateRenewals(Duration),
 }
 
@@ -396,8 +399,8 @@
                 Fault::LateStarts(delay) | Fault::LateOrders(delay) => {
                     let (targets, id, start) =
                         (Arc::clone(&self.0), target.id.clone(), start.clone());
-                    tokio::spawn(async move {
-                        time::sleep(delay).await;
+                    std::thread::spawn(move || {
+                        std::thread::sleep(delay);
                         targets.lock().start(&id, &start);
                     });
                     time::sleep(timeout).await;
@@ -426,8 +429,8 @@
                 Fault::LateOrders(delay) => {
                     let (targets, id, task) =
                         (Arc::clone(&self.0), target.id.clone(), task.clone());
-                    tokio::spawn(async move {
-                        time::sleep(delay).await;
+                    std::thread::spawn(move || {
+                        std::thread::sleep(delay);
                         let _ = targets.stop(&id, &task, run, fence);
                     });
                     time::sleep(timeout).await;
@@ -467,8 +470,8 @@
                     }
                     Fault::LateOrders(delay) | Fault::LateRenewals(delay) => {
                         let (targets, id) = (Arc::clone(&self.0), target.id.clone());
-                        tokio::spawn(async move {
-                            time::sleep(delay).await;
+                        std::thread::spawn(move || {
+                            std::thread::sleep(delay);
                             let _ = targets.renew(&id, renewal);
                         });
                         time::sleep(timeout).await;
