--- a/crates/plan/src/reappeared.rs
+++ b/crates/plan/src/reappeared.rs
@@ -20,6 +20,9 @@
 /// carry out an order seconds late, and then hold a lease of several seconds.
 const RETENTION: Duration = Duration::from_secs(30);
 
+/// Maximum number of runs that are remembered.
+const MAX_RUNS: usize = 10_000;
+
 /// Run that its target lists after it was taken for ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReappearedRun {
@@ -47,10 +50,10 @@
 }
 
 impl GivenUpRuns {
-    /// Records that a run is taken for ended, and forgets old runs.
+    /// Records that a run is taken for ended, and forgets the oldest ones.
     pub(crate) fn insert(&mut self, key: RunKey, evidence: Evidence, now: Duration) {
         while let Some((at, oldest)) = self.oldest.front()
-            && now.saturating_sub(*at) > RETENTION
+            && (now.saturating_sub(*at) > RETENTION || self.oldest.len() >= MAX_RUNS)
         {
             self.runs.remove(oldest);
             self.oldest.pop_front();
--- a/crates/plan/src/restarts.rs
+++ b/crates/plan/src/restarts.rs
@@ -1,18 +1,17 @@
 //! Targets that have restarted.
 //!
 //! A process that has just started has seen no fencing token and carries out what
-//! was meant for the earlier one, also seconds late. Until a listing confirms that
-//! it has seen a token of its own, its lease may be prolonged again and again, so a
-//! run that is not known to be on the earlier process counts for the longest delay
-//! of an order and the longest lease. Such a process shows itself in answers to
-//! orders, by its clock, and in the list of targets.
+//! was meant for the earlier one, also seconds late. Such orders end a lease by
+//! another clock, so that each prolongs it to the longest one that targets accept.
+//! A sign of such a process may be an answer to an order, by its clock, or its entry
+//! in the list of targets. From then on the process is unconfirmed, until it lists
+//! its runs in answer to a token of its own: a run that is not known to be on the
+//! earlier process counts for the longest delay of an order and the longest lease.
 //!
-//! The new process of a target may have carried out orders for the earlier one.
-//! Their leases end by another clock, so its lease may be as long as targets
-//! accept. The next placer has to know this, too: it must wait for the leases of
-//! targets that do not answer, and it may be the first to see a new process.
-//! Therefore the known process of each target is recorded, and a restarted target
-//! gets no work until it is recorded as such.
+//! The next placer has to know this, too: it must wait for the leases of targets
+//! that do not answer, and it may be the first to see a new process. Therefore the
+//! known process of each target is recorded, and a restarted target gets no work
+//! until it is recorded as such.
 
 use std::{
     collections::{HashMap, HashSet},
--- a/crates/plan/src/settings.rs
+++ b/crates/plan/src/settings.rs
@@ -14,7 +14,7 @@
     /// Longest lease that a target accepts. It shortens longer ones to this.
     pub max_target_lease: Duration,
     /// Longest time after which a target carries out an order that it has not
-    /// answered.
+    /// answered. The users' page says "seconds later".
     pub max_order_delay: Duration,
     /// Maximum amount by which the clock of a target runs slow, in thousandths.
     pub max_clock_drift_milli: u32,
