--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -408,18 +408,7 @@
             Event::Accepted(id, spec) => self.planner.accept(&id, *spec, now),
             Event::Cancelled(id) => self.planner.cancel(&id, now),
             Event::ConfigChanged(config) => self.planner.configure(config),
-            Event::TargetsChanged(listed) => {
-                let targets = listed.values().map(|(info, _)| info.clone()).collect();
-                self.planner.set_targets(targets, now);
-                for target in self.note_suspected_restarts() {
-                    if let Some(session) = self.sessions.get(&target) {
-                        session.forget_process(session.process().fence);
-                    }
-                }
-                self.listed = listed;
-                self.start_sessions();
-                self.record_restarts();
-            }
+            Event::TargetsChanged(listed) => self.apply_list(listed, now),
             Event::TargetsConfirmed(at) => self.planner.targets_confirmed(at),
             Event::SnapshotRecorded(held) => {
                 self.is_recording_held = false;
--- a/crates/node/src/placer/targets.rs
+++ b/crates/node/src/placer/targets.rs
@@ -5,7 +5,7 @@
 use base::{Name, clock, emit};
 
 use crate::{
-    external::Target,
+    external::{Target, TargetList},
     placer::{
         run::Placer,
         session::{self, Session},
@@ -17,6 +17,20 @@
 const MAX_ADDRESSES_PER_TARGET: usize = 4;
 
 impl Placer {
+    /// Applies a change of the list of targets.
+    pub(super) fn apply_list(&mut self, listed: TargetList, now: Duration) {
+        let targets = listed.values().map(|(info, _)| info.clone()).collect();
+        self.planner.set_targets(targets, now);
+        for target in self.note_suspected_restarts() {
+            if let Some(session) = self.sessions.get(&target) {
+                session.forget_process(session.process().fence);
+            }
+        }
+        self.listed = listed;
+        self.start_sessions();
+        self.record_restarts();
+    }
+
     /// Starts sessions for the listed targets. A target is first recorded as
     /// held, because runs may be on the target from then on.
     pub(super) fn start_sessions(&mut self) {
--- a/crates/plan/src/adopt.rs
+++ b/crates/plan/src/adopt.rs
@@ -110,6 +110,47 @@
             && !target.has_unknown_runs
     }
 
+    /// Returns whether all runs of earlier terms and their ends are known, or
+    /// the leases of their targets had expired at the beginning of the round.
+    pub(crate) fn is_recovered(&self) -> bool {
+        self.unverified_targets.is_empty()
+    }
+
+    /// Drops the targets that the planner no longer waits for, since leases of
+    /// earlier terms have expired.
+    pub(crate) fn drop_expired_targets(&mut self, now: Duration) {
+        if !self.unverified_targets.is_empty() {
+            let mut unverified = std::mem::take(&mut self.unverified_targets);
+            unverified.retain(|id, expired_at| now < *expired_at || self.is_reading_ends(id, now));
+            self.unverified_targets = unverified;
+        }
+    }
+
+    /// Returns whether a target under a lease of this term has ends that it has
+    /// not listed yet. An end before the expiry of a lease still counts.
+    fn is_reading_ends(&self, id: &Name, now: Duration) -> bool {
+        let target = self.target_ids.get(id).map(|id| &self.targets[id.0 as usize]);
+        target.is_some_and(|target| target.has_unread_ends && target.may_hold_lease(now))
+    }
+
+    /// Returns the targets that may hold runs, or ends that are not recorded: listed
+    /// ones, those with runs that may exist, and those with such ends until their
+    /// lease has expired.
+    pub fn held_targets(&self, now: Duration) -> HashSet<Name> {
+        let may_run = |target: &&Target| {
+            let until = self.unconfirmed_until(target);
+            target.info.availability != Availability::Unlisted
+                || target.may_hold_lease(now) && target.has_open_ends()
+                || target.runs.values().any(|run| target.may_exist(run, now, until))
+        };
+        let unverified_targets = self.unverified_targets.iter();
+        let unverified_targets = unverified_targets
+            .filter(|(_, expired_at)| now < **expired_at)
+            .map(|(name, _)| name.clone());
+        let held = self.targets.iter().filter(may_run).map(|target| target.info.id.clone());
+        held.chain(unverified_targets).collect()
+    }
+
     /// Takes over a target that did not answer the previous placer, with the
     /// runs that may exist on it. The runs are charged until the target answers
     /// or its lease has expired.
