A target that answers one renewal and falls silent, for the test of a known but unlisted process

The test set the target silent from outside after its first listing; since a suspected restart is followed by a request at once, a second listing could come first.

--- a/crates/node/tests/cell/restarts.rs
+++ b/crates/node/tests/cell/restarts.rs
@@ -181,11 +181,9 @@
     let (cell, restarted, other) = cell_with_late_starts_on_a_new_process();
     let targets = &cell.world.targets;
     let listings = targets.listings(&restarted);
-    targets.set_fault(&restarted, Fault::None);
     // The first listing of the new process answers a request for the earlier one.
-    while targets.listings(&restarted) == listings {
-        std::thread::sleep(Duration::from_millis(1));
-    }
+    targets.set_fault(&restarted, Fault::LastListing);
+    wait_until("a listing", || targets.listings(&restarted) > listings);
     cut_off(&cell, &restarted, &other);
     expect_that!(targets.listings(&restarted), eq(listings + 1));
     expect_that!(targets.violations(), is_empty());
--- a/crates/standin/src/cell/targets.rs
+++ b/crates/standin/src/cell/targets.rs
@@ -47,6 +47,8 @@
     None,
     /// No order reaches the target.
     Silent,
+    /// The target answers one renewal, and is silent from then on.
+    LastListing,
     /// Orders are executed, but starts are not answered.
     LosingStartAnswers,
     /// The target is down and answers again as another process at this time.
@@ -387,7 +389,7 @@
                     }
                     (answer, self.0.clock_ms(&target.id))
                 }
-                Fault::Silent | Fault::Down(_) => {
+                Fault::Silent | Fault::LastListing | Fault::Down(_) => {
                     time::sleep(timeout).await;
                     (StartAnswer::Unknown, None)
                 }
@@ -422,7 +424,7 @@
         async move {
             time::sleep(LATENCY).await;
             match self.fault(target) {
-                Fault::Silent | Fault::Down(_) => {
+                Fault::Silent | Fault::LastListing | Fault::Down(_) => {
                     time::sleep(timeout).await;
                     return Err(OrderError::NoAnswer("no answer".to_owned()));
                 }
@@ -477,12 +479,18 @@
                         time::sleep(timeout).await;
                         return Err(OrderError::NoAnswer("no answer".to_owned()));
                     }
-                    Fault::None | Fault::LosingStartAnswers | Fault::LateStarts(_) => {}
+                    Fault::None
+                    | Fault::LastListing
+                    | Fault::LosingStartAnswers
+                    | Fault::LateStarts(_) => {}
                 }
                 let (listing, clock_ms) = self.0.renew(&target.id, renewal)?;
                 if !listing.ended.is_empty() || Instant::now() >= end {
                     if let Some(target_state) = self.0.lock().targets.get_mut(&target.id) {
                         target_state.listings += 1;
+                        if target_state.fault == Fault::LastListing {
+                            target_state.fault = Fault::Silent;
+                        }
                     }
                     return Ok((listing, clock_ms));
                 }
