--- a/review/harness-2/src/cases.rs
+++ b/review/harness-2/src/cases.rs
@@ -164,39 +164,66 @@
     Some(judge_lasting(&cell, record, since))
 }
 
-/// Tasks take far longer than estimated, one on each runner; a task of a service
-/// fails once.
+/// A job with a task on each runner takes 20 times as long as estimated; then a
+/// task of a service fails once.
 pub fn estimates(record: &Arc<Record>, trouble: bool) -> Option<bool> {
-    let runners: usize = std::env::var("RUNNERS").ok().and_then(|v| v.parse().ok()).unwrap_or(4);
-    let estimate: u64 = std::env::var("EST").ok().and_then(|v| v.parse().ok()).unwrap_or(3000);
-    let work: u64 = std::env::var("WORK").ok().and_then(|v| v.parse().ok()).unwrap_or(60000);
-    let work = if trouble { work } else { estimate };
-    let cell = Cell::start(runners, Arc::clone(record))?;
+    const RUNNERS: usize = 4;
+    const ESTIMATE_MS: u64 = 1000;
+    const TIMES: u64 = 20;
+    let work_ms = ESTIMATE_MS * if trouble { TIMES } else { 1 };
+    let cell = Cell::start(RUNNERS, Arc::clone(record))?;
     let service = "00000000000000aa";
     if !cell.submit(service, "serve", r#"{"count":2,"cpu":1000,"memMb":500,"antiAffinity":1,"longRunning":true}"#) {
         return None;
     }
     // Jobs that take as long as estimated.
     for job in 0..40 {
-        let step = format!(r#"{{"count":4,"cpu":1000,"memMb":500,"estimateMs":{estimate}}}"#);
-        if !cell.submit(&format!("{:016x}", 0x1000 + job), &format!("run {estimate}"), &step) {
+        let step = format!(r#"{{"count":4,"cpu":1000,"memMb":500,"estimateMs":{ESTIMATE_MS}}}"#);
+        if !cell.submit(&format!("{:016x}", 0x1000 + job), &format!("run {ESTIMATE_MS}"), &step) {
             return None;
         }
         sleep(Duration::from_millis(250));
     }
-    sleep(Duration::from_millis(estimate + 10_000));
+    sleep(Duration::from_secs(10));
     let since = Instant::now();
-    let step = format!(r#"{{"count":{runners},"cpu":1000,"memMb":500,"antiAffinity":1,"estimateMs":{estimate}}}"#);
-    if !cell.submit("00000000000000bb", &format!("run {work}"), &step) {
+    let step = format!(r#"{{"count":{RUNNERS},"cpu":1000,"memMb":500,"antiAffinity":1,"estimateMs":{ESTIMATE_MS}}}"#);
+    if !cell.submit("00000000000000bb", &format!("run {work_ms}"), &step) {
         return None;
     }
-    sleep(Duration::from_millis(std::env::var("DELAY").ok().and_then(|v| v.parse().ok()).unwrap_or(4000)));
+    sleep(Duration::from_millis(2500));
     let task = format!("{service}.0.0.0");
     let index = cell.runner_of(&task)?;
     cell.runners[index].fail_task(&task);
-    sleep(Duration::from_secs(40));
-    let seen = cell.seen.lock().unwrap().clone();
-    let lasting: Vec<Seen> = seen.into_iter().filter(|seen| seen.task.starts_with(service)).collect();
-    *cell.seen.lock().unwrap() = lasting;
+    sleep(Duration::from_secs(35));
+    cell.seen.lock().unwrap().retain(|seen| seen.task.starts_with(service));
     Some(judge_lasting(&cell, record, since))
 }
+
+/// A client hands in a job with more tasks than can ever be done, and then a
+/// common one.
+pub fn too_many(record: &Arc<Record>, trouble: bool) -> Option<bool> {
+    let mut cell = Cell::start(4, Arc::clone(record))?;
+    let step = |count: u64| format!(r#"{{"count":{count},"cpu":1000,"memMb":500,"estimateMs":1000}}"#);
+    // With TROUBLE=0 one task less, so that the product is below 2^64.
+    let steps = [step(u64::from(u32::MAX)), step(u64::from(u32::MAX)), step(if trouble { 2 } else { 1 })];
+    let body = format!(r#"{{"spec":"run 1000","steps":[{}],"times":2147483648,"startAtMs":0,"intervalMs":0}}"#, steps.join(","));
+    cell.submit_body("00000000000000dd", &body);
+    let started = Instant::now();
+    while started.elapsed() < Duration::from_secs(10) {
+        sleep(Duration::from_millis(100));
+        cell.restart_ended();
+    }
+    let job = "00000000000000bb";
+    if !cell.submit(job, "run 1000", &step(2)) {
+        return None;
+    }
+    let mut exits = Vec::new();
+    let has_run = wait_until(Duration::from_secs(20), || {
+        exits = cell.restart_ended();
+        cell.seen.lock().unwrap().iter().any(|seen| seen.task.starts_with(job))
+    });
+    sleep(Duration::from_secs(2));
+    record.line(&format!("the nodes have ended by themselves this many times: {exits:?}"));
+    record.line(&format!("the common job has begun: {has_run}; its state: {}", cell.state(job)));
+    Some(!has_run)
+}
--- a/review/harness-2/src/cell.rs
+++ b/review/harness-2/src/cell.rs
@@ -1,10 +1,10 @@
 //! A small deployment: the store, runners, and the project's nodes as processes.
 
 use std::{
-    fs::File,
+    fs::OpenOptions,
     net::TcpListener,
     os::unix::process::CommandExt,
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
         Arc, Mutex,
@@ -32,14 +32,19 @@
 
 unsafe extern "C" {
     fn prctl(option: i32, value: u64, a: u64, b: u64, c: u64) -> i32;
+    fn setrlimit(resource: i32, limits: *const [u64; 2]) -> i32;
 }
 
 struct Node {
     process: Child,
     clients: String,
+    /// Number of times that the process has ended by itself.
+    exits: u32,
 }
 
 pub struct Cell {
+    /// Command of a node, from the deploy file.
+    command: String,
     nodes: Vec<Node>,
     pub runners: Vec<Arc<Runner>>,
     _store: Arc<Store>,
@@ -73,6 +78,7 @@
         let folder = std::env::temp_dir().join(format!("review-cell-{}", std::process::id()));
         std::fs::create_dir_all(&folder).ok()?;
         let mut cell = Cell {
+            command: String::new(),
             nodes: Vec::new(),
             runners,
             _store: store,
@@ -86,28 +92,14 @@
         // The command of the only role.
         let deploy = std::fs::read_to_string(DEPLOY_FILE).ok()?;
         let command = deploy.lines().find_map(|line| line.strip_prefix("run = "))?.trim().trim_matches('"').to_owned();
-        let mut words = command.split(' ');
-        let (program, args) = (words.next()?, words.collect::<Vec<_>>());
         for index in 0..NODES {
             let ports = [free_port(), free_port(), free_port(), free_port()];
             let settings = render(&template, index, &ports, &store_server, &advice);
-            let path = cell.folder.join(format!("settings-{index}.jsonc"));
-            std::fs::write(&path, settings).ok()?;
-            let log = File::create(cell.folder.join(format!("node-{index}.log"))).ok()?;
-            let mut command = Command::new(program);
-            command.args(&args);
-            command.env_clear().env("SKYLARKSPAN_CONFIG", &path).env("LANG", "C");
-            command.stdin(Stdio::null()).stdout(log.try_clone().ok()?).stderr(log);
-            // The process ends with this one, whatever happens.
-            unsafe {
-                command.pre_exec(|| {
-                    prctl(1, 9, 0, 0, 0);
-                    Ok(())
-                });
-            }
-            let process = command.spawn().ok()?;
-            cell.nodes.push(Node { process, clients: format!("127.0.0.1:{}", ports[0]) });
+            std::fs::write(settings_path(&cell.folder, index), settings).ok()?;
+            let process = spawn(&command, &cell.folder, index).ok()?;
+            cell.nodes.push(Node { process, clients: format!("127.0.0.1:{}", ports[0]), exits: 0 });
         }
+        cell.command = command;
         cell._servers = vec![store_server, advice];
         let started = Instant::now();
         while started.elapsed() < Duration::from_secs(15) {
@@ -130,10 +122,13 @@
 
     /// Hands a job in as a client does, with repeats.
     pub fn submit(&self, id: &str, spec: &str, steps: &str) -> bool {
-        let body = format!(r#"{{"spec":{},"steps":[{steps}]}}"#, quote(spec));
+        self.submit_body(id, &format!(r#"{{"spec":{},"steps":[{steps}]}}"#, quote(spec)))
+    }
+
+    pub fn submit_body(&self, id: &str, body: &str) -> bool {
         for _ in 0..10 {
             self.record.line(&format!("client sends POST {id} {body}"));
-            let answer = self.call("POST", id, &body);
+            let answer = self.call("POST", id, body);
             self.record.line(&format!("client gets {answer:?}"));
             if answer.is_some_and(|(status, _)| status / 100 == 2) {
                 return true;
@@ -161,6 +156,48 @@
     }
 }
 
+impl Cell {
+    /// Starts the nodes again that have ended by themselves, as the platform does.
+    /// Returns how often each node has ended.
+    pub fn restart_ended(&mut self) -> Vec<u32> {
+        for index in 0..self.nodes.len() {
+            if let Ok(Some(status)) = self.nodes[index].process.try_wait() {
+                self.nodes[index].exits += 1;
+                self.record.line(&format!("node {index} has ended by itself: {status}"));
+                thread::sleep(Duration::from_millis(500));
+                if let Ok(process) = spawn(&self.command, &self.folder, index) {
+                    self.nodes[index].process = process;
+                }
+            }
+        }
+        self.nodes.iter().map(|node| node.exits).collect()
+    }
+}
+
+fn settings_path(folder: &Path, index: usize) -> PathBuf {
+    folder.join(format!("settings-{index}.jsonc"))
+}
+
+/// Starts the process of a node. It may reserve 2 GiB of addresses, so that no
+/// request can fill the machine's memory.
+fn spawn(command: &str, folder: &Path, index: usize) -> std::io::Result<Child> {
+    const MAX_ADDRESSES: u64 = 2 << 30;
+    let mut words = command.split(' ');
+    let log = OpenOptions::new().create(true).append(true).open(folder.join(format!("node-{index}.log")))?;
+    let mut command = Command::new(words.next().unwrap_or_default());
+    command.args(words).env_clear().env("SKYLARKSPAN_CONFIG", settings_path(folder, index)).env("LANG", "C");
+    command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
+    // The process ends with this one, whatever happens.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(1, 9, 0, 0, 0);
+            setrlimit(9, &[MAX_ADDRESSES; 2]);
+            Ok(())
+        });
+    }
+    command.spawn()
+}
+
 impl Drop for Cell {
     fn drop(&mut self) {
         for node in &mut self.nodes {
--- a/review/harness-2/src/main.rs
+++ b/review/harness-2/src/main.rs
@@ -24,6 +24,7 @@
         "failing" => cases::failing(&record, trouble),
         "crashes" => cases::crashes(&record, trouble),
         "backfill" => cases::backfill(&record, trouble),
+        "too-many" => cases::too_many(&record, trouble),
         "estimates" => cases::estimates(&record, trouble),
         _ => None,
     };
