Evacuation of data centres

Operators need to empty a data centre without stopping what runs there: the key op/evacuate/DATA_CENTRE has nothing started there from bounds.evacuate_ms after the store's acknowledgement on, until the key is removed.

The read of op/config every 2 s becomes a read of op/, which the watch already covers, so that the evacuations cost no further request. Keys of other kinds are passed over; values are never decoded. Changes apply by revision, and a set is replaced only by a full read. The planner takes the set of its instance in each round and closes the targets there to starts, advice, reservations, preemption and probes. A leader whose last confirmation is as old as the bound less 1.5 s starts nothing anywhere, and the sender of a start checks again. Frontends refuse the jobs of a pool that is evacuated as a whole, by their own copy of the set. Targets that have just started (coldLeftMs) take tasks with slack first.

Without bounds.evacuate_ms nothing of this is in force, and the store is read as before. The template renders the value as text, which is empty where the platform has none; a section around it would break fillers that only replace placeholders.

Ruled out: a read of op/evacuate/ of its own (twice the reads for deployments without evacuations), the leader telling the others (a new leader would have to read first), and a read at each takeover (the age of the own copy gives the same bound); docs/design/evacuation.md.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -118,4 +118,8 @@
     LinkOpened = 570, "link to the leader opened";
     LinkLost = 571, "link to the leader lost";
     SettingsReloaded = 580, "settings reloaded";
+    EvacuationStarted = 601, "evacuation of a data centre in force";
+    EvacuationEnded = 602, "evacuation of a data centre ended";
+    EvacuationsUnconfirmed = 603, "evacuations not confirmed recently";
+    EvacuationRead = 604, "evacuation of a data centre read";
 }
--- a/crates/node/src/configs.rs
+++ b/crates/node/src/configs.rs
@@ -1,4 +1,7 @@
-//! Configuration in force.
+//! Configuration and evacuations in force.
+//!
+//! One watch and one read at regular intervals follow both, so that evacuations
+//! cost no further requests unless their keys fill more than a page.
 
 use std::{
     sync::{
@@ -10,7 +13,7 @@
 
 use base::{clock, emit};
 use futures::FutureExt;
-use platform::{Changes, Entry, Error, Event, Revision};
+use platform::{Changes, Entry, Error, Event, Page, Revision};
 use tokio::sync::watch::{Receiver, Sender};
 use work::Config;
 
@@ -90,6 +93,11 @@
     let sent = clock::now();
     let Changes { events, revision } =
         ctx.services.store.changes(prefix, after, WATCH_TIMEOUT).await?;
+    if ctx.follows_evacuations() {
+        // A watch follows a full read, so the set is complete.
+        ctx.apply_evacuations(&events);
+        ctx.evacuations.confirm(sent);
+    }
     for event in events {
         if let Event::Put(entry) = event
             && entry.key == key
@@ -102,21 +110,53 @@
     Ok(revision)
 }
 
-/// Reads the whole configuration and returns the revision from which to follow
+/// Reads the whole configuration and all evacuations, and returns the revision from which to follow
 /// changes.
 async fn reread(ctx: &Context) -> Result<Revision, Error> {
-    let (key, _) = ctx.services.catalog.config_key();
+    let (key, prefix) = ctx.services.catalog.config_key();
+    let prefix = if ctx.follows_evacuations() { prefix } else { key };
     let sent = clock::now();
     // The revision of the key itself may already be compacted from the history,
     // so the revision of the page is used.
-    let page = ctx.services.store.page(key, "").await?;
-    let Some(entry) = page.entries.iter().find(|entry| entry.key == key) else {
-        return Ok(page.revision);
+    let page = ctx.services.store.page(prefix, "").await?;
+    // The evacuations come first, so that an instance that knows a configuration
+    // knows them as well. If only they can't be read in full, the configuration
+    // still takes effect.
+    let evacuations =
+        if ctx.follows_evacuations() { read_evacuations(ctx, &page, sent).await } else { Ok(()) };
+    let is_in_page = page.entries.iter().any(|entry| entry.key == key);
+    let config = if is_in_page || !page.has_more || prefix == key {
+        None
+    } else {
+        Some(ctx.services.store.page(key, "").await?)
     };
-    apply(ctx, entry, Source::Read);
-    ctx.configs.confirm(sent);
-    ctx.is_store_failing.store(false, Ordering::Relaxed);
-    Ok(page.revision)
+    let mut entries = config.as_ref().unwrap_or(&page).entries.iter();
+    if let Some(entry) = entries.find(|entry| entry.key == key) {
+        apply(ctx, entry, Source::Read);
+        ctx.configs.confirm(sent);
+        ctx.is_store_failing.store(false, Ordering::Relaxed);
+    }
+    evacuations.map(|()| page.revision)
+}
+
+/// Replaces the evacuations by those of the first page of the watched prefix, and
+/// of further pages if there are any. Other keys under the watched prefix are
+/// passed over.
+async fn read_evacuations(ctx: &Context, first: &Page, sent: Duration) -> Result<(), Error> {
+    let prefix = ctx.services.catalog.evacuation_prefix();
+    let is_evacuation = |entry: &&Entry| entry.key.starts_with(prefix);
+    let mut entries: Vec<Entry> = first.entries.iter().filter(is_evacuation).cloned().collect();
+    let is_past = |entry: &Entry| entry.key.as_str() > prefix && !entry.key.starts_with(prefix);
+    let mut has_more = first.has_more && !first.entries.last().is_some_and(is_past);
+    while has_more {
+        let after = entries.last().map(|entry| entry.key.clone()).unwrap_or_default();
+        let page = ctx.services.store.page(prefix, &after).await?;
+        has_more = page.has_more && !page.entries.is_empty();
+        entries.extend(page.entries);
+    }
+    ctx.replace_evacuations(&entries, first.revision, sent);
+    ctx.evacuations.confirm(sent);
+    Ok(())
 }
 
 fn apply(ctx: &Context, entry: &Entry, source: Source) {
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -14,8 +14,8 @@
 };
 
 use crate::{
-    configs::Configs, external::Services, link::Succession, metrics::Metrics, settings::Settings,
-    states::States, uplink::Uplink,
+    configs::Configs, evacuations::EvacuationState, external::Services, link::Succession,
+    metrics::Metrics, settings::Settings, states::States, uplink::Uplink,
 };
 
 /// Delay after which a client may repeat a request that was refused
@@ -56,6 +56,7 @@
     pub(crate) links_address: Name,
     pub(crate) metrics: Metrics,
     pub(crate) configs: Configs,
+    pub(crate) evacuations: EvacuationState,
     pub(crate) states: States,
     pub(crate) uplink: Uplink,
     /// Whether the last write to the key-value service failed and no request
@@ -93,6 +94,7 @@
             links_address,
             metrics: Metrics::default(),
             configs: Configs::default(),
+            evacuations: EvacuationState::default(),
             states: States::default(),
             uplink: Uplink::default(),
             is_store_failing: AtomicBool::new(false),
--- a/crates/node/src/external.rs
+++ b/crates/node/src/external.rs
@@ -137,6 +137,14 @@
     /// Returns the reason if the value is invalid.
     fn config(&self, value: &[u8]) -> Result<Config, String>;
 
+    /// Returns the key prefix of evacuations, which is within the prefix to watch
+    /// for changes of the configuration.
+    fn evacuation_prefix(&self) -> &'static str;
+
+    /// Returns the data centre that a key evacuates, whatever its value; `None` for
+    /// other keys.
+    fn evacuated_data_centre(&self, key: &str) -> Option<Name>;
+
     /// Returns the key prefix of the targets.
     fn target_prefix(&self) -> &'static str;
 
--- a/crates/node/src/frontend.rs
+++ b/crates/node/src/frontend.rs
@@ -30,6 +30,11 @@
 /// Maximum age of the queue status received from the leader.
 const MAX_QUEUES_AGE: Duration = Duration::from_millis(2500);
 
+/// Delay after which a client may repeat a request for a pool that is evacuated as
+/// a whole. An evacuation lasts long compared with a job, and each attempt costs a
+/// read of the key-value service.
+const EVACUATED_RETRY_AFTER: Duration = Duration::from_secs(5);
+
 /// Handler of client requests.
 #[derive(Clone)]
 pub struct Frontend {
@@ -59,6 +64,7 @@
         let age = self.ctx.configs.age(clock::now());
         !self.ctx.is_stopping()
             && self.ctx.configs.current().version > 0
+            && self.ctx.knows_evacuations()
             && age < self.ctx.settings.max_config_age()
     }
 
@@ -89,6 +95,9 @@
         if config.version == 0 {
             return Err(Failure::busy(RETRY_AFTER, "there is no configuration yet"));
         }
+        if !self.ctx.knows_evacuations() {
+            return Err(Failure::busy(RETRY_AFTER, "the evacuations aren't known yet"));
+        }
         let Some(queue) = config.queue(host, path) else {
             self.check_config_age(&config, self.ctx.settings.max_refusal_age())?;
             return Err(Failure::not_found("there is no such queue"));
@@ -168,14 +177,11 @@
             return Err(Failure::invalid(fault));
         }
         let started_at = clock::now();
-        if let Some(after) = self.refusal(spec) {
+        if let Some((after, reason)) = self.refusal(spec) {
             match self.state(id, time_left.min(DUPLICATE_CHECK_TIMEOUT)).await {
                 // The job was accepted before, so the request is a repeat.
                 Ok(Some(_)) => {}
-                Ok(None) => {
-                    let reason = "the queue has more work than can be done in time";
-                    return Err(Failure::busy(after, reason));
-                }
+                Ok(None) => return Err(Failure::busy(after, reason)),
                 // The job may already be recorded, so "not run" would be wrong. If
                 // it is not recorded, it must not be recorded now.
                 Err(_) => {
@@ -258,16 +264,21 @@
             "config_age_ms" => self.ctx.configs.age(clock::now()).as_millis() as u64);
     }
 
-    /// Returns the delay after which the queue accepts the job, or `None` if
-    /// the queue accepts the job now.
-    fn refusal(&self, spec: &Spec) -> Option<Duration> {
+    /// Returns the delay after which the queue may accept the job, with the reason
+    /// of the refusal, or `None` if the queue accepts the job now.
+    fn refusal(&self, spec: &Spec) -> Option<(Duration, &'static str)> {
+        let evacuations = self.ctx.evacuations.current();
+        if self.ctx.states.is_evacuated(&spec.policy.service, &evacuations) {
+            return Some((EVACUATED_RETRY_AFTER, "all data centres of the pool are evacuated"));
+        }
         // Scheduled and long-running jobs do not compete with the current backlog.
         if spec.schedule.is_some() || spec.steps.iter().any(|step| step.long_running) {
             return None;
         }
         let (after, received_at) = self.ctx.states.refusal(&spec.queue)?;
         let age = clock::now().saturating_sub(received_at);
-        (age < MAX_QUEUES_AGE).then_some(after)
+        let reason = "the queue has more work than can be done in time";
+        (age < MAX_QUEUES_AGE).then_some((after, reason))
     }
 
     /// Reads the state of a job from the key-value service.
--- a/crates/node/src/leadership.rs
+++ b/crates/node/src/leadership.rs
@@ -152,6 +152,10 @@
     let mut configured = ctx.configs.subscribe();
     // A process without a configuration cannot serve as leader.
     let _ = configured.wait_for(|config| config.version > 0).await;
+    // Nor can one that doesn't know the evacuations.
+    while !ctx.knows_evacuations() && !ctx.is_stopping() {
+        time::sleep(RETRY_BACKOFF).await;
+    }
     while !ctx.is_stopping() {
         let outcome = tokio::select! {
             outcome = observe_leader(&ctx) => outcome,
@@ -329,6 +333,7 @@
     };
     set_leader(ctx, None);
     ctx.metrics.leads.set(0);
+    ctx.metrics.evacuated_runs.set(0);
     match ending {
         EndReason::Lost(reason) => {
             emit!(ctx.log, warn, LeadLost; "term" => leadership.term, "why" => reason)
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod configs;
 mod context;
 mod decode;
+mod evacuations;
 pub mod external;
 mod follower;
 mod frontend;
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -76,6 +76,9 @@
     /// Queues that refuse new jobs for now, each with the delay after which the
     /// queue would accept jobs again, in milliseconds.
     pub(crate) refusing: Vec<(Name, u64)>,
+    /// Data centres of the targets of each pool; empty if there are no evacuations.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(crate) pools: Vec<(Name, Vec<Name>)>,
 }
 
 /// State that the leader hands over to its successor.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -45,6 +45,11 @@
     pub(crate) takeovers: Counter,
     /// 1 while this node leads, 0 otherwise.
     pub(crate) leads: Gauge,
+    /// Number of evacuated data centres, as known to this node.
+    pub(crate) evacuations: Gauge,
+    /// Number of runs that may exist in evacuated data centres; 0 unless this node
+    /// leads.
+    pub(crate) evacuated_runs: Gauge,
     /// Time to record a client's request.
     pub(crate) write_time: Histogram,
     /// Response time of start orders.
@@ -71,6 +76,8 @@
             limited_rounds: Counter::default(),
             takeovers: Counter::default(),
             leads: Gauge::default(),
+            evacuations: Gauge::default(),
+            evacuated_runs: Gauge::default(),
             write_time: histogram(),
             start_time: histogram(),
             record_time: histogram(),
@@ -99,6 +106,12 @@
         );
         registry.register("takeovers", "Takeovers of the lead", metrics.takeovers.clone());
         registry.register("leads", "Whether this node leads", metrics.leads.clone());
+        registry.register("evacuations", "Evacuated data centres", metrics.evacuations.clone());
+        registry.register(
+            "evacuated_runs",
+            "Runs left in evacuated data centres",
+            metrics.evacuated_runs.clone(),
+        );
         let times = [
             ("write", "Time to record what a client asks for", &metrics.write_time),
             ("start", "Time for the answer to a start", &metrics.start_time),
--- a/crates/node/src/placer/follow.rs
+++ b/crates/node/src/placer/follow.rs
@@ -8,6 +8,7 @@
 
 use base::{Name, clock, emit};
 use futures::FutureExt;
+use plan::TargetInfo;
 use platform::{Entry, Error, Event as Change, Revision};
 use tokio::{sync::mpsc, time};
 use work::Spec;
@@ -212,7 +213,8 @@
         };
         match ctx.services.catalog.target(&id, &entry.value) {
             Ok(target) => {
-                let is_new = self.targets.get(&id) != Some(&target);
+                let known = self.targets.get(&id);
+                let is_new = !known.is_some_and(|known| is_repeated(known, &target));
                 self.targets.insert(id, target);
                 is_new
             }
@@ -227,6 +229,18 @@
     }
 }
 
+/// Returns whether an entry says no more than the known one of its target. Each
+/// heartbeat of a cold target counts down the time for which it stays slow.
+fn is_repeated(known: &(TargetInfo, Name), entry: &(TargetInfo, Name)) -> bool {
+    let (was, left) = (known.0.cold_left, entry.0.cold_left);
+    let counts_down = left < was && !left.is_zero();
+    let mut entry = entry.clone();
+    if counts_down {
+        entry.0.cold_left = was;
+    }
+    *known == entry
+}
+
 /// Returns the id of the target with this key.
 fn target_name<'a>(key: &'a str, prefix: &str) -> &'a str {
     key.strip_prefix(prefix).unwrap_or_default()
--- a/crates/node/src/placer/frames.rs
+++ b/crates/node/src/placer/frames.rs
@@ -140,7 +140,10 @@
         let ms = |after: Duration| after.as_nanos().div_ceil(1_000_000) as u64;
         let in_ms = |overload: Overload| (overload.queue, ms(overload.retry_after));
         let refusing = overloads.into_iter().map(in_ms).collect();
-        QueueStatus { pending: self.planner.pending(), refusing }
+        // Frontends refuse jobs of pools that are evacuated as a whole, by the
+        // evacuations that they know themselves.
+        let pools = self.pools.clone();
+        QueueStatus { pending: self.planner.pending(), refusing, pools }
     }
 
     /// Adds a linked node and sends all job states and the queue status to it.
--- a/crates/node/src/placer/mod.rs
+++ b/crates/node/src/placer/mod.rs
@@ -10,6 +10,7 @@
 //! ([`peers`]). [`report`] logs what the planner concludes. All tasks end with the
 //! loop.
 
+mod evacuation;
 mod event;
 mod fences;
 mod follow;
--- a/crates/node/src/placer/order.rs
+++ b/crates/node/src/placer/order.rs
@@ -18,12 +18,13 @@
 /// Timeout of the answer to an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Sends the order to start a run, and reports the outcome as an event.
+/// Sends the order to start a run on a target in a data centre, and reports the outcome as an event.
 pub(crate) async fn start(
     ctx: Arc<Context>,
     leadership: Arc<Leadership>,
     session: Arc<Session>,
     start: Start,
+    data_centre: Name,
     lease: Duration,
     events: mpsc::UnboundedSender<Event>,
 ) {
@@ -32,6 +33,8 @@
     let process = session.process();
     let lease_until_ms = process.lease_until_ms(lease, now).filter(|_| leadership.is_valid(now));
     let answer = match lease_until_ms {
+        // The start may have been decided on before the evacuation was known.
+        _ if !ctx.may_start_in(&data_centre, now) => StartAnswer::Refused(Refusal::Evacuated),
         // Without a valid leadership or a known target clock, the order is not
         // sent.
         None => StartAnswer::Refused(Refusal::Late),
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -109,6 +109,10 @@
     pub(super) unsent_advice: Vec<AdviceRequest>,
     /// Whether the last round was made by a current list of targets.
     pub(super) is_list_current: bool,
+    /// Data centres of the targets of each pool; empty if there are no evacuations.
+    pub(super) pools: Vec<(Name, Vec<Name>)>,
+    /// Whether the last round was made by current evacuations.
+    pub(super) are_evacuations_current: bool,
     /// Earliest start of the next placement round.
     pub(super) next_round_at: Duration,
     /// Start of the current search for a successor; `None` if there is no
@@ -167,6 +171,7 @@
                 ..defaults.preemption
             },
             target_lease: defaults.target_lease.min(max_lease),
+            max_evacuation_age: ctx.settings.max_evacuation_age(),
             max_target_lease: max_lease,
             ended_job_retention: Duration::from_secs_f64(
                 ctx.settings.bounds.status_s.max(0.0) + 30.0,
@@ -179,6 +184,8 @@
         let mut planner =
             Planner::new(settings, leadership.term as u32, recorded.held.clone(), now);
         planner.configure(ctx.configs.current());
+        let confirmed_at = ctx.evacuations.confirmed_at();
+        planner.evacuate(ctx.evacuations.current(), confirmed_at, now);
         let mut processes = recorded.closed.processes();
         processes.restarted.extend(leadership.restarted.iter().cloned());
         processes.unconfirmed.extend(leadership.unconfirmed.iter().cloned());
@@ -229,6 +236,8 @@
             peers: Peers::default(),
             unsent_advice: Vec::new(),
             is_list_current: true,
+            pools: Vec::new(),
+            are_evacuations_current: true,
             next_round_at: Duration::ZERO,
             successor_sought_at: None,
             has_asked_all: false,
@@ -304,6 +313,7 @@
     fn run_round(&mut self) {
         let now = clock::now();
         self.log_list_age(now);
+        self.update_evacuations(now);
         if self.leadership.is_valid(now) && now >= self.next_round_at {
             self.planner.decide(now, clock::unix_ms());
             // Under load, the wait lets a round process many events at once.
@@ -371,8 +381,18 @@
                 Some(session) => {
                     let session = Arc::clone(session);
                     session.expect_start(clock::now());
-                    self.tasks
-                        .spawn(order::start(ctx, leadership, session, start, self.lease, events));
+                    let listed = self.listed.get(&start.target);
+                    let data_centre =
+                        listed.map(|(info, _)| info.data_centre.clone()).unwrap_or_default();
+                    self.tasks.spawn(order::start(
+                        ctx,
+                        leadership,
+                        session,
+                        start,
+                        data_centre,
+                        self.lease,
+                        events,
+                    ));
                 }
                 None => order::refuse_start(&ctx, leadership.term, start, &events),
             },
--- a/crates/node/src/placer/targets.rs
+++ b/crates/node/src/placer/targets.rs
@@ -21,6 +21,7 @@
     pub(super) fn apply_list(&mut self, listed: TargetList, now: Duration) {
         let targets = listed.values().map(|(info, _)| info.clone()).collect();
         self.planner.set_targets(targets, now);
+        self.update_pools();
         for target in self.note_suspected_restarts() {
             if let Some(session) = self.sessions.get(&target) {
                 session.forget_process(session.process().fence);
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base::Level;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 
 /// Settings of a node at start. Unknown keys are ignored because later releases
 /// of the platform add keys.
@@ -79,6 +79,28 @@
     pub hold_max_ms: u64,
     /// Time for which the state of a finished job stays available, in seconds.
     pub status_s: f64,
+    /// Time after which nothing may be started in an evacuated data centre, in
+    /// milliseconds; `None` if there are no evacuations. The template of the
+    /// settings renders it as text, which is empty if there is no value.
+    #[serde(deserialize_with = "optional_ms")]
+    pub evacuate_ms: Option<u64>,
+}
+
+/// Decodes a time in milliseconds, as a number or as text. Text without a number
+/// means that there is no value.
+fn optional_ms<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<u64>, D::Error> {
+    #[derive(Deserialize)]
+    #[serde(untagged)]
+    enum Value {
+        Number(f64),
+        Text(String),
+    }
+    let value = match Option::<Value>::deserialize(deserializer)? {
+        Some(Value::Number(ms)) => Some(ms),
+        Some(Value::Text(text)) => text.trim().parse().ok(),
+        None => None,
+    };
+    Ok(value.map(|ms: f64| ms as u64))
 }
 
 /// Bounds of the users' deployments.
@@ -90,6 +112,7 @@
             grace_s: 6.0,
             hold_max_ms: 10_000,
             status_s: 120.0,
+            evacuate_ms: None,
         }
     }
 }
@@ -170,6 +193,18 @@
         Duration::from_millis(self.bounds.config_apply_ms)
     }
 
+    /// Returns the age of the last confirmation from which evacuations may exist
+    /// that are not known; nothing is started then. `None` if there are no
+    /// evacuations.
+    pub(crate) fn max_evacuation_age(&self) -> Option<Duration> {
+        /// Time that a start takes to reach its target: the timeout of an order,
+        /// and as much again for a busy instance and a slow link, with the wait
+        /// for a connection.
+        const START_MARGIN_MS: u64 = 1500;
+        let age_ms = self.bounds.evacuate_ms?.saturating_sub(START_MARGIN_MS);
+        Some(Duration::from_millis(age_ms))
+    }
+
     /// Returns the maximum age of the last confirmed configuration; keys are
     /// refused when the configuration is older.
     pub(crate) fn max_config_age(&self) -> Duration {
--- a/crates/node/src/states.rs
+++ b/crates/node/src/states.rs
@@ -7,7 +7,7 @@
 };
 
 use base::Name;
-use work::JobState;
+use work::{Evacuations, JobState};
 
 use crate::link::QueueStatus;
 
@@ -31,6 +31,8 @@
     jobs: HashMap<Name, (JobState, Duration)>,
     pending: HashMap<Name, u32>,
     refusing: HashMap<Name, Duration>,
+    /// Data centres of the targets of each pool.
+    pools: HashMap<Name, Vec<Name>>,
     queues_received_at: Option<Duration>,
     next_sweep_size: usize,
 }
@@ -64,6 +66,7 @@
         let after = |(queue, after_ms)| (queue, Duration::from_millis(after_ms));
         table.pending = queues.pending.into_iter().collect();
         table.refusing = queues.refusing.into_iter().map(after).collect();
+        table.pools = queues.pools.into_iter().collect();
         table.queues_received_at = Some(now);
     }
 
@@ -82,6 +85,16 @@
         Some((*table.refusing.get(queue)?, table.queues_received_at?))
     }
 
+    /// Returns whether all data centres of a pool are in `evacuations`, by the last
+    /// queue status. A pool without known targets counts as not evacuated.
+    pub(crate) fn is_evacuated(&self, pool: &str, evacuations: &Evacuations) -> bool {
+        let table = self.lock();
+        table.pools.get(pool).is_some_and(|data_centres| {
+            !data_centres.is_empty()
+                && data_centres.iter().all(|data_centre| evacuations.contains(data_centre))
+        })
+    }
+
     fn lock(&self) -> MutexGuard<'_, Table> {
         self.table.lock().expect("no thread panics while holding the lock")
     }
--- a/crates/node/tests/cell/main.rs
+++ b/crates/node/tests/cell/main.rs
@@ -2,6 +2,7 @@
 //! observed, or that the platform's operators describe.
 
 mod common;
+mod evacuation;
 mod jobs;
 mod leadership;
 mod links;
--- a/crates/plan/src/admit.rs
+++ b/crates/plan/src/admit.rs
@@ -237,11 +237,11 @@
         demands
     }
 
-    /// Returns the total capacity of each pool.
+    /// Returns the total capacity of each pool, without evacuated targets.
     fn capacities(&self) -> HashMap<Name, PoolCapacity> {
         let mut capacities: HashMap<Name, PoolCapacity> = HashMap::new();
-        for Target { info, .. } in &self.targets {
-            if info.availability != Availability::Unlisted {
+        for Target { info, is_evacuated, .. } in &self.targets {
+            if info.availability != Availability::Unlisted && !is_evacuated {
                 capacities.entry(info.service.clone()).or_default().add(info.capacity);
             }
         }
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     action::{Action, Start, Stop, StopCause},
+    cold::{COLD_CLASS, Spared},
     job::Origin,
     permission::Permission,
     planner::Planner,
@@ -38,6 +39,7 @@
     /// Number of short advice requests that were deferred in this round.
     pub(crate) deferred_short_requests: u32,
     pub(crate) preemptible: Preemptible,
+    pub(crate) spared: Spared,
 }
 
 /// Data of a target that most steps need. Kept small, because each round reads
@@ -62,7 +64,11 @@
             capacity: target.info.capacity,
             is_probed: target.health.is_suspected(),
             takes_faulty: !target.health.is_suspected() || target.health.is_probe_overdue(now),
-            speed_class: target.speed.class(now),
+            speed_class: if target.is_cold(now) {
+                COLD_CLASS
+            } else {
+                target.speed.class(now).min(COLD_CLASS - 1)
+            },
         }
     }
 }
@@ -147,7 +153,10 @@
         self.clear_ended_jobs(now);
         self.resend_stops(now);
         self.begin_due_occurrences(unix_ms, now);
-        if !self.is_list_current(now) || !std::mem::take(&mut self.is_changed) {
+        if !self.is_list_current(now)
+            || !self.are_evacuations_current(now)
+            || !std::mem::take(&mut self.is_changed)
+        {
             return;
         }
         let mut round = Round {
@@ -157,6 +166,7 @@
             full_shapes: FullShapes::default(),
             deferred_short_requests: 0,
             preemptible: std::mem::take(&mut self.preemptible).refreshed(self.targets.len(), now),
+            spared: Spared::default(),
         };
         if !self.is_recovered() {
             round.unverified_usage = self.unverified_usage();
@@ -255,6 +265,7 @@
             self.request_step_advice(key, &spec, &slots, wanted, round, now);
             slots.retain(|slot| slot.has_ticket(valid_at));
         }
+        self.spare_cold(key, &mut slots, round);
         let preference = self.speed_preference(key, self.last_round_unix_ms);
         let is_suspect = self.step_state(key).is_some_and(StepState::has_waiting_suspects);
         let chosen = choose_targets(step, slots, preference, is_suspect, wanted, self);
@@ -484,6 +495,7 @@
             && !step.same_rack
             && !is_far
             && checkpoint.is_none()
+            && !target_state.is_cold(now)
             && step.estimate_ms > 0;
         let entry = Run {
             started_at: is_comparable.then_some(now),
--- a/crates/plan/src/listing.rs
+++ b/crates/plan/src/listing.rs
@@ -82,6 +82,9 @@
     /// The target has started again, and orders for its earlier process are
     /// fenced off.
     Restarted,
+    /// The target's data centre is evacuated, or that can't be ruled out; the order
+    /// was not sent.
+    Evacuated,
     /// The target is unhealthy, or the order was malformed.
     Unable,
 }
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -17,6 +17,7 @@
     blame::Blame,
     crash::Crash,
     ends::ReleasedRun,
+    evacuation::Evacuation,
     job::{Job, Origin},
     preempt::{Preemptible, Reservation},
     reappeared::{GivenUpRuns, ReappearedRun},
@@ -41,6 +42,8 @@
     /// Time at which the list of targets was last known to be current; `None`
     /// before the first confirmation.
     pub(crate) targets_confirmed_at: Option<Duration>,
+    /// Evacuated data centres.
+    pub(crate) evacuation: Evacuation,
     pub(crate) jobs: HashMap<Name, Job>,
     /// Resources of the runs of each team that may exist.
     pub(crate) team_usage: Usage,
@@ -302,6 +305,10 @@
             unlisted.remove(&id);
             let target = &mut self.targets[id.0 as usize];
             target.has_drained = info.availability == Availability::Draining;
+            target.is_evacuated = self.evacuation.covers(&info.data_centre);
+            if self.settings.max_evacuation_age.is_some() {
+                target.update_cold(&info, now);
+            }
             target.info = info;
             self.check_listed_process(id, now);
         }
--- a/crates/plan/src/rank.rs
+++ b/crates/plan/src/rank.rs
@@ -16,7 +16,7 @@
 use base::Resources;
 use work::{Policy, Step, StepKey};
 
-use crate::{planner::Planner, share::Entitlement};
+use crate::{cold::COLD_CLASS, planner::Planner, share::Entitlement};
 
 /// Multiple of its objective after which the result of a job is of no use.
 const USELESS_OBJECTIVE_RATIO: u64 = 3;
@@ -59,7 +59,8 @@
     pub(crate) fn order(self, class: i8) -> i8 {
         match self {
             Self::Fast => class,
-            Self::Any => 0,
+            // A cold target suits only tasks with slack.
+            Self::Any => i8::from(class == COLD_CLASS),
             Self::Slow => class.saturating_neg(),
         }
     }
@@ -113,7 +114,10 @@
         /// Utilisation of the cell below which the cell has spare capacity, in
         /// thousandths.
         const SPARE_UTILISATION_LIMIT_MILLI: u64 = 600;
-        let ready = self.targets.iter().filter(|target| target.last_contact_at.is_some());
+        let ready = self
+            .targets
+            .iter()
+            .filter(|target| target.last_contact_at.is_some() && !target.is_evacuated);
         let (used, whole) = ready.fold((0, 0), |(used, whole), target| {
             let cpu = |size: Resources| u64::from(size.cpu_milli);
             (used + cpu(target.allocated), whole + cpu(target.info.capacity))
--- a/crates/plan/src/search.rs
+++ b/crates/plan/src/search.rs
@@ -105,8 +105,23 @@
     /// Places the waiting steps in order of rank, as far as the searches for
     /// targets suffice.
     pub(crate) fn place_waiting(&mut self, unix_ms: u64, round: &mut Round, now: Duration) {
+        round.spared.is_active = self.targets.iter().any(|target| target.is_cold(now));
+        let is_limited = self.place_in_order(self.ordered_steps(unix_ms), round, now);
+        if std::mem::take(&mut round.spared.is_active) {
+            let spared = std::mem::take(&mut round.spared.steps);
+            self.place_in_order(spared, round, now);
+        }
+        if is_limited {
+            self.limited_rounds += 1;
+        } else {
+            self.searched_steps.clear();
+        }
+    }
+
+    /// Places steps in this order. Returns whether the searches did not suffice.
+    fn place_in_order(&mut self, steps: Vec<StepKey>, round: &mut Round, now: Duration) -> bool {
         let mut budget = SearchBudget::new(self.settings.max_searches_per_round);
-        for key in self.ordered_steps(unix_ms) {
+        for key in steps {
             if budget.is_spent() {
                 break;
             }
@@ -118,11 +133,7 @@
                 self.place_step(&key, wanted, round, now);
             }
         }
-        if budget.is_spent() {
-            self.limited_rounds += 1;
-        } else {
-            self.searched_steps.clear();
-        }
+        budget.is_spent()
     }
 
     /// Returns the number of tasks of a step to start, or `None` if no search
--- a/crates/plan/src/settings.rs
+++ b/crates/plan/src/settings.rs
@@ -26,6 +26,9 @@
     /// Time since the list of targets was last confirmed after which nothing is
     /// started. A target may have shrunk or given notice meanwhile.
     pub max_list_age: Duration,
+    /// Time since the evacuations were last confirmed after which nothing is
+    /// started; `None` if there are no evacuations.
+    pub max_evacuation_age: Option<Duration>,
     /// Time before its expiry from which a ticket is no longer used. Covers the
     /// time to send a start to the farthest target.
     pub ticket_margin: Duration,
@@ -128,6 +131,7 @@
             contact_timeout: Duration::from_millis(2500),
             idle_contact_margin: Duration::from_millis(1500),
             max_list_age: Duration::from_millis(5000),
+            max_evacuation_age: None,
             ticket_margin: Duration::from_millis(150),
             health_thresholds: Thresholds {
                 min_failures: 3,
--- a/crates/plan/src/target.rs
+++ b/crates/plan/src/target.rs
@@ -48,6 +48,9 @@
     /// Start time of the target's process, in milliseconds since 1970; 0 if
     /// unknown.
     pub born_unix_ms: u64,
+    /// Time for which the target stays slow after its start; zero if it has its
+    /// usual speed.
+    pub cold_left: Duration,
 }
 
 /// Highest number up to which all ends of a target process are recorded.
@@ -183,6 +186,10 @@
     pub(crate) born_unix_ms: u64,
     /// Start time of the process before that one.
     pub(crate) earlier_born_unix_ms: u64,
+    /// Whether the target's data centre is evacuated; nothing may be started.
+    pub(crate) is_evacuated: bool,
+    /// Time until which the target is slow because it has started recently.
+    pub(crate) cold_until: Duration,
     /// Whether the target was last listed as about to leave.
     pub(crate) has_drained: bool,
     /// Runs that were given up since the last listing because the lease had
@@ -275,6 +282,7 @@
     ) -> bool {
         let contact_timeout = if self.runs.is_empty() { idle_timeout } else { contact_timeout };
         self.info.availability == Availability::Ready
+            && !self.is_evacuated
             && self
                 .last_contact_at
                 .is_some_and(|contact| now.saturating_sub(contact) < contact_timeout)
--- a/crates/plan/tests/decisions/cell.rs
+++ b/crates/plan/tests/decisions/cell.rs
@@ -61,8 +61,12 @@
 
 impl Cell {
     pub fn new(targets: u32) -> Self {
+        Self::with_settings(targets, Settings::default())
+    }
+
+    pub fn with_settings(targets: u32, settings: Settings) -> Self {
         let names = (0..targets).map(|number| Name::from(format!("target-{number}")));
-        let planner = Planner::new(Settings::default(), 1, HashSet::new(), Duration::from_secs(1));
+        let planner = Planner::new(settings, 1, HashSet::new(), Duration::from_secs(1));
         let mut cell = Self {
             planner,
             now: Duration::from_secs(1),
--- a/crates/plan/tests/decisions/main.rs
+++ b/crates/plan/tests/decisions/main.rs
@@ -6,6 +6,7 @@
 mod blame;
 mod cell;
 mod crashes;
+mod evacuation;
 mod gangs;
 mod leases;
 mod lifecycle;
--- a/crates/standin/src/cell/store.rs
+++ b/crates/standin/src/cell/store.rs
@@ -50,11 +50,21 @@
     SilentPages,
     /// Reads of pages and of changes are not answered; other requests succeed.
     SilentLists,
+    /// Reads of pages and of changes of keys with this prefix are not answered; other
+    /// requests succeed.
+    SilentPrefix(&'static str),
     /// The next commit is not answered and is executed after this time, if the
     /// expected revisions still match.
     LateCommit(Duration),
 }
 
+impl Fault {
+    /// Returns whether reads of keys with `prefix` are not answered.
+    fn silences(self, prefix: &str) -> bool {
+        matches!(self, Self::SilentPrefix(silent) if prefix.starts_with(silent))
+    }
+}
+
 /// Key-value service, shared by all instances.
 #[derive(Default)]
 pub struct Store {
@@ -76,6 +86,8 @@
     commits: u32,
     /// Number of requests for changes, by prefix.
     change_requests: HashMap<String, u32>,
+    /// Number of requests for pages, by prefix.
+    page_requests: HashMap<String, u32>,
 }
 
 struct Item {
@@ -132,6 +144,11 @@
         self.lock().change_requests.get(prefix).copied().unwrap_or_default()
     }
 
+    /// Returns the number of requests for pages of the keys with a prefix.
+    pub fn page_requests(&self, prefix: &str) -> u32 {
+        self.lock().page_requests.get(prefix).copied().unwrap_or_default()
+    }
+
     /// Drops the history, so that clients can't continue from an older revision.
     pub fn compact_history(&self) {
         let mut state = self.lock();
@@ -254,6 +271,7 @@
             | Fault::RefusingWrites
             | Fault::SilentPages
             | Fault::SilentLists
+            | Fault::SilentPrefix(_)
             | Fault::LateCommit(_) => Ok(()),
             Fault::Refusing => Err(Error::NotRun { reason: "refused".to_owned() }),
             Fault::Silent => {
@@ -303,8 +321,11 @@
         /// Entries of a page; few, so that tests read several pages.
         const MAX_PAGE_ENTRIES: usize = 5;
         async move {
+            *self.store.lock().page_requests.entry(prefix.to_owned()).or_default() += 1;
             self.receive().await?;
-            if matches!(self.fault(), Fault::SilentPages | Fault::SilentLists) {
+            if matches!(self.fault(), Fault::SilentPages | Fault::SilentLists)
+                || self.fault().silences(prefix)
+            {
                 time::sleep(PAGE_TIMEOUT).await;
                 return Err(Error::Unknown { reason: "no answer".to_owned() });
             }
@@ -349,7 +370,7 @@
             self.receive().await?;
             let end = Instant::now() + wait;
             loop {
-                if self.fault() == Fault::SilentLists {
+                if self.fault() == Fault::SilentLists || self.fault().silences(prefix) {
                     time::sleep(wait + CHANGES_MARGIN).await;
                     return Err(Error::Unknown { reason: "no answer".to_owned() });
                 }
--- a/crates/standin/src/cell/world.rs
+++ b/crates/standin/src/cell/world.rs
@@ -19,6 +19,7 @@
 
 const CONFIG_KEY: &str = "operator/config";
 const CONFIG_PREFIX: &str = "operator/";
+const EVACUATION_PREFIX: &str = "operator/evacuate/";
 const TARGET_PREFIX: &str = "targets/";
 const SERVICE: &str = "pool";
 
@@ -76,6 +77,25 @@
         self.add_target_at(id, id, size, slots);
     }
 
+    /// Moves a target to a data centre.
+    pub fn move_target(&self, number: usize, data_centre: &str) {
+        {
+            let mut targets = self.registry.targets.lock().expect("no holder of the lock panics");
+            targets[number].0.data_centre = Name::from(data_centre);
+        }
+        self.republish_target(number);
+    }
+
+    /// Evacuates a data centre; the value of the key is arbitrary.
+    pub fn evacuate(&self, data_centre: &str, value: &'static [u8]) {
+        self.store.put(&format!("{EVACUATION_PREFIX}{data_centre}"), Bytes::from_static(value));
+    }
+
+    /// Revokes the evacuation of a data centre.
+    pub fn revoke_evacuation(&self, data_centre: &str) {
+        self.store.remove(&format!("{EVACUATION_PREFIX}{data_centre}"));
+    }
+
     /// Crashes a target, which comes back at its address under another id.
     pub fn replace_target(&self, id: &Name, new: &Name, size: Resources, slots: u32) {
         let address = {
@@ -207,6 +227,14 @@
         configs.get(index(value)?).cloned().ok_or_else(|| "no such configuration".to_owned())
     }
 
+    fn evacuation_prefix(&self) -> &'static str {
+        EVACUATION_PREFIX
+    }
+
+    fn evacuated_data_centre(&self, key: &str) -> Option<Name> {
+        key.strip_prefix(EVACUATION_PREFIX).map(Name::from)
+    }
+
     fn target_prefix(&self) -> &'static str {
         TARGET_PREFIX
     }
--- a/crates/work/src/lib.rs
+++ b/crates/work/src/lib.rs
@@ -5,12 +5,14 @@
 //! values, stored through serde as CBOR.
 
 mod config;
+mod evacuations;
 mod progress;
 mod record;
 mod spec;
 mod state;
 
 pub use config::{Advice, Config, Limits, Policy, Queue, Service, Team};
+pub use evacuations::Evacuations;
 pub use progress::{Progress, StepProgress};
 pub use record::{DecodeError, decode, encode};
 pub use spec::{Schedule, Spec, Step, StepKey, TaskKey};
