Tests of spare capacity and cold targets for gangs

Two lines of rank.rs could be removed without a failing test: the free room of evacuated targets counted as spare capacity, which puts late work first on the targets that are left, and steps of medium slack took cold targets as any other.

--- a/crates/plan/tests/decisions/evacuation.rs
+++ b/crates/plan/tests/decisions/evacuation.rs
@@ -334,3 +334,34 @@
     let starts = cell.decide_starts();
     expect_that!(targets(&starts)[0], eq("target-0"));
 }
+
+#[gtest]
+fn gang_without_slack_takes_cold_targets_last() {
+    let mut cell = cell(2);
+    list_cold(&mut cell, "target-0", COLD_TIME);
+    cell.accept("gang", vec![Step { gang: true, estimate_ms: 5000, ..step(10) }]);
+    let starts = cell.decide_starts();
+    let warm = targets(&starts).into_iter().filter(|target| *target == "target-1").count();
+    expect_that!((starts.len(), warm), eq((10, 8)));
+}
+
+#[gtest]
+fn room_on_evacuated_targets_does_not_count_as_spare_capacity() {
+    // Late work goes first while much of the cell is free. If the free room of an
+    // evacuated data centre counted, late work would go before work in time on the
+    // targets that are left.
+    let mut cell = cell(2);
+    evacuate(&mut cell, &["dc-0"]);
+    cell.accept("running", vec![step(8)]);
+    let running = start_all(&mut cell);
+    cell.accept("late", vec![step(4)]);
+    cell.advance(Duration::from_secs(4));
+    cell.list_nothing_as_of("target-0", cell.now);
+    cell.list_running(&running);
+    evacuate_again(&mut cell, &["dc-0"]);
+    cell.accept("in time", vec![step(4)]);
+    cell.end_run(&running[0], End::Done);
+    let starts = cell.decide_starts();
+    expect_that!(targets_of(&starts, "in time").len(), eq(1));
+    expect_that!(targets_of(&starts, "late"), is_empty());
+}
