Budgets for the connections and requests of untrusted clients

node::intake derives from limits.memory_mb and limits.max_fds how many connections each port may have and how many bytes of requests may be held. A body is charged before it is read, with its declared length or in growing parts, into a buffer of its own; its job is charged for its copies and steps before it is parsed. When the budget is used up, requests that have gone longest without progress make room, those without a valid key first; the rest is refused with 503 and Retry-After. A full port closes the connection of the lowest standing that has gone longest without progress. Heads must be complete within headerTimeoutMs, bodies within X-Deadline-Ms. Links and the readiness and metrics ports have parts of their own. Sockets get a receive buffer of 8 KiB, as received bytes count towards the memory. A failed accept pauses with backoff and a log line, also at the daemon's metrics port, which retried without a pause.

hyper's own time limit for heads is off: it also runs between requests (30 s by default), and clients keep connections open for longer.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -118,4 +118,6 @@
     LinkOpened = 570, "link to the leader opened";
     LinkLost = 571, "link to the leader lost";
     SettingsReloaded = 580, "settings reloaded";
+    ClientsLimited = 661, "clients refused or disconnected for lack of room or time";
+    AcceptFailed = 662, "connection not accepted";
 }
--- a/crates/daemon/src/connection/metrics.rs
+++ b/crates/daemon/src/connection/metrics.rs
@@ -1,7 +1,8 @@
 //! HTTP endpoint of the metrics.
 
-use std::{convert::Infallible, sync::Arc};
+use std::{convert::Infallible, sync::Arc, time::Duration};
 
+use base::emit;
 use http::{Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::{
@@ -10,17 +11,27 @@
     service::service_fn,
 };
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
+use slog::Logger;
+use tokio::{net::TcpListener, time};
 
 use crate::process::Metrics;
 
+/// Pause after a failed `accept`. Without one, a process out of descriptors would
+/// spend all its time on attempts.
+const ACCEPT_BACKOFF: Duration = Duration::from_millis(100);
+
 const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
 /// Serves `GET /metrics` until the process stops.
-pub(crate) async fn serve_metrics(metrics: Arc<Metrics>, listener: TcpListener) {
+pub(crate) async fn serve_metrics(metrics: Arc<Metrics>, log: Logger, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                emit!(log, warn, ListenerFailed; "port" => "metrics", "reason" => %error);
+                time::sleep(ACCEPT_BACKOFF).await;
+                continue;
+            }
         };
         let metrics = Arc::clone(&metrics);
         tokio::spawn(async move {
--- a/crates/daemon/src/process/run.rs
+++ b/crates/daemon/src/process/run.rs
@@ -87,7 +87,7 @@
     let peers = listen("peers.listen", &settings.peers.listen).await?;
     if !settings.metrics.listen.is_empty() {
         let listener = listen("metrics.listen", &settings.metrics.listen).await?;
-        tokio::spawn(serve_metrics(Arc::clone(&metrics), listener));
+        tokio::spawn(serve_metrics(Arc::clone(&metrics), log.clone(), listener));
     }
 
     let ctx = Arc::new(Context::new(
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -14,8 +14,14 @@
 };
 
 use crate::{
-    configs::Configs, external::Services, link::Succession, metrics::Metrics, settings::Settings,
-    states::States, uplink::Uplink,
+    configs::Configs,
+    external::Services,
+    intake::{Budget, Gate},
+    link::Succession,
+    metrics::Metrics,
+    settings::Settings,
+    states::States,
+    uplink::Uplink,
 };
 
 /// Delay after which a client may repeat a request that was refused
@@ -55,6 +61,8 @@
     /// Address of the links listener, `host:port`.
     pub(crate) links_address: Name,
     pub(crate) metrics: Metrics,
+    /// Entry of all connections to this process.
+    pub(crate) gate: Arc<Gate>,
     pub(crate) configs: Configs,
     pub(crate) states: States,
     pub(crate) uplink: Uplink,
@@ -85,13 +93,17 @@
         let address = links.local_addr().map(|address| Name::from(address.to_string()));
         let links_address = address.unwrap_or_else(|_| Name::from(settings.links.as_str()));
         let process = getrandom::u64().unwrap_or_else(|_| base::clock::unix_ms());
+        let metrics = Metrics::default();
+        let budget = Budget::new(&settings.limits, &work::Limits::default());
+        let gate = Gate::new(budget, metrics.gates.clone(), log.clone());
         Arc::new(Self {
             settings,
             log,
             services,
             links,
             links_address,
-            metrics: Metrics::default(),
+            metrics,
+            gate,
             configs: Configs::default(),
             states: States::default(),
             uplink: Uplink::default(),
@@ -116,6 +128,11 @@
         self.leader.borrow().as_ref().is_some_and(|leader| leader.process == self.process)
     }
 
+    /// Returns what clients may use under the configuration in force.
+    pub(crate) fn budget(&self) -> Budget {
+        Budget::new(&self.settings.limits, &self.configs.current().limits)
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         *self.stopping.borrow()
     }
--- a/crates/node/src/frontend.rs
+++ b/crates/node/src/frontend.rs
@@ -13,6 +13,7 @@
 use crate::{
     context::{Context, RESEND_BACKOFF, RETRY_AFTER},
     decode::decode,
+    intake::Gate,
     keys,
     metrics::Metrics,
     writes,
@@ -49,6 +50,13 @@
     pub max_body_bytes: usize,
 }
 
+impl Admission {
+    /// Returns whether the request had a valid key.
+    pub fn has_key(&self) -> bool {
+        !self.team.is_empty()
+    }
+}
+
 impl Frontend {
     pub(crate) fn new(ctx: Arc<Context>) -> Self {
         Self { ctx }
@@ -62,6 +70,16 @@
             && age < self.ctx.settings.max_config_age()
     }
 
+    /// Returns the entry of all connections to this process.
+    pub fn gate(&self) -> &Arc<Gate> {
+        &self.ctx.gate
+    }
+
+    /// Returns the maximum size of a stored job, in bytes.
+    pub fn max_record_bytes(&self) -> usize {
+        self.ctx.settings.limits.job_bytes
+    }
+
     /// Returns whether open client connections should be closed.
     pub fn is_closing(&self) -> bool {
         self.ctx.is_stopping()
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -8,14 +8,24 @@
     stream::{SplitSink, SplitStream},
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
-use tokio::{net::TcpStream, sync::mpsc, time};
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    net::TcpStream,
+    sync::mpsc,
+    time,
+};
 use tokio_tungstenite::{
     WebSocketStream,
-    tungstenite::{self, Message},
+    tungstenite::{self, Message, protocol::WebSocketConfig},
 };
 use work::{JobState, Spec, StepKey, TaskKey};
 
-use crate::{context::Context, follower};
+use crate::{
+    context::Context,
+    follower,
+    intake::{Metered, Port},
+    listen,
+};
 
 /// Interval between heartbeats on a link.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(700);
@@ -24,12 +34,23 @@
 /// opening a link.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(2200);
 
-/// Back-off before a failed link is dialled again, and after a failure to
-/// accept a connection.
+/// Time limit for sending a frame. A peer that doesn't read would otherwise let
+/// frames pile up in memory. The largest first frames take about a second on a link
+/// of ten megabits per second.
+const SEND_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Size of the read buffer of an accepted link. The default of 128 KiB would be
+/// most of the memory of a link.
+const READ_BUFFER_BYTES: usize = 8 << 10;
+
+/// Size of a message from a node besides the job in it.
+const MESSAGE_MARGIN_BYTES: usize = 64 << 10;
+
+/// Back-off before a failed link is dialled again.
 const DIAL_BACKOFF: Duration = Duration::from_millis(150);
 
 /// Sending side of a link.
-type FrameSink = SplitSink<WebSocketStream<TcpStream>, Message>;
+type FrameSink<T> = SplitSink<WebSocketStream<T>, Message>;
 
 /// Frame sent by the leader to a node.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -204,7 +225,7 @@
     let _ = to_leader.send(PeerFrame::Hello { instance, strength_milli });
     let _connection = ctx.uplink.open(to_leader.clone());
     tokio::select! {
-        reason = exchange(socket, outgoing, PeerFrame::Heartbeat, from_leader) => reason,
+        reason = exchange(socket, outgoing, PeerFrame::Heartbeat, from_leader, || ()) => reason,
         () = follower::handle_frames(ctx, leader_frames, to_leader) => "closed".to_owned(),
     }
 }
@@ -213,24 +234,33 @@
 /// node that connects.
 pub(crate) async fn accept_links(ctx: Arc<Context>, joined: mpsc::UnboundedSender<PeerLink>) {
     loop {
-        let Ok((stream, _)) = ctx.links.accept().await else {
-            // Usually the process has run out of file descriptors. Connections that
-            // close free some.
-            time::sleep(DIAL_BACKOFF).await;
-            continue;
-        };
-        tokio::spawn(accept_link(Arc::clone(&ctx), stream, joined.clone()));
+        let stream = listen::accept(&ctx.links, &ctx.gate, Port::Links).await;
+        let pass = Arc::clone(stream.pass());
+        let link = accept_link(Arc::clone(&ctx), stream, joined.clone());
+        tokio::spawn(async move {
+            tokio::select! {
+                () = link => {}
+                () = pass.closed() => {}
+            }
+        });
     }
 }
 
 async fn accept_link(
     ctx: Arc<Context>,
-    stream: TcpStream,
+    stream: Metered<TcpStream>,
     joined: mpsc::UnboundedSender<PeerLink>,
 ) {
+    let pass = Arc::clone(stream.pass());
+    let max_bytes = ctx.settings.limits.job_bytes + MESSAGE_MARGIN_BYTES;
+    let config = WebSocketConfig::default()
+        .read_buffer_size(READ_BUFFER_BYTES)
+        .max_message_size(Some(max_bytes))
+        .max_frame_size(Some(max_bytes));
     let open = async {
-        stream.set_nodelay(true).ok()?;
-        let mut socket = tokio_tungstenite::accept_async(stream).await.ok()?;
+        let accepted = tokio_tungstenite::accept_async_with_config(stream, Some(config));
+        let mut socket = accepted.await.ok()?;
+        pass.settle();
         let hello = socket.next().await?.ok()?;
         match decode(&hello) {
             Some(PeerFrame::Hello { instance, strength_milli }) => {
@@ -243,6 +273,8 @@
     else {
         return;
     };
+    pass.trust();
+    pass.settle();
     let (sender, outgoing) = mpsc::unbounded_channel();
     let (incoming, peer_frames) = mpsc::unbounded_channel();
     if joined
@@ -256,31 +288,33 @@
     {
         return;
     }
-    let reason = exchange(socket, outgoing, LeaderFrame::Heartbeat, incoming).await;
+    let reason =
+        exchange(socket, outgoing, LeaderFrame::Heartbeat, incoming, || pass.settle()).await;
     emit!(ctx.log, info, PeerDisconnected; "peer" => %instance, "why" => reason);
 }
 
 /// Sends and receives frames until the link fails or either channel is closed.
-/// Returns the reason.
-async fn exchange<S: Serialize, R: DeserializeOwned>(
-    socket: WebSocketStream<TcpStream>,
+/// Calls `received` after each frame. Returns the reason.
+async fn exchange<T: AsyncRead + AsyncWrite + Unpin, S: Serialize, R: DeserializeOwned>(
+    socket: WebSocketStream<T>,
     outgoing: mpsc::UnboundedReceiver<S>,
     heartbeat: S,
     incoming: mpsc::UnboundedSender<R>,
+    received: impl Fn(),
 ) -> String {
     let (sink, stream) = socket.split();
     // On a silent connection with full buffers a send never returns, so receiving,
     // which notices the silence, must not wait for it.
     tokio::select! {
         reason = send_frames(sink, outgoing, heartbeat) => reason,
-        reason = receive_frames(stream, incoming) => reason,
+        reason = receive_frames(stream, incoming, received) => reason,
     }
 }
 
 /// Sends frames and heartbeats until a send fails or the channel is closed.
 /// Returns the reason.
-async fn send_frames<S: Serialize>(
-    mut sink: FrameSink,
+async fn send_frames<T: AsyncRead + AsyncWrite + Unpin, S: Serialize>(
+    mut sink: FrameSink<T>,
     mut outgoing: mpsc::UnboundedReceiver<S>,
     heartbeat: S,
 ) -> String {
@@ -291,21 +325,26 @@
                 let Some(frame) = frame else {
                     return "closed".to_owned();
                 };
-                send_all(&mut sink, frame, &mut outgoing).await
+                time::timeout(SEND_TIMEOUT, send_all(&mut sink, frame, &mut outgoing)).await
+            }
+            _ = heartbeats.tick() => {
+                time::timeout(SEND_TIMEOUT, sink.send(encode(&heartbeat))).await
             }
-            _ = heartbeats.tick() => sink.send(encode(&heartbeat)).await,
         };
-        if let Err(error) = sent {
-            return error.to_string();
+        match sent {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => return error.to_string(),
+            Err(_) => return "not read by the other side".to_owned(),
         }
     }
 }
 
 /// Receives frames until the link fails, is silent, or the channel is closed.
 /// Returns the reason.
-async fn receive_frames<R: DeserializeOwned>(
-    mut stream: SplitStream<WebSocketStream<TcpStream>>,
+async fn receive_frames<T: AsyncRead + AsyncWrite + Unpin, R: DeserializeOwned>(
+    mut stream: SplitStream<WebSocketStream<T>>,
     incoming: mpsc::UnboundedSender<R>,
+    received: impl Fn(),
 ) -> String {
     loop {
         let frame = match time::timeout(SILENCE_TIMEOUT, stream.next()).await {
@@ -314,6 +353,7 @@
             Ok(None) => return "closed by the other side".to_owned(),
             Err(_) => return "silent".to_owned(),
         };
+        received();
         if let Some(frame) = frame
             && incoming.send(frame).is_err()
         {
@@ -324,8 +364,8 @@
 
 /// Sends a frame together with all frames queued behind it, in as few packets
 /// as possible.
-async fn send_all<S: Serialize>(
-    sink: &mut FrameSink,
+async fn send_all<T: AsyncRead + AsyncWrite + Unpin, S: Serialize>(
+    sink: &mut FrameSink<T>,
     first: S,
     waiting: &mut mpsc::UnboundedReceiver<S>,
 ) -> Result<(), tungstenite::Error> {
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -21,6 +21,41 @@
     pub(crate) outcome: &'static str,
 }
 
+/// Port, as a label.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct PortLabel {
+    port: &'static str,
+}
+
+/// Metrics of the connections of clients.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Gates {
+    /// Clients refused or disconnected, by port and reason.
+    pub(crate) refusals: Family<Labels, Counter>,
+    connections: Family<PortLabel, Gauge>,
+    held: Family<PortLabel, Gauge>,
+}
+
+impl Gates {
+    /// Sets the number of open connections of a port.
+    pub(crate) fn set_connections(&self, port: &'static str, count: usize) {
+        self.connections.get_or_create(&PortLabel { port }).set(count as i64);
+    }
+
+    /// Sets the number of held bytes of clients and of links.
+    pub(crate) fn set_held(&self, clients: usize, links: usize) {
+        self.held.get_or_create(&PortLabel { port: "clients" }).set(clients as i64);
+        self.held.get_or_create(&PortLabel { port: "links" }).set(links as i64);
+    }
+
+    fn register(&self, registry: &mut Registry) {
+        let help = "Clients refused or disconnected for lack of room or time";
+        registry.register("client_refusals", help, self.refusals.clone());
+        registry.register("connections", "Open connections of a port", self.connections.clone());
+        registry.register("held_bytes", "Bytes charged to requests", self.held.clone());
+    }
+}
+
 /// Metrics of a node.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -39,6 +74,8 @@
     pub(crate) crashes: Family<Labels, Counter>,
     /// Targets suspected or cleared, and tasks taken for faulty.
     pub(crate) suspicions: Family<Labels, Counter>,
+    /// Connections of clients.
+    pub(crate) gates: Gates,
     /// Placement rounds that ended before all waiting steps were considered.
     pub(crate) limited_rounds: Counter,
     /// Terms that this node has started as leader.
@@ -68,6 +105,7 @@
             releases: Family::default(),
             crashes: Family::default(),
             suspicions: Family::default(),
+            gates: Gates::default(),
             limited_rounds: Counter::default(),
             takeovers: Counter::default(),
             leads: Gauge::default(),
@@ -92,6 +130,7 @@
             "Targets suspected or cleared, and tasks taken for faulty",
             metrics.suspicions.clone(),
         );
+        metrics.gates.register(registry);
         registry.register(
             "limited_rounds",
             "Rounds that ended before all waiting steps were considered",
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -5,7 +5,6 @@
 use base::emit;
 use snafu::{ResultExt, Snafu};
 use tokio::{
-    net::TcpListener,
     signal::unix::{SignalKind, signal},
     task::JoinHandle,
     time,
@@ -13,9 +12,12 @@
 
 use crate::{
     configs::watch_configs, context::Context, external::Services, frontend::Frontend,
-    leadership::run_elections, link::maintain_link, log, settings::Settings,
+    leadership::run_elections, link::maintain_link, listen, log, settings::Settings,
 };
 
+/// Interval between checks of clients' time limits.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Interval at which shutdown checks whether the leadership has been handed
 /// over.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -69,6 +71,14 @@
     serde_json::from_value(value.unwrap_or_default()).map_err(|error| malformed(error.to_string()))
 }
 
+/// Enforces the time limits of clients until the process ends.
+async fn sweep_clients(ctx: Arc<Context>) {
+    loop {
+        time::sleep(SWEEP_INTERVAL).await;
+        ctx.gate.sweep(ctx.budget());
+    }
+}
+
 /// Handle of a running node.
 pub struct Handle {
     ctx: Arc<Context>,
@@ -85,12 +95,13 @@
     pub async fn start(settings: Settings, services: Services) -> Result<Self, Error> {
         let (log, guard) = log::logger(&settings.log, &settings.name);
         let what = format!("port {}", settings.links);
-        let links = TcpListener::bind(&settings.links).await.context(StartSnafu { what })?;
+        let links = listen::bind(&settings.links).await.context(StartSnafu { what })?;
         let ctx = Context::new(settings, log, services, links);
         emit!(ctx.log, info, Started; "clients" => &ctx.settings.clients,
             "links" => &ctx.settings.links, "region" => &ctx.settings.region);
         tokio::spawn(watch_configs(Arc::clone(&ctx)));
         tokio::spawn(maintain_link(Arc::clone(&ctx)));
+        tokio::spawn(sweep_clients(Arc::clone(&ctx)));
         let elections = tokio::spawn(run_elections(Arc::clone(&ctx)));
         Ok(Self { ctx, elections, _log_guard: guard })
     }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -55,12 +55,24 @@
     /// Maximum size of a stored job, in bytes. Its progress is stored in one
     /// value as well, and the key-value service limits the size of a value.
     pub job_bytes: usize,
+    /// Memory of the machine, in MiB. Clients may use a part of it.
+    pub memory_mb: u64,
+    /// Number of file descriptors that the process may use.
+    pub max_fds: usize,
 }
 
-/// One core, a gigabit per second, and three quarters of a value of 1 MiB.
+/// One core, a gigabit per second, three quarters of a value of 1 MiB, and the
+/// memory and descriptors of the smallest instances.
 impl Default for Limits {
     fn default() -> Self {
-        Self { cpu_share: 1.0, cores: 1.0, link_mbps: 1000.0, job_bytes: 768 * 1024 }
+        Self {
+            cpu_share: 1.0,
+            cores: 1.0,
+            link_mbps: 1000.0,
+            job_bytes: 768 * 1024,
+            memory_mb: 120,
+            max_fds: 3075,
+        }
     }
 }
 
--- a/crates/node/tests/cell/common.rs
+++ b/crates/node/tests/cell/common.rs
@@ -22,8 +22,14 @@
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Resources of the weakest instances of the users' grown sites.
-const WEAK_LIMITS: Limits =
-    Limits { cpu_share: 0.12, cores: 1.0, link_mbps: 10.0, job_bytes: 768 * 1024 };
+const WEAK_LIMITS: Limits = Limits {
+    cpu_share: 0.12,
+    cores: 1.0,
+    link_mbps: 10.0,
+    job_bytes: 768 * 1024,
+    memory_mb: 120,
+    max_fds: 3075,
+};
 
 /// Size of a task: one of the eight slots of a target.
 pub const TASK_SIZE: Resources = Resources { cpu_milli: 1000, memory_mib: 1024, accelerators: 0 };
--- a/crates/work/src/config.rs
+++ b/crates/work/src/config.rs
@@ -27,12 +27,23 @@
 pub struct Limits {
     /// Maximum size of a request body, in bytes.
     pub max_body_bytes: usize,
+    /// Maximum size of a request head, in bytes.
+    pub max_header_bytes: usize,
+    /// Time within which a head must be complete, in milliseconds.
+    pub header_timeout_ms: u64,
+    /// Time for which a connection may be idle, in milliseconds.
+    pub idle_timeout_ms: u64,
 }
 
 /// Limits that apply until an operator sets others.
 impl Default for Limits {
     fn default() -> Self {
-        Self { max_body_bytes: 256 << 10 }
+        Self {
+            max_body_bytes: 256 << 10,
+            max_header_bytes: 16 << 10,
+            header_timeout_ms: 3000,
+            idle_timeout_ms: 15_000,
+        }
     }
 }
 
