--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base::Level;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, de::Error};
 
 /// Settings of a node at start. Unknown keys are ignored because later releases
 /// of the platform add keys.
@@ -56,8 +56,10 @@
     /// value as well, and the key-value service limits the size of a value.
     pub job_bytes: usize,
     /// Memory of the machine, in MiB. Clients may use a part of it.
+    #[serde(deserialize_with = "memory_mb")]
     pub memory_mb: u64,
     /// Number of file descriptors that the process may use.
+    #[serde(deserialize_with = "max_fds")]
     pub max_fds: usize,
 }
 
@@ -76,6 +78,33 @@
     }
 }
 
+fn memory_mb<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+    Ok(filled(deserializer)?.unwrap_or(Limits::default().memory_mb))
+}
+
+fn max_fds<'de, D: Deserializer<'de>>(deserializer: D) -> Result<usize, D::Error> {
+    Ok(filled(deserializer)?.map_or(Limits::default().max_fds, |count| count as usize))
+}
+
+/// Reads a number, which may be in quotes. A placeholder that was left unfilled
+/// counts as absent: releases of the platform that lack the value leave it in the
+/// template.
+fn filled<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<u64>, D::Error> {
+    #[derive(Deserialize)]
+    #[serde(untagged)]
+    enum Value {
+        Number(f64),
+        Text(String),
+    }
+    match Value::deserialize(deserializer)? {
+        Value::Number(number) => Ok(Some(number as u64)),
+        Value::Text(text) if text.starts_with("{{") => Ok(None),
+        Value::Text(text) => {
+            text.parse().map(|number: f64| Some(number as u64)).map_err(D::Error::custom)
+        }
+    }
+}
+
 /// Bounds set by the platform's operators.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
--- a/crates/node/tests/intake.rs
+++ b/crates/node/tests/intake.rs
@@ -301,3 +301,24 @@
         expect_that!(ledger.held(), eq((0, 0)));
     }
 }
+
+/// The template of the settings gives the limits as numbers in quotes, and an older
+/// platform leaves the placeholders in place, which must not stop the node.
+#[gtest]
+fn limits_are_read_from_filled_and_unfilled_templates() -> googletest::Result<()> {
+    let folder = tempfile::tempdir()?;
+    let path = folder.path().join("settings.jsonc");
+    let read = |memory: &str, fds: &str| {
+        let text = format!(r#"{{"limits":{{"memory_mb":{memory},"max_fds":{fds}}}}}"#);
+        std::fs::write(&path, text).expect("the folder can be written");
+        node::load_settings(&path)
+            .map(|settings| (settings.limits.memory_mb, settings.limits.max_fds))
+    };
+    expect_that!(read("512", "10250"), ok(eq(&(512, 10_250))));
+    expect_that!(read("512.0", "10250.0"), ok(eq(&(512, 10_250))));
+    expect_that!(read(r#""256""#, r#""5000""#), ok(eq(&(256, 5000))));
+    let unfilled = read(r#""{{limits.memoryMb|json}}""#, r#""{{limits.maxFds|json}}""#);
+    expect_that!(unfilled, ok(eq(&(120, 3075))));
+    expect_that!(read(r#""much""#, "1"), err(anything()));
+    Ok(())
+}
