--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -122,4 +122,6 @@
     EvacuationEnded = 602, "evacuation of a data centre ended";
     EvacuationsUnconfirmed = 603, "evacuations not confirmed recently";
     EvacuationRead = 604, "evacuation of a data centre read";
+    ClientsLimited = 661, "clients refused or disconnected for lack of room or time";
+    AcceptFailed = 662, "connection not accepted";
 }
