--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -86,9 +86,9 @@
     Ok(filled(deserializer)?.map_or(Limits::default().max_fds, |count| count as usize))
 }
 
-/// Reads a number, which may be in quotes. A placeholder that was left unfilled
-/// counts as absent: releases of the platform that lack the value leave it in the
-/// template.
+/// Reads a number, which may be in quotes. An empty text and a placeholder that
+/// was left unfilled count as absent: releases of the platform that lack the
+/// value render it so.
 fn filled<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<u64>, D::Error> {
     #[derive(Deserialize)]
     #[serde(untagged)]
@@ -96,11 +96,12 @@
         Number(f64),
         Text(String),
     }
-    match Value::deserialize(deserializer)? {
-        Value::Number(number) => Ok(Some(number as u64)),
-        Value::Text(text) if text.starts_with("{{") => Ok(None),
-        Value::Text(text) => {
-            text.parse().map(|number: f64| Some(number as u64)).map_err(D::Error::custom)
+    match Option::<Value>::deserialize(deserializer)? {
+        None => Ok(None),
+        Some(Value::Number(number)) => Ok(Some(number as u64)),
+        Some(Value::Text(text)) if text.trim().is_empty() || text.starts_with("{{") => Ok(None),
+        Some(Value::Text(text)) => {
+            text.trim().parse().map(|number: f64| Some(number as u64)).map_err(D::Error::custom)
         }
     }
 }
@@ -123,27 +124,10 @@
     /// Time after which nothing may be started in an evacuated data centre, in
     /// milliseconds; `None` if there are no evacuations. The template of the
     /// settings renders it as text, which is empty if there is no value.
-    #[serde(deserialize_with = "optional_ms")]
+    #[serde(deserialize_with = "filled")]
     pub evacuate_ms: Option<u64>,
 }
 
-/// Decodes a time in milliseconds, as a number or as text. Text without a number
-/// means that there is no value.
-fn optional_ms<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<u64>, D::Error> {
-    #[derive(Deserialize)]
-    #[serde(untagged)]
-    enum Value {
-        Number(f64),
-        Text(String),
-    }
-    let value = match Option::<Value>::deserialize(deserializer)? {
-        Some(Value::Number(ms)) => Some(ms),
-        Some(Value::Text(text)) => text.trim().parse().ok(),
-        None => None,
-    };
-    Ok(value.map(|ms: f64| ms as u64))
-}
-
 /// Bounds of the users' deployments.
 impl Default for Bounds {
     fn default() -> Self {
