Tasks with a latency goal start beside backfill if there is no other room

A task with a latency goal was never placed beside backfill, nor the reverse.

Both still go to targets without the other first, and share one where there is no other room. The fifth entry of the rows of a listing is read: for a task with a goal the tail of its response times. Targets on which both run are listed twice a second, and backfill beside a task that has been over its goal for half of harm_ms is stopped; it starts elsewhere if there is room. The processor time of backfill no longer keeps other tasks waiting, and backfill only takes what they leave. The setting "interference" turns all of this off, bounds.harm_ms and bounds.pace_ms are new.

Ruled out: stopping all backfill of a target when a task with a goal is placed there.

--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -31,6 +31,7 @@
         state,
         state::StoredState,
     },
+    settings::Switch,
 };
 
 /// Interval between rounds while no events arrive.
@@ -166,6 +167,11 @@
                 slack: Duration::from_millis(ctx.settings.preemption.slack_ms),
                 ..defaults.preemption
             },
+            interference: plan::Interference {
+                is_enabled: ctx.settings.interference == Switch::On,
+                max_harm: Duration::from_millis(ctx.settings.bounds.harm_ms),
+                pace_delay: Duration::from_millis(ctx.settings.bounds.pace_ms),
+            },
             target_lease: defaults.target_lease.min(max_lease),
             max_target_lease: max_lease,
             ended_job_retention: Duration::from_secs_f64(
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -37,10 +37,24 @@
     pub lead: LeaderLease,
     /// Limits on preempting runs to make room for tasks that start together.
     pub preemption: Preemption,
+    /// Whether tasks with a latency goal may share targets with backfill, which
+    /// then yields to them.
+    pub interference: Switch,
     /// Log settings.
     pub log: Log,
 }
 
+/// Whether a part of the behaviour is in use.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Switch {
+    /// In use.
+    #[default]
+    On,
+    /// Not in use.
+    Off,
+}
+
 /// Resource limits of an instance.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
@@ -79,6 +93,11 @@
     pub hold_max_ms: u64,
     /// Time for which the state of a finished job stays available, in seconds.
     pub status_s: f64,
+    /// Time for which a task may exceed its latency goal because of backfill, in
+    /// milliseconds.
+    pub harm_ms: u64,
+    /// Time after which a target has carried out a pace order, in milliseconds.
+    pub pace_ms: u64,
 }
 
 /// Bounds of the users' deployments.
@@ -90,6 +109,8 @@
             grace_s: 6.0,
             hold_max_ms: 10_000,
             status_s: 120.0,
+            harm_ms: 4000,
+            pace_ms: 100,
         }
     }
 }
--- a/crates/plan/src/action.rs
+++ b/crates/plan/src/action.rs
@@ -61,6 +61,8 @@
     Stuck,
     /// The start was not answered, and the target does not list the run.
     Unsure,
+    /// The run is backfill beside this task, which is over its latency goal.
+    Harmful(TaskKey),
     /// The run is preempted to make room for a gang of this job.
     Moved(Name),
     /// An earlier stop order had no effect.
--- a/crates/plan/src/adopt.rs
+++ b/crates/plan/src/adopt.rs
@@ -172,7 +172,8 @@
             self.suspect_restart(id, now);
         }
         for (task, run) in runs {
-            let listed = ListedRun { task: task.clone(), run: *run, checkpoint: None, percent: 0 };
+            let (task, run) = (task.clone(), *run);
+            let listed = ListedRun { task, run, checkpoint: None, percent: 0, figure: None };
             self.adopt_run(id, &listed, now);
         }
     }
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -19,6 +19,7 @@
     preempt::Preemptible,
     rank::SpeedPreference,
     search::{self, FullShapes},
+    sharing::Harm,
     step::{StepState, TaskState},
     target::{Phase, Run, Sharing, Target, TargetId},
 };
@@ -44,8 +45,11 @@
 /// it for each pair of step and target.
 #[derive(Clone, Copy, Debug)]
 struct Headroom {
-    /// Resources that are neither allocated nor held for a step.
+    /// Resources that are neither allocated nor held for a step. Backfill counts
+    /// with its memory only.
     free: Resources,
+    /// Processor time that backfill takes of `free`, in thousandths of a core.
+    backfill_cpu_milli: u32,
     capacity: Resources,
     /// Whether the target may get at most one task, as a probe.
     is_probed: bool,
@@ -56,15 +60,28 @@
 }
 
 impl Headroom {
-    fn of(target: &Target, now: Duration) -> Self {
+    /// Returns the headroom of a target at `now`, where `yields` tells whether
+    /// backfill gives way to other tasks.
+    fn of(target: &Target, yields: bool, now: Duration) -> Self {
         Self {
-            free: target.free(),
+            free: if yields { target.free_beside_backfill() } else { target.free() },
+            backfill_cpu_milli: if yields { target.backfill_cpu_milli } else { 0 },
             capacity: target.info.capacity,
             is_probed: target.health.is_suspected(),
             takes_faulty: !target.health.is_suspected() || target.health.is_probe_overdue(now),
             speed_class: target.speed.class(now),
         }
     }
+
+    /// Returns the resources that are free for tasks of a step. Backfill only
+    /// takes processor time that no other task has.
+    fn free_for(&self, step: &Step) -> Resources {
+        let Self { free, backfill_cpu_milli, .. } = *self;
+        if !step.is_backfill {
+            return free;
+        }
+        Resources { cpu_milli: free.cpu_milli.saturating_sub(backfill_cpu_milli), ..free }
+    }
 }
 
 impl Round {
@@ -79,6 +96,16 @@
         self.headrooms[id.0 as usize].free -= size;
     }
 
+    /// Takes the resources of one task of a step for the rest of the round.
+    fn allocate_task(&mut self, id: TargetId, step: &Step, yields: bool) {
+        if step.is_backfill && yields {
+            let room = &mut self.headrooms[id.0 as usize];
+            room.backfill_cpu_milli = room.backfill_cpu_milli.saturating_add(step.size.cpu_milli);
+            return self.allocate(id, Resources { cpu_milli: 0, ..step.size });
+        }
+        self.allocate(id, step.size);
+    }
+
     /// Holds room for up to `wanted` tasks of a step that cannot start yet.
     pub(crate) fn hold_room<'a>(
         &mut self,
@@ -114,6 +141,9 @@
     capacity: Resources,
     /// Class of the target's usual speed; the lowest is the fastest.
     pub(crate) speed_class: i8,
+    /// How much a task of the step and the runs on the target slow each other
+    /// down.
+    harm: Harm,
     /// Expiry of the ticket of the step, if the target is known to be allowed.
     ticket_expires_at: Option<Duration>,
 }
@@ -146,13 +176,16 @@
         self.drop_expired_targets(now);
         self.clear_ended_jobs(now);
         self.resend_stops(now);
+        self.protect_goals(now);
         self.begin_due_occurrences(unix_ms, now);
         if !self.is_list_current(now) || !std::mem::take(&mut self.is_changed) {
             return;
         }
+        let yields = self.settings.interference.is_enabled;
+        let headroom = |target| Headroom::of(target, yields, now);
         let mut round = Round {
             open_targets: self.open_targets(now),
-            headrooms: self.targets.iter().map(|target| Headroom::of(target, now)).collect(),
+            headrooms: self.targets.iter().map(headroom).collect(),
             unverified_usage: HashMap::new(),
             full_shapes: FullShapes::default(),
             deferred_short_requests: 0,
@@ -262,7 +295,7 @@
             return;
         }
         for target in chosen {
-            round.allocate(target, step.size);
+            round.allocate_task(target, step, self.settings.interference.is_enabled);
             self.start_next_task(key, &spec, target, now);
         }
         if self.step_state(key).is_some_and(|state| state.waiting.is_empty()) {
@@ -340,7 +373,7 @@
                 continue;
             }
             // Gangs also request advice on targets without room.
-            let is_skipped = !step.gang && !step.size.fits(&room.free);
+            let is_skipped = !step.gang && !step.size.fits(&room.free_for(step));
             if is_skipped && !full.contains(&position) {
                 continue;
             }
@@ -395,14 +428,16 @@
         room: &Headroom,
         preemptible: Resources,
     ) -> Option<Slot> {
-        let Headroom { free, capacity, is_probed, speed_class, .. } = *room;
+        let Headroom { capacity, is_probed, speed_class, .. } = *room;
+        let free = room.free_for(step);
         let target = || &self.targets[id.0 as usize];
         let suits = step.size.fits(&capacity)
             && step.label.as_ref().is_none_or(|label| target().info.labels.contains(label));
         if !suits {
             return None;
         }
-        let shares = Sharing::of(step) == Sharing::Any || target().can_share_with(step);
+        let is_mixed = Sharing::of(step) != Sharing::Any && !target().can_share_with(step);
+        let shares = !is_mixed || self.settings.interference.is_enabled;
         let has_room = step.size.fits(&free) && shares;
         let mut tasks = if has_room { free.max_count(&step.size) } else { 0 };
         let mut tasks_when_empty = if step.gang { capacity.max_count(&step.size) } else { 0 };
@@ -428,6 +463,7 @@
             remaining,
             capacity,
             speed_class,
+            harm: self.harm(id, is_mixed),
             ticket_expires_at: None,
         })
     }
@@ -498,8 +534,8 @@
 }
 
 /// Chooses a target for each of up to `wanted` tasks: near the data, on one
-/// rack if that matters, by the preferred speed, and on the fullest targets
-/// first, so that large gaps remain. Tasks under which targets have crashed are
+/// rack if that matters, where it neither slows nor is slowed down, by the
+/// preferred speed, and on the fullest targets first, so that large gaps remain. Tasks under which targets have crashed are
 /// kept apart, so that the innocent ones are not lost with the cause again.
 fn choose_targets(
     step: &Step,
@@ -520,14 +556,14 @@
         slots.sort_by_cached_key(|slot| {
             let is_elsewhere = *rack_of(slot) != rack;
             let class = preference.order(slot.speed_class);
-            (is_elsewhere, has_suspects(slot), class, slot.remaining_ppm())
+            (is_elsewhere, has_suspects(slot), slot.harm, class, slot.remaining_ppm())
         });
     } else {
         let is_far =
             |slot: &Slot| step.data_rack.as_ref().is_some_and(|rack| rack_of(slot) != rack);
         slots.sort_by_cached_key(|slot| {
             let class = preference.order(slot.speed_class);
-            (has_suspects(slot), is_far(slot), class, slot.remaining_ppm())
+            (has_suspects(slot), slot.harm, is_far(slot), class, slot.remaining_ppm())
         });
     }
     let each = slots.iter().flat_map(|slot| (0..slot.tasks).map(|_| slot.target));
--- a/crates/plan/src/ends.rs
+++ b/crates/plan/src/ends.rs
@@ -115,7 +115,7 @@
             && let Some(known) = target_state.runs.remove(key)
         {
             started_at = known.started_at;
-            target_state.allocated -= known.size;
+            target_state.release(&known);
             if let Some(team) = &team {
                 self.team_usage.remove(team, known.size);
             }
--- a/crates/plan/src/listing.rs
+++ b/crates/plan/src/listing.rs
@@ -38,6 +38,10 @@
     pub checkpoint: Option<Name>,
     /// Progress of the run, in percent.
     pub percent: u32,
+    /// Rough figure for the last half second: the tail of the response times in
+    /// milliseconds for a task with a latency goal, the processor time in use in
+    /// thousandths of a core for any other; `None` if the target gave none.
+    pub figure: Option<u32>,
 }
 
 /// End of a run in a listing.
@@ -207,6 +211,7 @@
         for listed in &listing.running {
             self.apply_listed_run(id, listed, now);
         }
+        self.apply_figures(id, listing, requested_at);
         let target_state = &mut self.targets[id.0 as usize];
         // Runs of unknown jobs take an unknown amount of resources.
         target_state.has_unknown_runs =
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -23,6 +23,7 @@
     restarts::ProcessRecord,
     settings::Settings,
     share::Bucket,
+    sharing::Control,
     speed::Baseline,
     step::TaskState,
     target::{Availability, Phase, RecordedEnd, Run, Target, TargetId, TargetInfo},
@@ -122,6 +123,8 @@
     pub(crate) last_round_at: Duration,
     /// Wall clock time of the last round, in milliseconds since 1970.
     pub(crate) last_round_unix_ms: u64,
+    /// Control of backfill beside tasks with a latency goal.
+    pub(crate) sharing: Control,
     /// Whether the state has changed since the last round.
     pub(crate) is_changed: bool,
 }
@@ -181,6 +184,7 @@
         if self.jobs.contains_key(id) {
             return;
         }
+        self.sharing.note_steps(&spec.steps);
         let mut job = Job::new(Arc::new(spec), origin, progress);
         if origin == Origin::Own
             && let Some(team) = self.config.teams.get(&job.spec.team)
@@ -267,7 +271,7 @@
             job.run_count += 1;
         }
         let target_state = &mut self.targets[id.0 as usize];
-        target_state.allocated += run.size;
+        target_state.allocate(&run);
         target_state.lease_granted_at = target_state.lease_granted_at.max(Some(now));
         target_state.extend_lease(now + self.settings.lapse_timeout());
         target_state.runs.insert(task.clone(), run);
--- a/crates/plan/src/settings.rs
+++ b/crates/plan/src/settings.rs
@@ -66,6 +66,8 @@
     pub max_targets_per_request: usize,
     /// Limits for preempting runs to make room for gangs.
     pub preemption: Preemption,
+    /// Handling of tasks that slow each other down.
+    pub interference: Interference,
     /// Maximum number of keys that a batch writes or removes.
     pub max_keys_per_batch: usize,
     /// Maximum time for which progress that ends no job is delayed before it is
@@ -117,6 +119,30 @@
     }
 }
 
+/// Handling of tasks that slow each other down on one target.
+#[derive(Clone, Debug)]
+pub struct Interference {
+    /// Whether tasks with a latency goal may share targets with backfill, which
+    /// then yields to them. If not, they never share a target.
+    pub is_enabled: bool,
+    /// Time for which a task may exceed its latency goal because of backfill.
+    pub max_harm: Duration,
+    /// Time after which a target has carried out a pace order.
+    pub pace_delay: Duration,
+}
+
+/// The operators' lower bound on harm, and their bound on the effect of a pace
+/// order.
+impl Default for Interference {
+    fn default() -> Self {
+        Self {
+            is_enabled: true,
+            max_harm: Duration::from_millis(4000),
+            pace_delay: Duration::from_millis(100),
+        }
+    }
+}
+
 /// The defaults suit leases of up to 10 s and network latencies of 20 ms.
 impl Default for Settings {
     fn default() -> Self {
@@ -148,6 +174,7 @@
             long_request_threshold: Duration::from_millis(150),
             max_targets_per_request: 100,
             preemption: Preemption::default(),
+            interference: Interference::default(),
             max_keys_per_batch: 29,
             max_progress_delay: Duration::from_millis(300),
             max_closed_runs: 1000,
--- a/crates/plan/src/target.rs
+++ b/crates/plan/src/target.rs
@@ -10,7 +10,7 @@
 use smallvec::SmallVec;
 use work::{Step, TaskKey};
 
-use crate::speed::Speed;
+use crate::{sharing::Latency, speed::Speed};
 
 /// Position of a target in its planner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -124,12 +124,16 @@
     /// Time of the start order; `None` if the time of the whole run would say
     /// nothing about the speed of the target.
     pub(crate) started_at: Option<Duration>,
+    /// Response times; `None` for a run without a latency goal.
+    pub(crate) latency: Option<Latency>,
 }
 
 impl Run {
     pub(crate) fn new(number: u32, step: &Step, phase: Phase) -> Self {
         let (size, sharing) = (step.size, Sharing::of(step));
+        let goal_ms = step.latency_goal_ms.filter(|_| sharing == Sharing::NoBackfill);
         Self {
+            latency: goal_ms.map(Latency::new),
             number,
             size,
             sharing,
@@ -159,6 +163,11 @@
 pub(crate) struct Target {
     pub(crate) info: TargetInfo,
     pub(crate) allocated: Resources,
+    /// Part of the allocated processor time that backfill takes, in thousandths
+    /// of a core. It is free for other tasks.
+    pub(crate) backfill_cpu_milli: u32,
+    /// Time at which backfill was last stopped here for a task over its goal.
+    pub(crate) harmed_at: Option<Duration>,
     pub(crate) runs: BTreeMap<TaskKey, Run>,
     /// Request time of the last listing; `None` while the target is
     /// unreachable.
@@ -260,6 +269,28 @@
         self.info.capacity - self.allocated
     }
 
+    /// Returns the resources that are free for tasks other than backfill.
+    pub(crate) fn free_beside_backfill(&self) -> Resources {
+        let cpu_milli = self.allocated.cpu_milli.saturating_sub(self.backfill_cpu_milli);
+        self.info.capacity - Resources { cpu_milli, ..self.allocated }
+    }
+
+    /// Adds the resources of a run.
+    pub(crate) fn allocate(&mut self, run: &Run) {
+        self.allocated += run.size;
+        if run.sharing == Sharing::Backfill {
+            self.backfill_cpu_milli = self.backfill_cpu_milli.saturating_add(run.size.cpu_milli);
+        }
+    }
+
+    /// Removes the resources of a run that has ended.
+    pub(crate) fn release(&mut self, run: &Run) {
+        self.allocated -= run.size;
+        if run.sharing == Sharing::Backfill {
+            self.backfill_cpu_milli = self.backfill_cpu_milli.saturating_sub(run.size.cpu_milli);
+        }
+    }
+
     /// Returns whether tasks of a step may run beside the runs on the target.
     pub(crate) fn can_share_with(&self, step: &Step) -> bool {
         let sharing = Sharing::of(step);
--- a/crates/standin/src/cell/simulation/mod.rs
+++ b/crates/standin/src/cell/simulation/mod.rs
@@ -420,6 +420,7 @@
             run: run.number,
             checkpoint: None,
             percent: percent(run),
+            figure: None,
         };
         let running = state.runs.iter().map(seen).collect();
         let listing =
--- a/crates/standin/src/cell/targets.rs
+++ b/crates/standin/src/cell/targets.rs
@@ -349,6 +349,7 @@
             run: run.number,
             checkpoint: None,
             percent: run.percent(now),
+            figure: None,
         });
         Listing {
             born_unix_ms: self.born,
