Kinds of tasks that disturb others are learnt and kept apart from latency goals

Backfill differs in how much it disturbs tasks with a latency goal, so that one shared target is not as good as another. A kind is the image of a step, which is read from submissions and stored, or else its queue and the rough size of its tasks. The listed response times, as a ratio to the goal, are fitted by normalized least mean squares to a base and an effect of each kind beside the task. An effect is a claim from eight observations on, and for a minute after the last. Placement of tasks with a goal, of backfill and of kinds with a claimed effect compares these costs in classes before the speed and the room of targets; it leaves out no target. At most 64 kinds and 1,024 effects are kept.

Ruled out: the share of observations over the goal by kind, which blames each kind in company with a harmful one.

--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -19,7 +19,7 @@
     preempt::Preemptible,
     rank::SpeedPreference,
     search::{self, FullShapes},
-    sharing::Harm,
+    sharing::{Exposure, Harm},
     step::{StepState, TaskState},
     target::{Phase, Run, Sharing, Target, TargetId},
 };
@@ -367,6 +367,7 @@
         let mut with_room = 0;
         let full = self.full_targets(key, step, state, advice, open.len());
         let is_faulty = state.has_waiting_faulty();
+        let exposure = self.exposure(key, step);
         for (position, &id) in open.iter().enumerate() {
             let room = &round.headrooms[id.0 as usize];
             if is_faulty && !room.takes_faulty {
@@ -384,7 +385,7 @@
                 None => None,
             };
             let preemptible = preemptible.get(id.0 as usize).copied().unwrap_or_default();
-            if let Some(slot) = self.slot(id, step, state, room, preemptible) {
+            if let Some(slot) = self.slot(id, step, state, room, preemptible, exposure) {
                 let slot = Slot { ticket_expires_at, ..slot };
                 with_room += usize::from(slot.tasks > 0);
                 slots.push(slot);
@@ -427,6 +428,7 @@
         state: &StepState,
         room: &Headroom,
         preemptible: Resources,
+        exposure: Option<Exposure>,
     ) -> Option<Slot> {
         let Headroom { capacity, is_probed, speed_class, .. } = *room;
         let free = room.free_for(step);
@@ -463,7 +465,7 @@
             remaining,
             capacity,
             speed_class,
-            harm: self.harm(id, is_mixed),
+            harm: exposure.map_or(Harm::default(), |exposure| self.harm(id, exposure)),
             ticket_expires_at: None,
         })
     }
--- a/crates/plan/src/target.rs
+++ b/crates/plan/src/target.rs
@@ -10,7 +10,7 @@
 use smallvec::SmallVec;
 use work::{Step, TaskKey};
 
-use crate::{sharing::Latency, speed::Speed};
+use crate::{interference::Kind, sharing::Latency, speed::Speed};
 
 /// Position of a target in its planner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -124,6 +124,8 @@
     /// Time of the start order; `None` if the time of the whole run would say
     /// nothing about the speed of the target.
     pub(crate) started_at: Option<Duration>,
+    /// Kind of the task, once the run was seen beside a task with a goal.
+    pub(crate) kind: Option<Kind>,
     /// Response times; `None` for a run without a latency goal.
     pub(crate) latency: Option<Latency>,
 }
@@ -133,6 +135,7 @@
         let (size, sharing) = (step.size, Sharing::of(step));
         let goal_ms = step.latency_goal_ms.filter(|_| sharing == Sharing::NoBackfill);
         Self {
+            kind: None,
             latency: goal_ms.map(Latency::new),
             number,
             size,
--- a/crates/plan/tests/decisions/sharing.rs
+++ b/crates/plan/tests/decisions/sharing.rs
@@ -137,6 +137,90 @@
     expect_that!(start(&mut cell), is_empty());
 }
 
+/// Returns a cell of two targets, each with a service and backfill of another
+/// image, and their runs. Backfill of the image `stress` triples the response
+/// times of the service beside it, that of `idle` leaves them as they are.
+fn two_images() -> (Cell, Vec<Start>) {
+    let mut cell = Cell::new(2);
+    let image = |name: &str, step: Step| Step { image: Some(base::Name::from(name)), ..step };
+    cell.accept("web", vec![image("web", service(2))]);
+    let mut runs = start(&mut cell);
+    // Two such tasks don't fit on one target.
+    let size = base::Resources { cpu_milli: 4000, ..small_step().size };
+    let large = || Step { size, ..backfill(1) };
+    cell.accept("stress", vec![image("stress", large())]);
+    runs.extend(start(&mut cell));
+    cell.accept("idle", vec![image("idle", large())]);
+    runs.extend(start(&mut cell));
+    (cell, runs)
+}
+
+/// Lists these runs a number of times.
+fn list_images(cell: &mut Cell, runs: &[Start], times: u32) {
+    let stressed = runs.iter().find(|run| &*run.task.step.job == "stress");
+    let stressed = stressed.map(|run| run.target.clone());
+    for _ in 0..times {
+        cell.advance(INTERVAL);
+        let is_stressed = |run: &Start| Some(&run.target) == stressed.as_ref();
+        let figure =
+            |run: &Start| Some(if is_stressed(run) { GOAL_MS * 9 / 10 } else { GOAL_MS * 3 / 10 });
+        for run in runs {
+            cell.planner.lease_granted(&run.target, cell.now);
+        }
+        cell.list_figures(runs, figure);
+        cell.decide_starts();
+    }
+}
+
+#[gtest]
+fn harmful_backfill_is_told_from_harmless_and_kept_apart_from_goals() {
+    let (mut cell, runs) = two_images();
+    list_images(&mut cell, &runs, 40);
+    let claims = cell.planner.take_claims();
+    let effect = |by: &str| claims.iter().find(|claim| claim.by == format!("image {by}"));
+    expect_that!(
+        effect("stress").expect("a claim").effect_milli,
+        gt(effect("idle").expect("a claim").effect_milli)
+    );
+    // Both targets have a service and backfill; the harmless one is the better
+    // place for another service.
+    let idle = runs.iter().find(|run| &*run.task.step.job == "idle").expect("it runs");
+    let web = Step { image: Some(base::Name::from("web")), ..service(1) };
+    cell.accept("more web", vec![web]);
+    expect_that!(start(&mut cell)[0].target, eq(&idle.target));
+}
+
+#[gtest]
+fn nothing_is_claimed_before_enough_observations() {
+    let (mut cell, runs) = two_images();
+    list_images(&mut cell, &runs, 7);
+    expect_that!(cell.planner.take_claims(), is_empty());
+    expect_that!(cell.planner.interference_size(cell.now).1, eq(0));
+    list_images(&mut cell, &runs, 1);
+    expect_that!(cell.planner.interference_size(cell.now).1, eq(2));
+    // Claims grow old.
+    cell.advance(Duration::from_secs(61));
+    expect_that!(cell.planner.interference_size(cell.now).1, eq(0));
+}
+
+#[gtest]
+fn state_kept_on_kinds_is_bounded() {
+    let mut cell = Cell::new(1);
+    cell.accept("web", vec![service(1)]);
+    let web = start(&mut cell);
+    for number in 0..200 {
+        let job = format!("fold-{number}");
+        let image = Some(base::Name::from(job.as_str()));
+        cell.accept(&job, vec![Step { image, ..backfill(1) }]);
+        let fold = start(&mut cell);
+        let runs = [web.clone(), fold.clone()].concat();
+        play(&mut cell, &runs, GOAL_MS / 2, INTERVAL);
+        cell.cancel(&job);
+        cell.end_run(&fold[0], End::Stopped);
+    }
+    expect_that!(cell.planner.interference_size(cell.now).0, le(64));
+}
+
 #[gtest]
 fn nothing_shares_a_target_with_the_setting_off() {
     let interference = Interference { is_enabled: false, ..Interference::default() };
--- a/crates/plan/tests/load.rs
+++ b/crates/plan/tests/load.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use plan::{Preemption, Settings};
+use plan::{Interference, Preemption, Settings};
 use standin::cell::simulation::{Admission, Burst, Report, Simulation, Workload};
 
 /// Seeds of the simulated days.
@@ -39,6 +39,23 @@
     }
 }
 
+#[gtest]
+fn jobs_without_goals_and_backfill_are_served_as_without_interference() {
+    // Deployments without such jobs must not notice the control of interference.
+    let loads = [Workload::firm(), Workload::rack_desk_rush(), Workload::association_heavy()];
+    for (load, seed) in loads.into_iter().zip(1..) {
+        let trace = |is_enabled| {
+            let interference = Interference { is_enabled, ..Interference::default() };
+            let settings = Settings { interference, ..Settings::default() };
+            let admission = Admission::EnforceRefusals;
+            Simulation::with_settings(load.clone(), admission, settings, seed).run_traced().1
+        };
+        let (on, off) = (trace(true), trace(false));
+        println!("trace {on:016x}");
+        expect_that!(on, eq(off));
+    }
+}
+
 #[gtest]
 fn sufficient_cell_refuses_no_jobs() {
     let days = play(&Workload::firm(), Admission::EnforceRefusals);
--- a/crates/standin/src/cell/simulation/mod.rs
+++ b/crates/standin/src/cell/simulation/mod.rs
@@ -105,6 +105,8 @@
     jobs: Vec<Job>,
     /// Retry delay of each queue that refuses jobs, as clients know it.
     refusals: HashMap<Name, Duration>,
+    /// Hash of all actions of the planner with their times.
+    trace: DefaultHasher,
 }
 
 struct Job {
@@ -186,6 +188,7 @@
             last_event: 0,
             jobs: Vec::new(),
             refusals: HashMap::new(),
+            trace: DefaultHasher::new(),
         };
         for name in names {
             simulation.schedule(Duration::ZERO, Event::Listing(name));
@@ -199,7 +202,13 @@
 
     /// Runs the whole day. Returns a report for each kind of request, in the
     /// order of the workload's kinds.
-    pub fn run(mut self) -> Vec<Report> {
+    pub fn run(self) -> Vec<Report> {
+        self.run_traced().0
+    }
+
+    /// Runs the whole day. Also returns a hash of all actions of the planner, by
+    /// which decisions can be compared.
+    pub fn run_traced(mut self) -> (Vec<Report>, u64) {
         let end = self.now + self.workload.duration + FINISH_GRACE;
         while self.now < end {
             let round = self.now + ROUND_INTERVAL;
@@ -214,6 +223,7 @@
             self.planner.mark_changed();
             self.planner.decide(self.now, self.unix_ms());
             for action in self.planner.take_actions() {
+                (self.now, format!("{action:?}")).hash(&mut self.trace);
                 self.execute(action);
             }
             while let Some(batch) = self.planner.take_batch(self.now) {
@@ -222,7 +232,8 @@
             self.apply_state_changes();
         }
         self.flush_records();
-        self.reports()
+        let trace = self.trace.finish();
+        (self.reports(), trace)
     }
 
     /// Completes all pending records without delay, so that jobs whose runs
--- a/crates/work/src/spec.rs
+++ b/crates/work/src/spec.rs
@@ -79,6 +79,10 @@
     /// leave free.
     #[serde(rename = "fills")]
     pub is_backfill: bool,
+    /// Program that the tasks run; tasks of one image behave alike. Absent from
+    /// stored jobs that name none, so that their size doesn't change.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub image: Option<Name>,
 }
 
 impl Spec {
