Backfill is paced by the response times of the tasks beside it

Backfill beside a task over its latency goal could only be stopped, which costs it its work and its place although a smaller share would often do.

Each target has one share for the effect of its backfill, which is cut at the first listing over 0.95 of the goal and raised in small steps below 0.8. The least harmful kinds get their share first. Orders go to POST /api/pace, are repeated with back-off until they are acknowledged, and again if a listing shows more processor time than the share allows; backfill that may still work beside a task that has been over its goal for 5/8 of harm_ms is stopped. Orders, listings and moves a second are bounded. Backfill beside a task that was over its goal moves to a target without one once there is room. A new leader orders a half of the pace beside tasks with a goal and full pace elsewhere.

A stand-in plays a cell whose tasks slow each other down, without a network.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -118,4 +118,6 @@
     LinkOpened = 570, "link to the leader opened";
     LinkLost = 571, "link to the leader lost";
     SettingsReloaded = 580, "settings reloaded";
+    PaceSent = 651, "pace of backfill changed beside tasks with a latency goal";
+    InterferenceLearnt = 652, "one kind of task found to slow another down";
 }
--- a/crates/node/src/external.rs
+++ b/crates/node/src/external.rs
@@ -4,7 +4,7 @@
 
 use base::Name;
 use futures::future::BoxFuture;
-use plan::{Listing, StartAnswer, TargetInfo};
+use plan::{Listing, Pace, StartAnswer, TargetInfo};
 use work::{Config, StepKey, TaskKey};
 
 /// Address and identity of a target.
@@ -92,6 +92,15 @@
         timeout: Duration,
     ) -> BoxFuture<'a, OrderResult<()>>;
 
+    /// Changes the share at which a run works.
+    fn pace<'a>(
+        &'a self,
+        target: &'a Target,
+        pace: &'a Pace,
+        fence: Fence,
+        timeout: Duration,
+    ) -> BoxFuture<'a, OrderResult<()>>;
+
     /// Renews the lease of a target and lists the target's runs.
     fn renew<'a>(
         &'a self,
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -21,6 +21,13 @@
     pub(crate) outcome: &'static str,
 }
 
+/// Label of a gauge.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct Subject {
+    /// What is counted.
+    pub(crate) what: &'static str,
+}
+
 /// Metrics of a node.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -39,6 +46,8 @@
     pub(crate) crashes: Family<Labels, Counter>,
     /// Targets suspected or cleared, and tasks taken for faulty.
     pub(crate) suspicions: Family<Labels, Counter>,
+    /// Runs with a latency goal and of backfill, and kinds of tasks that are known.
+    pub(crate) interference: Family<Subject, Gauge>,
     /// Placement rounds that ended before all waiting steps were considered.
     pub(crate) limited_rounds: Counter,
     /// Terms that this node has started as leader.
@@ -68,6 +77,7 @@
             releases: Family::default(),
             crashes: Family::default(),
             suspicions: Family::default(),
+            interference: Family::default(),
             limited_rounds: Counter::default(),
             takeovers: Counter::default(),
             leads: Gauge::default(),
@@ -92,6 +102,11 @@
             "Targets suspected or cleared, and tasks taken for faulty",
             metrics.suspicions.clone(),
         );
+        registry.register(
+            "interference",
+            "Runs with a latency goal and of backfill, and kinds of tasks that are known",
+            metrics.interference.clone(),
+        );
         registry.register(
             "limited_rounds",
             "Rounds that ended before all waiting steps were considered",
--- a/crates/node/src/placer/event.rs
+++ b/crates/node/src/placer/event.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use base::Name;
-use plan::{Batch, Listing, RequestLength, StartAnswer};
+use plan::{Batch, Listing, Pace, PaceAnswer, RequestLength, StartAnswer};
 use work::{Config, Spec, StepKey, TaskKey};
 
 use crate::{
@@ -85,6 +85,13 @@
         /// Number of the run.
         run: u32,
     },
+    /// A pace order was answered or failed.
+    PaceAnswered {
+        /// The order.
+        pace: Pace,
+        /// Answer of the target.
+        answer: PaceAnswer,
+    },
     /// The link of an instance was opened.
     PeerJoined(PeerLink),
     /// An instance sent a frame.
--- a/crates/node/src/placer/order.rs
+++ b/crates/node/src/placer/order.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use base::{Name, clock, emit};
-use plan::{Refusal, Start, StartAnswer, Stop};
+use plan::{Pace, PaceAnswer, Refusal, Start, StartAnswer, Stop};
 use tokio::sync::mpsc;
 use work::TaskKey;
 
@@ -149,3 +149,36 @@
     };
     let _ = events.send(event);
 }
+
+/// Sends the order to change the pace of a run, and reports the outcome as an
+/// event.
+pub(crate) async fn pace(
+    ctx: Arc<Context>,
+    leadership: Arc<Leadership>,
+    session: Arc<Session>,
+    pace: Pace,
+    events: mpsc::UnboundedSender<Event>,
+) {
+    if !leadership.is_valid(clock::now()) {
+        return;
+    }
+    let fence = session.process().fence;
+    let answer = ctx.services.orders.pace(&session.target, &pace, fence, ORDER_TIMEOUT).await;
+    let (outcome, answer) = match answer {
+        Ok(_) => ("answered", PaceAnswer::Taken),
+        Err(OrderError::Fenced) if session.is_current(fence) => {
+            let _ = events.send(Event::Fenced("a target knows a later term"));
+            return;
+        }
+        Err(OrderError::Fenced | OrderError::Replaced) => ("refused", PaceAnswer::Refused),
+        Err(OrderError::NoAnswer(_)) => ("unknown", PaceAnswer::Unknown),
+    };
+    Metrics::count(&ctx.metrics.orders, "pace", outcome);
+    let step = &pace.task.step;
+    let beside = pace.beside.as_ref().map(|task| task.step.job.to_string()).unwrap_or_default();
+    emit!(ctx.log, info, PaceSent; "job" => %step.job, "step" => step.step,
+        "task" => pace.task.index, "run" => pace.run, "target" => %pace.target,
+        "percent" => pace.percent, "beside" => beside, "outcome" => outcome);
+    // A send error means that the placer has ended.
+    let _ = events.send(Event::PaceAnswered { pace, answer });
+}
--- a/crates/node/src/placer/report.rs
+++ b/crates/node/src/placer/report.rs
@@ -3,9 +3,12 @@
 use std::time::Duration;
 
 use base::{Name, emit};
-use plan::{Blame, Crash, Evidence, Listing, ReappearedRun, ReleasedRun, Transition};
+use plan::{Blame, Claim, Crash, Evidence, Listing, ReappearedRun, ReleasedRun, Transition};
 
-use crate::{metrics::Metrics, placer::run::Placer};
+use crate::{
+    metrics::{Metrics, Subject},
+    placer::run::Placer,
+};
 
 impl Placer {
     /// Logs when the list of targets becomes too old to start work by it, and
@@ -83,6 +86,29 @@
         }
     }
 
+    /// Logs what was learnt of two kinds of tasks.
+    pub(super) fn log_claim(&self, claim: &Claim) {
+        emit!(self.ctx.log, info, InterferenceLearnt; "slowed" => &claim.slowed, "by" => &claim.by,
+            "effect_milli" => claim.effect_milli, "observations" => claim.observations);
+    }
+
+    /// Updates the metrics of tasks with a latency goal and of backfill.
+    pub(super) fn report_control(&self, now: Duration) {
+        let status = self.planner.control_status(now);
+        let values = [
+            ("with_goal", status.with_goal),
+            ("over_goal", status.over_goal),
+            ("backfill", status.backfill),
+            ("paced", status.paced),
+            ("kinds", status.kinds),
+            ("claims", status.claims),
+        ];
+        for (what, value) in values {
+            let gauge = self.ctx.metrics.interference.get_or_create(&Subject { what });
+            gauge.set(value as i64);
+        }
+    }
+
     /// Logs and counts the crash of a target under a task.
     pub(super) fn log_crash(&self, crash: &Crash) {
         let step = &crash.task.step;
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -292,6 +292,7 @@
             if queues_at.elapsed() >= if is_new { FIRST_QUEUES_INTERVAL } else { QUEUES_INTERVAL } {
                 queues_at = Instant::now();
                 self.publish_queues();
+                self.report_control(clock::now());
             }
             if expiry_at.elapsed() >= EXPIRY_INTERVAL {
                 expiry_at = Instant::now();
@@ -333,6 +334,9 @@
         for crash in self.planner.take_crashes() {
             self.log_crash(&crash);
         }
+        for claim in self.planner.take_claims() {
+            self.log_claim(&claim);
+        }
         for action in self.planner.take_actions() {
             self.execute(action);
         }
@@ -393,6 +397,12 @@
                     ));
                 }
             }
+            Action::Pace(pace) => {
+                if let Some(session) = self.sessions.get(&pace.target) {
+                    let session = Arc::clone(session);
+                    self.tasks.spawn(order::pace(ctx, leadership, session, pace, events));
+                }
+            }
             Action::RequestAdvice(request) => self.request_advice(request),
             Action::Poll(target) => {
                 if let Some(session) = self.sessions.get(&target) {
@@ -462,6 +472,14 @@
             Event::StopAnswered { target, task, run } => {
                 self.planner.stop_answered(&target, &task, run, now);
             }
+            Event::PaceAnswered { pace, answer } => self.planner.pace_answered(
+                &pace.target,
+                &pace.task,
+                pace.run,
+                pace.percent,
+                answer,
+                now,
+            ),
             Event::PeerJoined(joined) => self.add_peer(joined),
             Event::FrameReceived(instance, frame) => self.handle_frame(&instance, frame, now),
             Event::PeerLeft(instance) => {
--- a/crates/plan/src/action.rs
+++ b/crates/plan/src/action.rs
@@ -10,6 +10,8 @@
     Start(Start),
     /// Stop a run.
     Stop(Stop),
+    /// Change the share at which a run works.
+    Pace(Pace),
     /// Request advice: which targets may run a step.
     RequestAdvice(AdviceRequest),
     /// Request a listing from this target at once.
@@ -46,6 +48,22 @@
     pub cause: StopCause,
 }
 
+/// Order to change the share at which a run works.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pace {
+    /// Target that the order goes to.
+    pub target: Name,
+    /// Task of the run.
+    pub task: TaskKey,
+    /// Number of the run.
+    pub run: u32,
+    /// Share in percent.
+    pub percent: u8,
+    /// Task beside the run that is closest to its latency goal, or farthest over
+    /// it; `None` if no task beside it has one.
+    pub beside: Option<TaskKey>,
+}
+
 /// Reason for stopping a run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StopCause {
@@ -63,6 +81,9 @@
     Unsure,
     /// The run is backfill beside this task, which is over its latency goal.
     Harmful(TaskKey),
+    /// The run is backfill beside a task that was over its latency goal, and there
+    /// is room on a target without such tasks.
+    Paced,
     /// The run is preempted to make room for a gang of this job.
     Moved(Name),
     /// An earlier stop order had no effect.
--- a/crates/plan/src/interference.rs
+++ b/crates/plan/src/interference.rs
@@ -209,22 +209,28 @@
             .iter()
             .filter(|other| other.share > 0.0 && self.is_kept(other.kind))
             .collect();
-        let effect = |kind| self.effects.get(&(slowed, kind)).copied().unwrap_or_default();
+        // Backfill counts as harmful until observations show otherwise.
+        let initial = |other: &Neighbour| {
+            let value = if other.is_backfill { UNKNOWN_BACKFILL_EFFECT } else { 0.0 };
+            Effect { value, ..Effect::default() }
+        };
+        let effect = |other: &Neighbour| {
+            self.effects.get(&(slowed, other.kind)).copied().unwrap_or_else(|| initial(other))
+        };
         // The first observation of a kind without neighbours gives its base.
         let base = self.bases.get(&slowed).copied();
         let first = if present.is_empty() { ratio } else { ratio.min(SAFE_RATIO) / 2.0 };
         let base_value = base.map_or(first, |base| base.value);
-        let predicted = base_value
-            + present.iter().map(|other| effect(other.kind).value * other.share).sum::<f64>();
+        let predicted =
+            base_value + present.iter().map(|other| effect(other).value * other.share).sum::<f64>();
         let norm = 1.0 + present.iter().map(|other| other.share * other.share).sum::<f64>();
         let step = LEARNING_GAIN * (ratio - predicted) / norm;
+        let effects: Vec<(Kind, f64, Effect)> =
+            present.iter().map(|other| (other.kind, other.share, effect(other))).collect();
         let mut base = base.unwrap_or(Effect { value: base_value, ..Effect::default() });
         base.update(step, now);
         self.bases.insert(slowed, base);
-        let kinds: Vec<(Kind, f64)> =
-            present.iter().map(|other| (other.kind, other.share)).collect();
-        for (kind, share) in kinds {
-            let mut effect = self.effects.get(&(slowed, kind)).copied().unwrap_or_default();
+        for (kind, share, mut effect) in effects {
             effect.update(step * share, now);
             self.keep_effect((slowed, kind), effect);
             if effect.observations == MIN_OBSERVATIONS {
@@ -250,6 +256,33 @@
         Cost::of(effects.sum())
     }
 
+    /// Returns the share in percent, in tens, up to which backfill may work beside
+    /// tasks of a kind by what is known of both.
+    pub(crate) fn safe_percent(&self, slowed: Kind, others: &[Neighbour], now: Duration) -> u8 {
+        let claim = |effect: Option<&Effect>| {
+            effect.filter(|effect| effect.is_claim(now)).map_or(0.0, |effect| effect.value)
+        };
+        let base = claim(self.bases.get(&slowed));
+        let (mut fixed, mut paced) = (base, 0.0);
+        for other in others {
+            let effect = claim(self.effects.get(&(slowed, other.kind))) * other.share;
+            if other.is_backfill { paced += effect } else { fixed += effect }
+        }
+        if fixed + paced <= SAFE_RATIO {
+            return 100;
+        }
+        let tenths = ((SAFE_RATIO - fixed) / paced.max(f64::MIN_POSITIVE) * 10.0).floor();
+        tenths.clamp(0.0, 10.0) as u8 * 10
+    }
+
+    /// Returns the largest effect of backfill of a kind on any of these.
+    pub(crate) fn backfill_effect(&self, slowed: &[Kind], by: Option<Kind>, now: Duration) -> f64 {
+        let kind = by.unwrap_or(Kind::UNKNOWN);
+        let by = Neighbour { kind, share: 1.0, is_backfill: true };
+        let effects = slowed.iter().map(|slowed| self.effect(Some(*slowed), &by, now));
+        effects.reduce(f64::max).unwrap_or(UNKNOWN_BACKFILL_EFFECT)
+    }
+
     fn effect(&self, slowed: Option<Kind>, by: &Neighbour, now: Duration) -> f64 {
         let effect = slowed.and_then(|slowed| self.effects.get(&(slowed, by.kind)));
         match effect.filter(|effect| effect.is_claim(now)) {
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -15,6 +15,7 @@
     action::{Action, Stop, StopCause},
     admit::RequestLoad,
     blame::Blame,
+    control::Control,
     crash::Crash,
     ends::ReleasedRun,
     job::{Job, Origin},
@@ -23,7 +24,6 @@
     restarts::ProcessRecord,
     settings::Settings,
     share::Bucket,
-    sharing::Control,
     speed::Baseline,
     step::TaskState,
     target::{Availability, Phase, RecordedEnd, Run, Target, TargetId, TargetInfo},
@@ -124,7 +124,7 @@
     /// Wall clock time of the last round, in milliseconds since 1970.
     pub(crate) last_round_unix_ms: u64,
     /// Control of backfill beside tasks with a latency goal.
-    pub(crate) sharing: Control,
+    pub(crate) control: Control,
     /// Whether the state has changed since the last round.
     pub(crate) is_changed: bool,
 }
@@ -184,7 +184,7 @@
         if self.jobs.contains_key(id) {
             return;
         }
-        self.sharing.note_steps(&spec.steps);
+        self.control.note_steps(&spec.steps);
         let mut job = Job::new(Arc::new(spec), origin, progress);
         if origin == Origin::Own
             && let Some(team) = self.config.teams.get(&job.spec.team)
--- a/crates/plan/src/sharing.rs
+++ b/crates/plan/src/sharing.rs
@@ -1,34 +1,22 @@
-//! Backfill beside tasks with a latency goal.
+//! Which runs share a target, and what they cost each other.
 //!
 //! Backfill disturbs tasks with a latency goal on the same target. Both go to
-//! targets without the other first, and share one where there is no other room.
-//! Targets list the response times of each task with a goal. While one exceeds
-//! its goal, the backfill beside it is stopped within half of the time for which
-//! that may last, and starts elsewhere if there is room.
+//! targets without the other first, and share one where there is no other room,
+//! where the cost is least. Targets list the response times of each task with a
+//! goal, from which the planner learns the cost of each kind of task.
 
-use std::{collections::HashMap, time::Duration};
+use std::time::Duration;
 
 use work::{Step, StepKey, TaskKey};
 
 use crate::{
-    action::{Action, StopCause},
-    interference::{Claim, Cost, Interference, Kind, Neighbour},
+    interference::{Claim, Cost, Kind, Neighbour},
     listing::Listing,
+    pace::{OVER_MILLI, Reading, Throttle},
     planner::Planner,
-    target::{Phase, Sharing, Target, TargetId},
+    target::{Phase, Run, Sharing, Target, TargetId},
 };
 
-/// Time between listings of a target on which backfill works beside a task with
-/// a goal. A figure covers half a second, so more frequent ones overlap.
-const WATCH_INTERVAL: Duration = Duration::from_millis(500);
-
-/// Time between checks of all targets.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Maximum number of listings requested in one check; further ones follow in
-/// the next checks.
-const MAX_WATCHED_PER_CHECK: usize = 20;
-
 /// Minimum time between observations of a run. Figures of listings in quicker
 /// succession are for the same half second.
 const MIN_GAP: Duration = Duration::from_millis(450);
@@ -43,17 +31,22 @@
     /// Time of the first listing since which all listings have shown response
     /// times over the goal.
     pub(crate) over_since: Option<Duration>,
+    /// Last ratio to the goal.
+    last: Option<Reading>,
     /// Time of the last observation.
     observed_at: Duration,
 }
 
 impl Latency {
     pub(crate) fn new(goal_ms: u32) -> Self {
-        Self { goal_ms, over_since: None, observed_at: Duration::ZERO }
+        Self { goal_ms, over_since: None, last: None, observed_at: Duration::ZERO }
     }
 
     fn update(&mut self, figure_ms: u32, at: Duration) {
-        let is_over = figure_ms > self.goal_ms;
+        let ratio_milli = u64::from(figure_ms) * 1000 / u64::from(self.goal_ms.max(1));
+        let ratio_milli = u32::try_from(ratio_milli).unwrap_or(u32::MAX);
+        self.last = Some(Reading { ratio_milli, at });
+        let is_over = ratio_milli >= OVER_MILLI;
         self.over_since = is_over.then(|| self.over_since.unwrap_or(at));
     }
 }
@@ -77,51 +70,57 @@
     sharing: Sharing,
 }
 
-/// Control of backfill beside tasks with a latency goal.
-#[derive(Debug, Default)]
-pub(crate) struct Control {
-    /// What is known of the kinds of tasks.
-    interference: Interference,
-    has_goals: bool,
-    has_backfill: bool,
-    next_check_at: Duration,
-    /// Time of the last request for a listing of each watched target.
-    watched: HashMap<TargetId, Duration>,
-}
-
-impl Control {
-    /// Notes the steps of a new job.
-    pub(crate) fn note_steps(&mut self, steps: &[Step]) {
-        self.has_backfill |= steps.iter().any(|step| step.is_backfill);
-        self.has_goals |= steps.iter().any(|step| step.latency_goal_ms.is_some());
-    }
-}
-
 impl Target {
-    /// Returns the kinds of the runs on the target, without the run of `except`.
-    fn neighbours(&self, except: Option<&TaskKey>) -> Vec<Neighbour> {
+    /// Returns the kinds of the runs on the target, without the run of `except`,
+    /// with the share at which each run works.
+    pub(crate) fn neighbours(
+        &self,
+        except: Option<&TaskKey>,
+        share: impl Fn(&Run) -> f64,
+    ) -> Vec<Neighbour> {
         let mut neighbours: Vec<Neighbour> = Vec::new();
         for (_, run) in self.runs.iter().filter(|(task, _)| Some(*task) != except) {
             let is_backfill = run.sharing == Sharing::Backfill;
             let kind = run.kind.unwrap_or(Kind::UNKNOWN);
             match neighbours.iter_mut().find(|other| other.kind == kind) {
-                Some(other) if other.is_backfill == is_backfill => other.share += 1.0,
-                _ => neighbours.push(Neighbour { kind, share: 1.0, is_backfill }),
+                Some(other) if other.is_backfill == is_backfill => other.share += share(run),
+                _ => neighbours.push(Neighbour { kind, share: share(run), is_backfill }),
             }
         }
         neighbours
     }
 
+    /// Returns whether figures requested at `at` show the present paces alone.
+    fn has_steady_paces(&self, pace_delay: Duration, at: Duration) -> bool {
+        let settle_time = Throttle::settle_time(pace_delay);
+        let is_steady = |run: &Run| match run.pace.confirmed() {
+            Some((100, _)) => true,
+            Some((_, confirmed_at)) => at >= confirmed_at + settle_time,
+            None => false,
+        };
+        self.throttle.is_steady(pace_delay, at)
+            && self.runs.values().filter(|run| run.sharing == Sharing::Backfill).all(is_steady)
+    }
+
+    /// Returns the task that is closest to its goal, or farthest over it.
+    pub(crate) fn reading(&self) -> Option<(&TaskKey, Reading)> {
+        let readings = self.runs.iter().filter_map(|(task, run)| {
+            let reading = run.latency.and_then(|latency| latency.last)?;
+            (run.phase == Phase::Running).then_some((task, reading))
+        });
+        readings.max_by_key(|(_, reading)| reading.ratio_milli)
+    }
+
     /// Returns whether a task with a goal and backfill may both be running.
-    fn is_mixed(&self) -> bool {
+    pub(crate) fn is_mixed(&self) -> bool {
         let has = |sharing| self.runs.values().any(|run| run.sharing == sharing);
         has(Sharing::Backfill) && has(Sharing::NoBackfill)
     }
 
     /// Returns the task that has been over its goal for the longest time, and
     /// since when.
-    fn harmed_task(&self) -> Option<(&TaskKey, Duration)> {
-        let over = |(task, run): (_, &crate::target::Run)| {
+    pub(crate) fn harmed_task(&self) -> Option<(&TaskKey, Duration)> {
+        let over = |(task, run): (_, &Run)| {
             let since = run.latency.and_then(|latency| latency.over_since);
             since.filter(|_| !matches!(run.phase, Phase::Stopping(_))).map(|since| (task, since))
         };
@@ -135,20 +134,20 @@
     pub(crate) fn exposure(&self, key: &StepKey, step: &Step) -> Option<Exposure> {
         let sharing = Sharing::of(step);
         if !self.settings.interference.is_enabled
-            || !self.sharing.has_goals
-            || sharing == Sharing::Any && !self.sharing.interference.has_effects()
+            || !self.control.has_goals
+            || sharing == Sharing::Any && !self.control.interference.has_effects()
         {
             return None;
         }
         let queue = &self.jobs.get(&key.job)?.spec.queue;
-        let kind = self.sharing.interference.known_kind(queue, step);
+        let kind = self.control.interference.known_kind(queue, step);
         (sharing != Sharing::Any || kind.is_some()).then_some(Exposure { kind, sharing })
     }
 
     /// Returns how much a task and the runs on a target slow each other down.
     pub(crate) fn harm(&self, id: TargetId, exposure: Exposure) -> Harm {
         let (target, now) = (&self.targets[id.0 as usize], self.last_round_at);
-        let interference = &self.sharing.interference;
+        let interference = &self.control.interference;
         let own = Neighbour {
             kind: exposure.kind.unwrap_or(Kind::UNKNOWN),
             share: 1.0,
@@ -163,7 +162,8 @@
             }
         }
         if exposure.sharing == Sharing::NoBackfill {
-            cost = cost.plus(interference.cost(exposure.kind, &target.neighbours(None), now));
+            cost =
+                cost.plus(interference.cost(exposure.kind, &target.neighbours(None, |_| 1.0), now));
         }
         let harmed_at = target.harmed_at.filter(|_| is_mixed);
         let was_recent = harmed_at.is_some_and(|at| now.saturating_sub(at) < HARM_MEMORY);
@@ -172,18 +172,18 @@
 
     /// Removes and returns the claims about kinds of tasks since the last call.
     pub fn take_claims(&mut self) -> Vec<Claim> {
-        self.sharing.interference.take_claims()
+        self.control.interference.take_claims()
     }
 
     /// Returns the number of kinds of tasks that are kept, and of claims about
     /// them.
     pub fn interference_size(&self, now: Duration) -> (usize, usize) {
-        self.sharing.interference.size(now)
+        self.control.interference.size(now)
     }
 
     /// Determines the kinds of the runs on a target.
-    fn identify_runs(&mut self, id: TargetId, now: Duration) {
-        let (jobs, interference) = (&self.jobs, &mut self.sharing.interference);
+    pub(crate) fn identify_runs(&mut self, id: TargetId, now: Duration) {
+        let (jobs, interference) = (&self.jobs, &mut self.control.interference);
         for (task, run) in &mut self.targets[id.0 as usize].runs {
             if run.kind.is_none()
                 && let Some(job) = jobs.get(&task.step.job)
@@ -202,16 +202,23 @@
         listing: &Listing,
         requested_at: Duration,
     ) {
-        if !self.sharing.has_goals || !self.settings.interference.is_enabled {
+        if !self.control.has_goals || !self.settings.interference.is_enabled {
             return;
         }
+        let pace_delay = self.settings.interference.pace_delay;
         let target = &mut self.targets[id.0 as usize];
         let mut observed = Vec::new();
         for listed in &listing.running {
-            if let Some(run) = target.runs.get_mut(&listed.task)
-                && run.number == listed.run
-                && let (Some(latency), Some(figure)) = (&mut run.latency, listed.figure)
-            {
+            let Some(run) = target.runs.get_mut(&listed.task) else {
+                continue;
+            };
+            let Some(figure) = listed.figure.filter(|_| run.number == listed.run) else {
+                continue;
+            };
+            if run.sharing == Sharing::Backfill {
+                run.pace.listed(figure, run.size.cpu_milli, requested_at, pace_delay);
+            }
+            if let Some(latency) = &mut run.latency {
                 latency.update(figure, requested_at);
                 // A task that has answered nothing says nothing.
                 let is_new = requested_at.saturating_sub(latency.observed_at) >= MIN_GAP;
@@ -226,60 +233,15 @@
         }
         self.identify_runs(id, requested_at);
         let target = &self.targets[id.0 as usize];
-        for (task, ratio) in observed {
-            if let Some(kind) = target.runs.get(task).and_then(|run| run.kind) {
-                let neighbours = target.neighbours(Some(task));
-                self.sharing.interference.observe(kind, ratio, &neighbours, requested_at);
-            }
-        }
-    }
-
-    /// Watches the targets on which backfill runs beside a task with a goal, and
-    /// stops backfill beside a task that has been over its goal for too long.
-    pub(crate) fn protect_goals(&mut self, now: Duration) {
-        let is_needed = self.settings.interference.is_enabled
-            && self.sharing.has_goals
-            && self.sharing.has_backfill;
-        if !is_needed || now < self.sharing.next_check_at {
+        if !target.has_steady_paces(pace_delay, requested_at) {
             return;
         }
-        self.sharing.next_check_at = now + CHECK_INTERVAL;
-        // The stop and its effect take the other half.
-        let max_time = self.settings.interference.max_harm / 2;
-        let mut watched = 0;
-        for id in (0..self.targets.len() as u32).map(TargetId) {
-            let target = &self.targets[id.0 as usize];
-            if !target.is_mixed() || target.last_contact_at.is_none() {
-                self.sharing.watched.remove(&id);
-                continue;
-            }
-            if let Some((task, since)) = target.harmed_task()
-                && now.saturating_sub(since) >= max_time
-            {
-                let task = task.clone();
-                self.stop_backfill(id, &task, now);
-            }
-            let last = self.sharing.watched.entry(id).or_default();
-            if now.saturating_sub(*last) >= WATCH_INTERVAL && watched < MAX_WATCHED_PER_CHECK {
-                *last = now;
-                watched += 1;
-                let target = self.targets[id.0 as usize].info.id.clone();
-                self.actions.push(Action::Poll(target));
+        let share = |run: &Run| f64::from(run.pace.percent()) / 100.0;
+        for (task, ratio) in observed {
+            if let Some(kind) = target.runs.get(task).and_then(|run| run.kind) {
+                let neighbours = target.neighbours(Some(task), share);
+                self.control.interference.observe(kind, ratio, &neighbours, requested_at);
             }
         }
     }
-
-    /// Stops all backfill on a target, so that it no longer harms a task.
-    fn stop_backfill(&mut self, id: TargetId, harmed: &TaskKey, now: Duration) {
-        let runs = self.targets[id.0 as usize].runs.iter();
-        let is_working = |(_, run): &(&TaskKey, &crate::target::Run)| {
-            run.sharing == Sharing::Backfill && !matches!(run.phase, Phase::Stopping(_))
-        };
-        let backfill: Vec<(TaskKey, u32)> =
-            runs.filter(is_working).map(|(task, run)| (task.clone(), run.number)).collect();
-        for (task, run) in backfill {
-            self.targets[id.0 as usize].harmed_at = Some(now);
-            self.stop_run(id, &task, run, StopCause::Harmful(harmed.clone()), now);
-        }
-    }
 }
--- a/crates/plan/src/target.rs
+++ b/crates/plan/src/target.rs
@@ -10,7 +10,12 @@
 use smallvec::SmallVec;
 use work::{Step, TaskKey};
 
-use crate::{interference::Kind, sharing::Latency, speed::Speed};
+use crate::{
+    interference::Kind,
+    pace::{Pace, Throttle},
+    sharing::Latency,
+    speed::Speed,
+};
 
 /// Position of a target in its planner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -126,6 +131,8 @@
     pub(crate) started_at: Option<Duration>,
     /// Kind of the task, once the run was seen beside a task with a goal.
     pub(crate) kind: Option<Kind>,
+    /// Share at which the run works.
+    pub(crate) pace: Pace,
     /// Response times; `None` for a run without a latency goal.
     pub(crate) latency: Option<Latency>,
 }
@@ -136,6 +143,8 @@
         let goal_ms = step.latency_goal_ms.filter(|_| sharing == Sharing::NoBackfill);
         Self {
             kind: None,
+            // Runs of earlier placers are taken over as running.
+            pace: if phase == Phase::Running { Pace::UNKNOWN } else { Pace::FULL },
             latency: goal_ms.map(Latency::new),
             number,
             size,
@@ -169,6 +178,8 @@
     /// Part of the allocated processor time that backfill takes, in thousandths
     /// of a core. It is free for other tasks.
     pub(crate) backfill_cpu_milli: u32,
+    /// Share at which backfill works here.
+    pub(crate) throttle: Throttle,
     /// Time at which backfill was last stopped here for a task over its goal.
     pub(crate) harmed_at: Option<Duration>,
     pub(crate) runs: BTreeMap<TaskKey, Run>,
--- a/crates/plan/tests/decisions/random_faults/leader.rs
+++ b/crates/plan/tests/decisions/random_faults/leader.rs
@@ -284,6 +284,8 @@
         match action {
             Action::Start(start) => self.start(start, now),
             Action::Stop(stop) => self.stop(stop),
+            // The random jobs have no backfill.
+            Action::Pace(_) => {}
             Action::RequestAdvice(request) => self.effects.push(Effect::Advise(request)),
             Action::Poll(target) => {
                 if let Some(session) = self.sessions.get(&target) {
--- a/crates/standin/src/cell/mod.rs
+++ b/crates/standin/src/cell/mod.rs
@@ -5,6 +5,7 @@
 //! violation of the scheduler's guarantees. [`simulation`] runs a whole day on
 //! the placer's decisions alone, without nodes.
 
+pub mod interference;
 pub mod simulation;
 pub mod store;
 pub mod targets;
--- a/crates/standin/src/cell/simulation/mod.rs
+++ b/crates/standin/src/cell/simulation/mod.rs
@@ -348,6 +348,8 @@
                     Event::Ended { target, task, run, end },
                 );
             }
+            // The workloads have no backfill.
+            Action::Pace(_) => {}
             Action::RequestAdvice(request) => self.advise(request),
             Action::Poll(target) => self.schedule(TARGET_LATENCY, Event::Listing(target)),
         }
--- a/crates/standin/src/cell/targets.rs
+++ b/crates/standin/src/cell/targets.rs
@@ -11,7 +11,7 @@
 use base::{Name, Resources};
 use futures::{FutureExt, future::BoxFuture};
 use node::external::{Fence, OrderError, OrderResult, Orders, Renewal, Start, Target};
-use plan::{ListedRun, Listing, Refusal, RunEnd, StartAnswer};
+use plan::{ListedRun, Listing, Pace, Refusal, RunEnd, StartAnswer};
 use tokio::time::{self, Instant};
 use work::{End, TaskKey};
 
@@ -449,6 +449,17 @@
         .boxed()
     }
 
+    fn pace<'a>(
+        &'a self,
+        _target: &'a Target,
+        _pace: &'a Pace,
+        _fence: Fence,
+        _timeout: Duration,
+    ) -> BoxFuture<'a, OrderResult<()>> {
+        // The runs of these targets have no speed.
+        async { Err(OrderError::NoAnswer("paces are not supported".to_owned())) }.boxed()
+    }
+
     fn renew<'a>(
         &'a self,
         target: &'a Target,
