--- a/crates/node/tests/cell/main.rs
+++ b/crates/node/tests/cell/main.rs
@@ -2,6 +2,7 @@
 //! observed, or that the platform's operators describe.
 
 mod common;
+mod interference;
 mod jobs;
 mod leadership;
 mod links;
--- a/crates/standin/src/cell/targets.rs
+++ b/crates/standin/src/cell/targets.rs
@@ -76,6 +76,12 @@
     done: HashSet<TaskKey>,
     starts: HashMap<TaskKey, u32>,
     listing_requests: u32,
+    /// Figures with which the runs of jobs are listed.
+    figures: HashMap<Name, u32>,
+    /// Last pace of the runs of each job, in percent.
+    paces: HashMap<Name, u8>,
+    /// Whether pace orders get no answer.
+    loses_paces: bool,
     /// Descriptions of violated guarantees.
     violations: Vec<String>,
 }
@@ -143,6 +149,21 @@
         }
     }
 
+    /// Sets the figure with which the runs of a job are listed.
+    pub fn set_figure(&self, job: &str, figure: u32) {
+        self.lock().figures.insert(Name::from(job), figure);
+    }
+
+    /// Returns the last pace of the runs of a job, in percent.
+    pub fn pace(&self, job: &str) -> Option<u8> {
+        self.lock().paces.get(job).copied()
+    }
+
+    /// Sets whether pace orders have no effect and get no answer.
+    pub fn lose_paces(&self, loses_paces: bool) {
+        self.lock().loses_paces = loses_paces;
+    }
+
     /// Returns descriptions of the guarantees that were violated.
     pub fn violations(&self) -> Vec<String> {
         self.lock().violations.clone()
@@ -200,16 +221,28 @@
         Ok(((), target_state.clock_ms(Instant::now())))
     }
 
+    fn set_pace(&self, id: &str, pace: &Pace, fence: Fence) -> OrderResult<()> {
+        let mut state = self.lock();
+        let State { targets, paces, .. } = &mut *state;
+        let target_state = targets.get_mut(id).ok_or(OrderError::Replaced)?;
+        target_state.claim(fence)?;
+        if target_state.runs.get(&pace.task).is_some_and(|run| run.number == pace.run) {
+            paces.insert(pace.task.step.job.clone(), pace.percent);
+        }
+        Ok(((), target_state.clock_ms(Instant::now())))
+    }
+
     fn renew(&self, id: &str, renewal: Renewal) -> OrderResult<Listing> {
         let now = Instant::now();
         let mut state = self.lock();
-        let target_state = state.targets.get_mut(id).ok_or(OrderError::Replaced)?;
+        let State { targets, figures, .. } = &mut *state;
+        let target_state = targets.get_mut(id).ok_or(OrderError::Replaced)?;
         target_state.claim(renewal.fence)?;
         if let Some(until_ms) = renewal.lease_until_ms {
             target_state.extend_lease(until_ms, now);
         }
         target_state.ended.retain(|ended| ended.number > renewal.recorded_end);
-        Ok((target_state.listing(now), target_state.clock_ms(now)))
+        Ok((target_state.listing(figures, now), target_state.clock_ms(now)))
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -343,13 +376,13 @@
         }
     }
 
-    fn listing(&self, now: Instant) -> Listing {
+    fn listing(&self, figures: &HashMap<Name, u32>, now: Instant) -> Listing {
         let running = self.runs.iter().map(|(task, run)| ListedRun {
             task: task.clone(),
             run: run.number,
             checkpoint: None,
             percent: run.percent(now),
-            figure: None,
+            figure: figures.get(&task.step.job).copied(),
         });
         Listing {
             born_unix_ms: self.born,
@@ -451,13 +484,20 @@
 
     fn pace<'a>(
         &'a self,
-        _target: &'a Target,
-        _pace: &'a Pace,
-        _fence: Fence,
-        _timeout: Duration,
+        target: &'a Target,
+        pace: &'a Pace,
+        fence: Fence,
+        timeout: Duration,
     ) -> BoxFuture<'a, OrderResult<()>> {
-        // The runs of these targets have no speed.
-        async { Err(OrderError::NoAnswer("paces are not supported".to_owned())) }.boxed()
+        async move {
+            time::sleep(LATENCY).await;
+            if self.0.lock().loses_paces {
+                time::sleep(timeout).await;
+                return Err(OrderError::NoAnswer("no answer".to_owned()));
+            }
+            self.0.set_pace(&target.id, pace, fence)
+        }
+        .boxed()
     }
 
     fn renew<'a>(
