Pace orders are repeated until they are taken

After eight orders without an answer a run kept a pace that nobody wanted: backfill that had been paced to nothing stayed idle for good. The back-off bounds the rate; the limit now holds only for orders sent again because a listing shows no effect.

--- a/crates/plan/src/pace.rs
+++ b/crates/plan/src/pace.rs
@@ -233,8 +233,8 @@
     /// Limit for the doublings of the back-off.
     const MAX_DOUBLINGS: u32 = 4;
 
-    /// Maximum number of orders for one share. If the run still does harm, it is
-    /// stopped long before.
+    /// Maximum number of orders for one share that are sent because a listing shows
+    /// no effect. A figure may exceed the share for other reasons.
     const MAX_ORDERS: u32 = 8;
 
     /// Pace of a run that was just started, which is at full speed.
@@ -271,15 +271,12 @@
             let doubtful_until = self.doubtful_until;
             *self = Self { percent, doubtful_until, next_order_at: now, ..Self::UNKNOWN };
         }
-        if self.confirmed_at.is_some()
-            || now < self.next_order_at
-            || self.orders >= Self::MAX_ORDERS
-        {
+        if self.confirmed_at.is_some() || now < self.next_order_at {
             return false;
         }
         self.next_order_at =
             now + Self::RETRY_BACKOFF * (1 << self.orders.min(Self::MAX_DOUBLINGS));
-        self.orders += 1;
+        self.orders = self.orders.saturating_add(1);
         true
     }
 
--- a/crates/plan/tests/decisions/sharing.rs
+++ b/crates/plan/tests/decisions/sharing.rs
@@ -227,6 +227,24 @@
     expect_that!(list_once(&mut cell, &runs[1..], 0, 0, taken), eq(&[100]));
 }
 
+#[gtest]
+fn order_for_full_pace_is_repeated_until_it_is_taken() {
+    // A lost one would leave the backfill idle for good.
+    let (mut cell, runs) = shared_target();
+    expect_that!(list_once(&mut cell, &runs, GOAL_MS * 3, 900, PaceAnswer::Taken), eq(&[0]));
+    cell.cancel("web");
+    cell.end_run(&runs[0], End::Stopped);
+    let mut orders = 0;
+    for _ in 0..120 {
+        orders += list_once(&mut cell, &runs[1..], 0, 0, PaceAnswer::Unknown).len();
+    }
+    // Within a minute: five in the first 4.5 s, then one each 4.8 s.
+    expect_that!(orders, all!(ge(15), le(17)));
+    let shares: Vec<u8> =
+        (0..10).flat_map(|_| list_once(&mut cell, &runs[1..], 0, 0, PaceAnswer::Taken)).collect();
+    expect_that!(shares, eq(&[100]));
+}
+
 #[gtest]
 fn new_placer_sets_the_pace_of_the_backfill_that_it_takes_over() {
     // The earlier placer may have paced it to nothing.
