--- a/crates/plan/src/interference.rs
+++ b/crates/plan/src/interference.rs
@@ -204,6 +204,7 @@
         if !self.is_kept(slowed) {
             return;
         }
+        self.note_use(slowed, neighbours, now);
         let ratio = ratio.clamp(0.0, MAX_RATIO);
         let present: Vec<&Neighbour> = neighbours
             .iter()
@@ -239,6 +240,15 @@
         }
     }
 
+    /// Notes that these kinds are in use, so that others make room first.
+    fn note_use(&mut self, slowed: Kind, neighbours: &[Neighbour], now: Duration) {
+        for (kind, used_at) in self.kinds.values_mut() {
+            if *kind == slowed || neighbours.iter().any(|other| other.kind == *kind) {
+                *used_at = now;
+            }
+        }
+    }
+
     fn keep_effect(&mut self, pair: (Kind, Kind), effect: Effect) {
         if self.effects.len() >= MAX_EFFECTS && !self.effects.contains_key(&pair) {
             let oldest =
--- a/crates/plan/tests/decisions/sharing.rs
+++ b/crates/plan/tests/decisions/sharing.rs
@@ -373,6 +373,12 @@
         cell.end_run(&fold[0], End::Stopped);
     }
     expect_that!(cell.planner.interference_size(cell.now).0, le(64));
+    // A kind in use is not the one to make room: the service is still learnt from.
+    cell.accept("last", vec![backfill(1)]);
+    let last = start(&mut cell);
+    let runs = [web, last].concat();
+    play(&mut cell, &runs, GOAL_MS / 2, INTERVAL * 20);
+    expect_that!(cell.planner.interference_size(cell.now).1, ge(1));
 }
 
 #[gtest]
