--- a/crates/plan/src/control.rs
+++ b/crates/plan/src/control.rs
@@ -148,12 +148,10 @@
     /// Paces backfill beside tasks with a goal by the listed response times, and
     /// stops it beside a task that has been over its goal for too long.
     pub(crate) fn protect_goals(&mut self, now: Duration) {
-        if !self.settings.interference.is_enabled
-            || !self.control.has_backfill
-            || now < self.control.next_check_at
-        {
+        if !self.control.has_backfill || now < self.control.next_check_at {
             return;
         }
+        let is_enabled = self.settings.interference.is_enabled;
         self.control.next_check_at = now + CHECK_INTERVAL;
         let (mut watched, mut orders) = (0, 0);
         let mut moves = Moves::default();
@@ -165,7 +163,7 @@
             if target.last_contact_at.is_none() {
                 continue;
             }
-            if target.is_mixed() {
+            if is_enabled && target.is_mixed() {
                 self.throttle_backfill(id, now);
                 self.stop_harmful(id, now);
                 self.move_backfill(id, &mut moves, now);
--- a/crates/plan/tests/decisions/sharing.rs
+++ b/crates/plan/tests/decisions/sharing.rs
@@ -255,6 +255,18 @@
     expect_that!(shares, eq(&[50]));
 }
 
+#[gtest]
+fn pace_of_an_earlier_placer_is_lifted_with_the_setting_off() {
+    let (_, runs) = shared_target();
+    let interference = Interference { is_enabled: false, ..Interference::default() };
+    let settings = Settings { interference, ..Settings::default() };
+    let mut cell = Cell::with_settings(1, settings);
+    cell.accept("fold", vec![backfill(1)]);
+    cell.list_running(&runs[1..]);
+    let shares = list_once(&mut cell, &runs[1..], 0, 0, PaceAnswer::Taken);
+    expect_that!(shares, eq(&[100]));
+}
+
 #[gtest]
 fn backfill_moves_to_a_target_without_goals_once_there_is_room() {
     let mut cell = Cell::new(2);
