--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -124,4 +124,6 @@
     EvacuationRead = 604, "evacuation of a data centre read";
     ClientsLimited = 661, "clients refused or disconnected for lack of room or time";
     AcceptFailed = 662, "connection not accepted";
+    PaceSent = 651, "pace of backfill changed beside tasks with a latency goal";
+    InterferenceLearnt = 652, "one kind of task found to slow another down";
 }
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -56,6 +56,13 @@
     }
 }
 
+/// Label of a gauge.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct Subject {
+    /// What is counted.
+    pub(crate) what: &'static str,
+}
+
 /// Metrics of a node.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -76,6 +83,8 @@
     pub(crate) suspicions: Family<Labels, Counter>,
     /// Connections of clients.
     pub(crate) gates: Gates,
+    /// Runs with a latency goal and of backfill, and kinds of tasks that are known.
+    pub(crate) interference: Family<Subject, Gauge>,
     /// Placement rounds that ended before all waiting steps were considered.
     pub(crate) limited_rounds: Counter,
     /// Terms that this node has started as leader.
@@ -111,6 +120,7 @@
             crashes: Family::default(),
             suspicions: Family::default(),
             gates: Gates::default(),
+            interference: Family::default(),
             limited_rounds: Counter::default(),
             takeovers: Counter::default(),
             leads: Gauge::default(),
@@ -138,6 +148,11 @@
             metrics.suspicions.clone(),
         );
         metrics.gates.register(registry);
+        registry.register(
+            "interference",
+            "Runs with a latency goal and of backfill, and kinds of tasks that are known",
+            metrics.interference.clone(),
+        );
         registry.register(
             "limited_rounds",
             "Rounds that ended before all waiting steps were considered",
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -31,6 +31,7 @@
         state,
         state::StoredState,
     },
+    settings::Switch,
 };
 
 /// Interval between rounds while no events arrive.
@@ -170,6 +171,11 @@
                 slack: Duration::from_millis(ctx.settings.preemption.slack_ms),
                 ..defaults.preemption
             },
+            interference: plan::Interference {
+                is_enabled: ctx.settings.interference == Switch::On,
+                max_harm: Duration::from_millis(ctx.settings.bounds.harm_ms),
+                pace_delay: Duration::from_millis(ctx.settings.bounds.pace_ms),
+            },
             target_lease: defaults.target_lease.min(max_lease),
             max_evacuation_age: ctx.settings.max_evacuation_age(),
             max_target_lease: max_lease,
@@ -295,6 +301,7 @@
             if queues_at.elapsed() >= if is_new { FIRST_QUEUES_INTERVAL } else { QUEUES_INTERVAL } {
                 queues_at = Instant::now();
                 self.publish_queues();
+                self.report_control(clock::now());
             }
             if expiry_at.elapsed() >= EXPIRY_INTERVAL {
                 expiry_at = Instant::now();
@@ -337,6 +344,9 @@
         for crash in self.planner.take_crashes() {
             self.log_crash(&crash);
         }
+        for claim in self.planner.take_claims() {
+            self.log_claim(&claim);
+        }
         for action in self.planner.take_actions() {
             self.execute(action);
         }
@@ -407,6 +417,12 @@
                     ));
                 }
             }
+            Action::Pace(pace) => {
+                if let Some(session) = self.sessions.get(&pace.target) {
+                    let session = Arc::clone(session);
+                    self.tasks.spawn(order::pace(ctx, leadership, session, pace, events));
+                }
+            }
             Action::RequestAdvice(request) => self.request_advice(request),
             Action::Poll(target) => {
                 if let Some(session) = self.sessions.get(&target) {
@@ -476,6 +492,14 @@
             Event::StopAnswered { target, task, run } => {
                 self.planner.stop_answered(&target, &task, run, now);
             }
+            Event::PaceAnswered { pace, answer } => self.planner.pace_answered(
+                &pace.target,
+                &pace.task,
+                pace.run,
+                pace.percent,
+                answer,
+                now,
+            ),
             Event::PeerJoined(joined) => self.add_peer(joined),
             Event::FrameReceived(instance, frame) => self.handle_frame(&instance, frame, now),
             Event::PeerLeft(instance) => {
--- a/crates/node/tests/cell/main.rs
+++ b/crates/node/tests/cell/main.rs
@@ -3,6 +3,7 @@
 
 mod common;
 mod evacuation;
+mod interference;
 mod jobs;
 mod leadership;
 mod links;
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -15,6 +15,7 @@
     action::{Action, Stop, StopCause},
     admit::RequestLoad,
     blame::Blame,
+    control::Control,
     crash::Crash,
     ends::ReleasedRun,
     evacuation::Evacuation,
@@ -125,6 +126,8 @@
     pub(crate) last_round_at: Duration,
     /// Wall clock time of the last round, in milliseconds since 1970.
     pub(crate) last_round_unix_ms: u64,
+    /// Control of backfill beside tasks with a latency goal.
+    pub(crate) control: Control,
     /// Whether the state has changed since the last round.
     pub(crate) is_changed: bool,
 }
@@ -184,6 +187,7 @@
         if self.jobs.contains_key(id) {
             return;
         }
+        self.control.note_steps(&spec.steps);
         let mut job = Job::new(Arc::new(spec), origin, progress);
         if origin == Origin::Own
             && let Some(team) = self.config.teams.get(&job.spec.team)
@@ -270,7 +274,7 @@
             job.run_count += 1;
         }
         let target_state = &mut self.targets[id.0 as usize];
-        target_state.allocated += run.size;
+        target_state.allocate(&run);
         target_state.lease_granted_at = target_state.lease_granted_at.max(Some(now));
         target_state.extend_lease(now + self.settings.lapse_timeout());
         target_state.runs.insert(task.clone(), run);
--- a/crates/plan/tests/decisions/main.rs
+++ b/crates/plan/tests/decisions/main.rs
@@ -13,5 +13,6 @@
 mod placement;
 mod preempt;
 mod random_faults;
+mod sharing;
 mod takeover;
 mod targets;
