Keep usual speeds of targets over terms, correct estimates by queue

Cause: what a leader learnt of the usual speeds of its targets ended with its term.

Change: Planner::speeds returns classes of speed by target and process, and the baselines of the queues; Planner::inherit_speeds takes them over. An inherited speed is applied when the target lists its runs under the same start time. Objectives, lateness and preemption remain by the estimates, except that overestimated steps count as in time for longer.

Ruled out: corrected estimates that make a step late, since a queue with low estimates would fall behind as a whole; a weight of 48 for inherited speeds, with which speeds of 0.8 to 1.25 would hardly differ from noise in the next term.

--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -54,4 +54,5 @@
 pub use reappeared::ReappearedRun;
 pub use restarts::ProcessRecord;
 pub use settings::{Preemption, Settings};
+pub use speed::record::{QueueBaseline, SpeedRecord, TargetSpeed};
 pub use target::{Availability, RecordedEnd, TargetId, TargetInfo};
--- a/crates/plan/src/listing.rs
+++ b/crates/plan/src/listing.rs
@@ -9,7 +9,6 @@
     action::{Action, StopCause},
     ends::Evidence,
     planner::Planner,
-    speed::Speed,
     target::{Phase, TargetId},
 };
 
@@ -181,10 +180,11 @@
         self.settle_suspicion(id, requested_at);
         if known_born != listing.born_unix_ms {
             self.process_changed(id, listing.born_unix_ms, now);
+            let speed = self.initial_speed(target, listing.born_unix_ms, now);
             let target_state = &mut self.targets[id.0 as usize];
             // A new process numbers its ends from 1 again, and may run on other
             // hardware.
-            target_state.speed = Speed::default();
+            target_state.speed = speed;
             target_state.earlier_born_unix_ms = known_born;
             target_state.born_unix_ms = listing.born_unix_ms;
             target_state.last_end = 0;
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -24,7 +24,7 @@
     restarts::ProcessRecord,
     settings::Settings,
     share::Bucket,
-    speed::Baseline,
+    speed::{Baseline, record::Inherited},
     step::TaskState,
     target::{Availability, Phase, RecordedEnd, Run, Target, TargetId, TargetInfo},
 };
@@ -118,6 +118,8 @@
     buckets: HashMap<Name, Bucket>,
     /// Usual ratio of run time to estimate in each queue.
     pub(crate) run_baselines: HashMap<Name, Baseline>,
+    /// Usual speeds of targets, as recorded by an earlier placer.
+    pub(crate) inherited_speeds: Inherited,
     /// Moving average of the fraction of targets that are allowed, by queue, in
     /// thousandths.
     pub(crate) allowed_ratio_milli: HashMap<Name, u32>,
--- a/crates/plan/src/rank.rs
+++ b/crates/plan/src/rank.rs
@@ -9,6 +9,9 @@
 //! - steps that can only be late;
 //! - steps so late that the result is of no use.
 //!
+//! Remaining work is corrected by the usual run times of the queue, except for
+//! what makes a step late.
+//!
 //! While much of the cell is free, steps that have waited too long go first.
 //! Otherwise large gangs would starve, since they find no room beside a stream
 //! of small tasks.
@@ -70,11 +73,13 @@
 /// time are in milliseconds since 1970.
 #[derive(Clone, Copy, Debug)]
 struct Times {
-    /// Estimated time of the longest chain that begins with the step, in
-    /// milliseconds.
-    remaining_ms: u64,
     /// Last start with which the job meets its objective.
     latest_start_ms: u64,
+    /// Estimated time of the longest chain that begins with the step, corrected by
+    /// the usual run times of the queue, in milliseconds.
+    corrected_remaining_ms: u64,
+    /// Start as in `latest_start_ms`, by the corrected time.
+    corrected_latest_start_ms: u64,
     /// Last start with which the result of the job is of use.
     last_useful_start_ms: u64,
 }
@@ -85,6 +90,7 @@
     timeliness: Timeliness,
     entitlement: Entitlement,
     priority: u32,
+    /// Last start in time, by the corrected estimates.
     latest_start_ms: u64,
     key: StepKey,
 }
@@ -148,16 +154,19 @@
             return Some(u32::MAX);
         }
         let slack_ms = self.settings.preemption.slack.as_millis() as u64;
-        (unix_ms + slack_ms <= rank.latest_start_ms).then_some(rank.priority)
+        let latest_start_ms = self.times(key)?.latest_start_ms;
+        (unix_ms + slack_ms <= latest_start_ms).then_some(rank.priority)
     }
 
     /// Returns which targets a step goes to first, by the time that its job has
     /// left beyond its remaining work.
     pub(crate) fn speed_preference(&self, key: &StepKey, unix_ms: u64) -> SpeedPreference {
-        let Some(Times { remaining_ms, latest_start_ms, .. }) = self.times(key) else {
+        let Some(Times { corrected_remaining_ms, corrected_latest_start_ms, .. }) = self.times(key)
+        else {
             return SpeedPreference::Any;
         };
-        let slack_ms = latest_start_ms.saturating_sub(unix_ms);
+        let remaining_ms = corrected_remaining_ms;
+        let slack_ms = corrected_latest_start_ms.saturating_sub(unix_ms);
         if slack_ms < remaining_ms * TIGHT_SLACK_PERCENT / 100 {
             SpeedPreference::Fast
         } else if slack_ms > remaining_ms * AMPLE_SLACK_PERCENT / 100 {
@@ -169,8 +178,11 @@
 
     fn rank(&self, key: &StepKey, unix_ms: u64) -> Option<Rank> {
         let job = self.jobs.get(&key.job)?;
-        let Times { latest_start_ms, last_useful_start_ms, .. } = self.times(key)?;
-        let timeliness = if unix_ms <= latest_start_ms {
+        let Times { latest_start_ms, corrected_latest_start_ms, last_useful_start_ms, .. } =
+            self.times(key)?;
+        // A step that is late only by the correction may still be in time on a fast
+        // target, and a whole queue must not fall behind by it.
+        let timeliness = if unix_ms <= latest_start_ms.max(corrected_latest_start_ms) {
             Timeliness::InTime
         } else if unix_ms <= last_useful_start_ms {
             Timeliness::Late
@@ -181,7 +193,7 @@
             timeliness,
             entitlement: job.entitlement,
             priority: self.priority(key),
-            latest_start_ms,
+            latest_start_ms: corrected_latest_start_ms,
             key: key.clone(),
         })
     }
@@ -196,7 +208,15 @@
         let latest_start_ms = (since_ms + objective_ms).saturating_sub(remaining_ms);
         let last_useful_start_ms =
             (since_ms + objective_ms * USELESS_OBJECTIVE_RATIO).saturating_sub(remaining_ms);
-        Some(Times { remaining_ms, latest_start_ms, last_useful_start_ms })
+        let corrected_remaining_ms = self.corrected_ms(&spec.queue, remaining_ms);
+        let corrected_latest_start_ms =
+            (since_ms + objective_ms).saturating_sub(corrected_remaining_ms);
+        Some(Times {
+            latest_start_ms,
+            corrected_remaining_ms,
+            corrected_latest_start_ms,
+            last_useful_start_ms,
+        })
     }
 }
 
--- a/crates/plan/src/speed.rs
+++ b/crates/plan/src/speed.rs
@@ -11,6 +11,8 @@
 //!   slow ones. Jobs with little time to spare go to the fast ones first, and
 //!   jobs with much time leave them free.
 
+pub(crate) mod record;
+
 use std::time::Duration;
 
 /// Time in which the weight of an observation falls to 1/e in the recent
--- a/crates/plan/tests/decisions/cell.rs
+++ b/crates/plan/tests/decisions/cell.rs
@@ -452,6 +452,7 @@
         let processes = self.planner.processes(&held, self.now);
         let mut planner = Planner::new(Settings::default(), 2, held, self.now);
         planner.inherit_processes(processes, self.now);
+        planner.inherit_speeds(&self.planner.speeds(self.now), self.now);
         planner.configure(Arc::new(self.config.clone()));
         for (id, spec) in &self.specs {
             planner.inherit(id, spec.clone(), self.progress.get(id), self.now);
--- a/crates/plan/tests/decisions/main.rs
+++ b/crates/plan/tests/decisions/main.rs
@@ -13,5 +13,6 @@
 mod placement;
 mod preempt;
 mod random_faults;
+mod speeds;
 mod takeover;
 mod targets;
