Record usual speeds of targets, hand them over with the leadership

Change: the handover frame has the field speeds, absent from older peers. Where targets differ, the leader writes the key skylarkspan/speeds under its guard when the class of a target has changed, at most every 3 s; the next leader reads it beside the other records, for 500 ms at most. Missing or unreadable, it counts as nothing known.

Cost: one more read in each takeover, concurrent with the others. No write where targets are alike.

Ruled out: the record of closed targets, which would be written more often for all; progress writes, which would carry the record each time.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -122,4 +122,8 @@
     EvacuationEnded = 602, "evacuation of a data centre ended";
     EvacuationsUnconfirmed = 603, "evacuations not confirmed recently";
     EvacuationRead = 604, "evacuation of a data centre read";
+    SpeedsInherited = 641, "usual speeds of the targets taken over";
+    SpeedsRecorded = 642, "usual speeds of the targets recorded";
+    SpeedsNotRecorded = 643, "usual speeds of the targets could not be recorded";
+    SpeedsUnread = 644, "usual speeds of the targets could not be read";
 }
--- a/crates/node/src/keys.rs
+++ b/crates/node/src/keys.rs
@@ -18,6 +18,9 @@
 /// Targets that get no new work for now, with all runs that may be on them.
 pub(crate) const CLOSED: &str = "skylarkspan/closed";
 
+/// Usual speeds of the targets, if these differ.
+pub(crate) const SPEEDS: &str = "skylarkspan/speeds";
+
 /// Prefix of accepted jobs and their cancellations, written by the frontends.
 pub(crate) const JOBS: &str = "skylarkspan/in/";
 
--- a/crates/node/src/leadership.rs
+++ b/crates/node/src/leadership.rs
@@ -30,6 +30,7 @@
 use base::{Name, clock, emit};
 use bytes::Bytes;
 use futures::{FutureExt, StreamExt, stream::FuturesUnordered};
+use plan::SpeedRecord;
 use platform::{Commit, CommitOutcome, Entry, Error, Event, Lease, Revision, Write};
 use tokio::time::{self, MissedTickBehavior};
 use work::TaskKey;
@@ -92,6 +93,8 @@
     pub(crate) restarted: HashSet<Name>,
     /// Targets with an unconfirmed process, as known to the previous leader.
     pub(crate) unconfirmed: HashSet<Name>,
+    /// Usual speeds of the targets; `None` unless the previous leader handed over.
+    pub(crate) speeds: Option<SpeedRecord>,
 }
 
 /// Prerequisites for taking the leadership.
@@ -231,13 +234,15 @@
             None
         }
     };
-    let Some(Succession { revision, unreachable_targets, restarted, unconfirmed }) = succession
+    let Some(Succession { revision, unreachable_targets, restarted, unconfirmed, speeds }) =
+        succession
     else {
         return Ok(None);
     };
     let acquired = acquire_with(ctx, candidate, Revision(revision)).await?;
     Ok(acquired.map(|(leadership, leader)| {
-        let handed_over = Leadership { unreachable_targets, restarted, unconfirmed, ..leadership };
+        let handed_over =
+            Leadership { unreachable_targets, restarted, unconfirmed, speeds, ..leadership };
         (handed_over, leader)
     }))
 }
@@ -317,6 +322,7 @@
         unreachable_targets: Vec::new(),
         restarted: HashSet::new(),
         unconfirmed: HashSet::new(),
+        speeds: None,
     };
     leadership.extend(requested_at, granted.saturating_sub(lease_margin(ctx)));
     Ok(Some((leadership, leader)))
@@ -334,6 +340,7 @@
     set_leader(ctx, None);
     ctx.metrics.leads.set(0);
     ctx.metrics.evacuated_runs.set(0);
+    ctx.metrics.uneven_targets.set(0);
     match ending {
         EndReason::Lost(reason) => {
             emit!(ctx.log, warn, LeadLost; "term" => leadership.term, "why" => reason)
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -7,6 +7,7 @@
     SinkExt, StreamExt,
     stream::{SplitSink, SplitStream},
 };
+use plan::SpeedRecord;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::{net::TcpStream, sync::mpsc, time};
 use tokio_tungstenite::{
@@ -96,6 +97,9 @@
     /// Targets with an unconfirmed process.
     #[serde(default)]
     pub(crate) unconfirmed: HashSet<Name>,
+    /// Usual speeds of the targets; `None` from a peer that doesn't send them.
+    #[serde(default)]
+    pub(crate) speeds: Option<SpeedRecord>,
 }
 
 /// Frame sent by a node to the leader.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -50,6 +50,9 @@
     /// Number of runs that may exist in evacuated data centres; 0 unless this node
     /// leads.
     pub(crate) evacuated_runs: Gauge,
+    /// Number of targets that are usually faster or slower than the others; 0 unless
+    /// this node leads.
+    pub(crate) uneven_targets: Gauge,
     /// Time to record a client's request.
     pub(crate) write_time: Histogram,
     /// Response time of start orders.
@@ -78,6 +81,7 @@
             leads: Gauge::default(),
             evacuations: Gauge::default(),
             evacuated_runs: Gauge::default(),
+            uneven_targets: Gauge::default(),
             write_time: histogram(),
             start_time: histogram(),
             record_time: histogram(),
@@ -112,6 +116,11 @@
             "Runs left in evacuated data centres",
             metrics.evacuated_runs.clone(),
         );
+        registry.register(
+            "uneven_targets",
+            "Targets that are usually faster or slower than the others",
+            metrics.uneven_targets.clone(),
+        );
         let times = [
             ("write", "Time to record what a client asks for", &metrics.write_time),
             ("start", "Time for the answer to a start", &metrics.start_time),
--- a/crates/node/src/placer/event.rs
+++ b/crates/node/src/placer/event.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use base::Name;
-use plan::{Batch, Listing, RequestLength, StartAnswer};
+use plan::{Batch, Listing, RequestLength, SpeedRecord, StartAnswer};
 use work::{Config, Spec, StepKey, TaskKey};
 
 use crate::{
@@ -28,6 +28,8 @@
     /// The snapshot of the targets for the next placer was recorded; `None` if
     /// that failed.
     SnapshotRecorded(Option<RecordedNames>),
+    /// The speeds of the targets were recorded; `None` if that failed.
+    SpeedsRecorded(Option<SpeedRecord>),
     /// An order that grants a lease is about to be sent to a target.
     LeaseGranted {
         /// Name of the target.
--- a/crates/node/src/placer/mod.rs
+++ b/crates/node/src/placer/mod.rs
@@ -5,7 +5,7 @@
 //! with handlers in [`mod@run`], [`frames`], [`targets`] and [`succession`]. Tasks
 //! beside the loop follow the key-value service ([`follow`]), renew the leases
 //! of the targets ([`session`]), send orders ([`order`]) with tokens that fence off
-//! earlier ones ([`fences`]), and record progress ([`progress`], [`snapshot`]) with
+//! earlier ones ([`fences`]), and record progress ([`progress`], [`snapshot`], [`speeds`]) with
 //! fenced writes ([`guard`]). Advice requests are spread over the linked nodes
 //! ([`peers`]). [`report`] logs what the planner concludes. All tasks end with the
 //! loop.
@@ -23,6 +23,7 @@
 mod run;
 mod session;
 mod snapshot;
+mod speeds;
 mod state;
 mod succession;
 mod targets;
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -28,7 +28,7 @@
         progress, session,
         session::{PollSchedule, Session},
         snapshot::RecordedNames,
-        state,
+        speeds, state,
         state::StoredState,
     },
 };
@@ -94,6 +94,8 @@
     pub(super) closed: HashSet<Name>,
     /// Targets recorded in this term as restarted.
     pub(super) restarted: HashSet<Name>,
+    /// Record of the targets' usual speeds.
+    pub(super) speeds: speeds::Recording,
     /// Recorded number of instances that have joined.
     pub(super) recorded_instances: u32,
     /// Whether a snapshot of the held targets is being recorded.
@@ -228,6 +230,7 @@
             held: recorded.held,
             closed: HashSet::new(),
             restarted: HashSet::new(),
+            speeds: speeds::Recording::default(),
             recorded_instances: 0,
             is_recording_held: false,
             is_held_unrecorded: false,
@@ -245,6 +248,7 @@
             events,
             tasks,
         };
+        placer.inherit_speeds(recorded.speeds, now);
         placer.add_own_node();
         placer
     }
@@ -303,6 +307,7 @@
             if held_at.elapsed() >= HELD_INTERVAL {
                 held_at = Instant::now();
                 self.update_held();
+                self.update_speeds(clock::now());
                 self.offer_to_stronger();
             }
             while self.tasks.try_join_next().is_some() {}
@@ -445,6 +450,7 @@
                     self.record_restarts();
                 }
             }
+            Event::SpeedsRecorded(record) => self.speeds_recorded(record),
             Event::LeaseGranted { target, at } => self.planner.lease_granted(&target, at),
             Event::LeaseTaken { target, lease, at } => {
                 self.planner.lease_taken(&target, lease, at);
--- a/crates/node/src/placer/state.rs
+++ b/crates/node/src/placer/state.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet};
 
 use base::Name;
-use plan::UNKNOWN_TARGETS;
+use plan::{SpeedRecord, UNKNOWN_TARGETS};
 use platform::{Entry, Error, Revision, TransactionalStore};
 use work::{JobState, Progress, Spec};
 
@@ -11,7 +11,7 @@
     context::Context,
     decode::decode,
     keys::{self, JobKey},
-    placer::snapshot,
+    placer::{snapshot, speeds},
 };
 
 /// Stored state of a cell.
@@ -25,6 +25,8 @@
     pub(crate) held: HashSet<Name>,
     /// Targets that the previous placer had closed to new work.
     pub(crate) closed: snapshot::ClosedRecord,
+    /// Usual speeds of the targets, as known to the previous placer.
+    pub(crate) speeds: Option<SpeedRecord>,
     /// Revision of the guard key.
     pub(crate) guard: Revision,
     /// Revision after which changes of jobs must be followed.
@@ -36,12 +38,13 @@
     let store = &*ctx.services.store;
     // The reads may run concurrently, because any progress written meanwhile
     // belongs to this term.
-    let (jobs, outcomes, held, closed, guard) = futures::join!(
+    let (jobs, outcomes, held, closed, guard, speeds) = futures::join!(
         read_prefix(store, keys::JOBS),
         read_prefix(store, keys::PROGRESS),
         store.get(keys::HELD),
         store.get(keys::CLOSED),
         store.get(keys::GUARD),
+        speeds::read(ctx, store),
     );
     let ((entries, revision), (outcomes, _)) = (jobs?, outcomes?);
     let mut progress: HashMap<Name, Progress> = HashMap::new();
@@ -56,7 +59,7 @@
         }
     }
     let guard = guard?.map_or(Revision::ABSENT, |entry| entry.revision);
-    let mut recorded = StoredState { revision, guard, ..StoredState::default() };
+    let mut recorded = StoredState { revision, guard, speeds, ..StoredState::default() };
     for entry in entries {
         match JobKey::parse(&entry.key) {
             Some(JobKey::Accepted(id)) if unreadable.contains(&id) => {}
--- a/crates/node/src/placer/succession.rs
+++ b/crates/node/src/placer/succession.rs
@@ -81,6 +81,7 @@
                 unreachable_targets,
                 restarted: processes.restarted,
                 unconfirmed: processes.unconfirmed,
+                speeds: Some(self.planner.speeds(clock::now())),
             }),
         );
         // The frame must be sent before the links are closed.
--- a/crates/node/tests/cell/main.rs
+++ b/crates/node/tests/cell/main.rs
@@ -8,5 +8,6 @@
 mod links;
 mod restarts;
 mod slow_store;
+mod speeds;
 mod store;
 mod targets;
--- a/crates/standin/src/cell/targets.rs
+++ b/crates/standin/src/cell/targets.rs
@@ -98,6 +98,8 @@
     last_end: u64,
     /// Number of listings that were sent.
     listings: u32,
+    /// Time of a run in percent of the time that its payload states.
+    run_time_percent: u32,
 }
 
 struct Run {
@@ -124,6 +126,7 @@
             ended: Vec::new(),
             last_end: 0,
             listings: 0,
+            run_time_percent: 100,
         };
         self.lock().targets.insert(id.clone(), target_state);
     }
@@ -135,6 +138,14 @@
         }
     }
 
+    /// Sets the time of later runs on a target in percent of the time that their
+    /// payloads state.
+    pub fn set_run_time(&self, id: &str, percent: u32) {
+        if let Some(target_state) = self.lock().targets.get_mut(id) {
+            target_state.run_time_percent = percent;
+        }
+    }
+
     /// Simulates a crash and restart of a target under its id: runs, leases and
     /// unrecorded ends are lost.
     pub fn restart(&self, id: &Name) {
@@ -271,7 +282,8 @@
         let work = start.payload.strip_prefix("work:").and_then(|ms| ms.parse().ok());
         let outcome =
             if start.payload.starts_with(FAILING_PAYLOAD) { End::Failed } else { End::Done };
-        let end = now + Duration::from_millis(work.unwrap_or(0));
+        let work = Duration::from_millis(work.unwrap_or(0));
+        let end = now + work * target_state.run_time_percent / 100;
         target_state
             .runs
             .insert(start.task.clone(), Run { number: start.run, start: now, end, outcome });
