--- a/crates/node/tests/cell/speeds.rs
+++ b/crates/node/tests/cell/speeds.rs
@@ -123,6 +123,9 @@
     cell.world.store.set_fault(&cell.nodes[0].name, Fault::None);
     for number in 4..MAX_JOBS {
         run_job(&cell, number, 24);
+        if cell.world.store.value(SPEEDS).is_some() {
+            break;
+        }
     }
     expect_that!(cell.world.store.value(SPEEDS), some(anything()));
     expect_that!(cell.world.targets.violations(), is_empty());
