--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -122,8 +122,12 @@
     EvacuationEnded = 602, "evacuation of a data centre ended";
     EvacuationsUnconfirmed = 603, "evacuations not confirmed recently";
     EvacuationRead = 604, "evacuation of a data centre read";
-    ClientsLimited = 661, "clients refused or disconnected for lack of room or time";
-    AcceptFailed = 662, "connection not accepted";
+    SpeedsInherited = 641, "usual speeds of the targets taken over";
+    SpeedsRecorded = 642, "usual speeds of the targets recorded";
+    SpeedsNotRecorded = 643, "usual speeds of the targets could not be recorded";
+    SpeedsUnread = 644, "usual speeds of the targets could not be read";
     PaceSent = 651, "pace of backfill changed beside tasks with a latency goal";
     InterferenceLearnt = 652, "one kind of task found to slow another down";
+    ClientsLimited = 661, "clients refused or disconnected for lack of room or time";
+    AcceptFailed = 662, "connection not accepted";
 }
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -7,6 +7,7 @@
     SinkExt, StreamExt,
     stream::{SplitSink, SplitStream},
 };
+use plan::SpeedRecord;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::{
     io::{AsyncRead, AsyncWrite},
@@ -117,6 +118,9 @@
     /// Targets with an unconfirmed process.
     #[serde(default)]
     pub(crate) unconfirmed: HashSet<Name>,
+    /// Usual speeds of the targets; `None` from a peer that doesn't send them.
+    #[serde(default)]
+    pub(crate) speeds: Option<SpeedRecord>,
 }
 
 /// Frame sent by a node to the leader.
--- a/crates/plan/tests/decisions/main.rs
+++ b/crates/plan/tests/decisions/main.rs
@@ -14,5 +14,6 @@
 mod preempt;
 mod random_faults;
 mod sharing;
+mod speeds;
 mod takeover;
 mod targets;
