Hold back only tasks that may have a run on a silent target after a takeover

Now each task waits for the targets on which it may have a run. A step has not begun in an earlier term if a task that it depends on still has a run of that term; a placer that learns of a done task by an end of another run records it before it begins the next step, so that this holds. What the previous placer knew of each target can be handed over (holdings), with the time of its last order, so that the wait does not restart.

Targets with an unconfirmed process can be recorded as closed, with their runs, and inherited closed targets stay closed until they answer.

--- a/crates/plan/src/adopt.rs
+++ b/crates/plan/src/adopt.rs
@@ -30,7 +30,8 @@
     /// are all recorded.
     pub fn unreachable_targets(&self, now: Duration) -> Vec<ClosedTarget> {
         let unreachable = self.targets.iter().filter(|target| target.last_contact_at.is_none());
-        unreachable.filter(|target| self.has_known_runs(target, now)).map(closed).collect()
+        let known = unreachable.filter(|target| self.has_known_runs(target, now));
+        known.map(|target| self.closed(target)).collect()
     }
 
     /// Updates the number of consecutive checks that found each target
@@ -60,7 +61,8 @@
     /// targets. A closed target gets no work until it is recorded as open again,
     /// even if it answers, so that the record remains true.
     pub fn close_targets(&mut self, held: &HashSet<Name>, now: Duration) -> Vec<ClosedTarget> {
-        let closing: Vec<ClosedTarget> = self.closable_targets(held, now).map(closed).collect();
+        let closable = self.closable_targets(held, now);
+        let closing: Vec<ClosedTarget> = closable.map(|target| self.closed(target)).collect();
         for (name, _) in &closing {
             let id = self.target_id(name);
             self.targets[id.0 as usize].is_closed = true;
@@ -82,8 +84,9 @@
         };
         let mut left = self.settings.max_closed_runs;
         self.targets.iter().filter(can_close).take_while(move |target| {
-            let fits = target.runs.len() <= left;
-            left = left.saturating_sub(target.runs.len());
+            let runs = self.possible_runs(target).len();
+            let fits = runs <= left;
+            left = left.saturating_sub(runs);
             fits
         })
     }
@@ -99,10 +102,11 @@
 
     /// Returns whether all runs that may exist on a target are known, and all
     /// ends listed by it are recorded.
-    fn has_known_runs(&self, target: &Target, now: Duration) -> bool {
+    pub(crate) fn has_known_runs(&self, target: &Target, now: Duration) -> bool {
         let is_unverified = |id: &str| {
             let expired_at = self.unverified_targets.get(id);
             expired_at.is_some_and(|expired_at| now < *expired_at)
+                && !self.inherited_runs.contains_key(id)
         };
         !is_unverified(&target.info.id)
             && !is_unverified(UNKNOWN_TARGETS)
@@ -110,6 +114,23 @@
             && !target.has_unknown_runs
     }
 
+    /// Returns the runs that may exist on a target whose runs are all known.
+    pub(crate) fn possible_runs(&self, target: &Target) -> Vec<(TaskKey, u32)> {
+        let mut runs: Vec<(TaskKey, u32)> =
+            target.runs.iter().map(|(task, run)| (task.clone(), run.number)).collect();
+        if self.unverified_targets.contains_key(&target.info.id) {
+            let inherited = self.inherited_runs.get(&target.info.id).into_iter().flatten();
+            let inherited: Vec<_> =
+                inherited.filter(|(task, _)| !target.runs.contains_key(task)).cloned().collect();
+            runs.extend(inherited);
+        }
+        runs
+    }
+
+    fn closed(&self, target: &Target) -> ClosedTarget {
+        (target.info.id.clone(), self.possible_runs(target))
+    }
+
     /// Returns whether all runs of earlier terms and their ends are known, or
     /// the leases of their targets had expired at the beginning of the round.
     pub(crate) fn is_recovered(&self) -> bool {
@@ -123,6 +144,7 @@
             let mut unverified = std::mem::take(&mut self.unverified_targets);
             unverified.retain(|id, expired_at| now < *expired_at || self.is_reading_ends(id, now));
             self.unverified_targets = unverified;
+            self.refresh_unknown_runs();
         }
     }
 
@@ -156,14 +178,21 @@
     /// or its lease has expired.
     pub fn adopt_unreachable(&mut self, target: &Name, runs: &[(TaskKey, u32)], now: Duration) {
         self.unverified_targets.remove(target);
+        self.refresh_unknown_runs();
         let id = self.target_id(target);
-        let restarted_until = Some(self.inherited_restarts_until)
-            .filter(|_| self.inherited_processes.restarted.contains(target));
+        // The leases may have expired sooner, as the previous placer has told.
+        let handed_over = self.last_orders.get(target).copied();
+        let granted_at = self.last_order_at(target).min(now);
+        let lapsed_at = granted_at + self.settings.lapse_timeout();
+        let lapsed_at = handed_over.map_or(lapsed_at, |order| order.lapsed_at);
+        let restarted_until = handed_over.map_or(self.inherited_restarts_until, |_| lapsed_at);
+        let is_restarted = self.inherited_processes.restarted.contains(target);
+        let restarted_until = is_restarted.then_some(restarted_until);
         let target_state = &mut self.targets[id.0 as usize];
         target_state.info.id = target.clone();
         target_state.info.availability = Availability::Unlisted;
-        target_state.lease_granted_at = Some(now);
-        target_state.extend_lease(now + self.settings.lapse_timeout());
+        target_state.lease_granted_at = target_state.lease_granted_at.max(Some(granted_at));
+        target_state.extend_lease(lapsed_at);
         if let Some(until) = restarted_until {
             target_state.extend_lease(until);
             target_state.restarted_until = Some(until);
@@ -173,13 +202,20 @@
         }
         for (task, run) in runs {
             let listed = ListedRun { task: task.clone(), run: *run, checkpoint: None, percent: 0 };
-            self.adopt_run(id, &listed, now);
+            self.adopt_run(id, &listed, granted_at, now);
         }
     }
 
-    /// Takes over a run of an earlier placer. The run is stopped if it is not
-    /// needed, and so are earlier runs of its task.
-    pub(crate) fn adopt_run(&mut self, id: TargetId, listed: &ListedRun, now: Duration) {
+    /// Takes over a run of an earlier placer, whose target may have been granted a
+    /// lease up to `granted_at`. The run is stopped if it is not needed, and so are
+    /// earlier runs of its task.
+    pub(crate) fn adopt_run(
+        &mut self,
+        id: TargetId,
+        listed: &ListedRun,
+        granted_at: Duration,
+        now: Duration,
+    ) {
         let ListedRun { task: key, run, .. } = listed;
         let Some(job) = self.jobs.get(&key.step.job) else {
             return self.stop_run(id, key, *run, StopCause::Needless, now);
@@ -195,10 +231,9 @@
             let cause = StopCause::Superseded(known.number);
             return self.stop_run(id, key, *run, cause, now);
         }
-        // A run takes resources whether it is needed or not. The earlier placer
-        // may have granted a lease up to now.
+        // A run takes resources whether it is needed or not.
         let charged = Run { confirmed_at: Some(now), ..Run::new(*run, step, Phase::Running) };
-        self.charge_run(id, key, &spec.team, charged, now);
+        self.charge_run(id, key, &spec.team, charged, granted_at);
         if !self.step_state(&key.step).is_some_and(|state| state.is_open) {
             self.begin_adopted(&key.step, now);
         }
@@ -237,14 +272,13 @@
     }
 }
 
-/// Returns whether a target is unlikely to get work for some time.
+/// Returns whether a target is unlikely to get work for some time. A target that is
+/// recorded as closed stays so until it answers, and one with an unconfirmed process
+/// gets no work before it has listed its runs.
 fn is_unavailable(target: &Target) -> bool {
-    let is_unreachable =
-        target.last_contact_at.is_none() && target.unreachable_checks >= MIN_UNREACHABLE_CHECKS;
-    is_unreachable || target.info.availability == Availability::Draining
-}
-
-fn closed(target: &Target) -> ClosedTarget {
-    let runs = target.runs.iter().map(|(task, run)| (task.clone(), run.number));
-    (target.info.id.clone(), runs.collect())
+    let is_unreachable = target.last_contact_at.is_none()
+        && (target.is_closed || target.unreachable_checks >= MIN_UNREACHABLE_CHECKS);
+    is_unreachable
+        || target.suspicion.is_some()
+        || target.info.availability == Availability::Draining
 }
--- a/crates/plan/src/batch.rs
+++ b/crates/plan/src/batch.rs
@@ -101,6 +101,12 @@
     pub fn batch_recorded(&mut self, batch: Batch) {
         for Record { id, progress, .. } in batch.records {
             self.recording_jobs.remove(&id);
+            let is_recorded = !self.unrecorded_jobs.contains_key(&id);
+            if let Some(job) = self.jobs.get_mut(&id).filter(|job| is_recorded && job.awaits_record)
+            {
+                job.awaits_record = false;
+                self.is_changed = true;
+            }
             if progress.state.is_final() && self.unpublished_ends.remove(&id) {
                 self.state_changes.push((id, progress.state));
             }
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -287,19 +287,17 @@
     }
 
     /// Returns what each team's runs may take on targets that have not answered
-    /// yet: at most the resources of all waiting tasks of inherited jobs.
+    /// yet: at most the resources of all waiting tasks that may have such a run.
     fn unverified_usage(&self) -> HashMap<Name, Resources> {
         let mut unknown: HashMap<Name, Resources> = HashMap::new();
         for key in &self.waiting_steps {
             let Some(job) = self.jobs.get(&key.job) else {
                 continue;
             };
-            if job.origin == Origin::Inherited
-                && let Some(state) = self.step_state(key)
-            {
+            if job.origin == Origin::Inherited {
                 let size = job.spec.steps[usize::from(key.step)].size;
                 *unknown.entry(job.spec.team.clone()).or_default() +=
-                    size * state.waiting.len() as u32;
+                    size * self.held_back_tasks(key);
             }
         }
         unknown
@@ -445,12 +443,13 @@
             Some(Origin::Inherited) => self.run_number_base,
             Some(Origin::Own) | None => 0,
         };
-        let Some(state) = self.step_state_mut(key) else {
+        let Some(index) = self.first_startable(key) else {
             return;
         };
-        let Some(index) = state.waiting.pop_first() else {
+        let Some(state) = self.step_state_mut(key) else {
             return;
         };
+        state.waiting.remove(&index);
         // All members of a gang have the same run number. Members that start
         // later in the round use the number of the first one.
         let last = if step.gang {
--- a/crates/plan/src/ends.rs
+++ b/crates/plan/src/ends.rs
@@ -110,11 +110,13 @@
         self.is_changed = true;
         let team = self.jobs.get(&key.step.job).map(|job| job.spec.team.clone());
         let mut started_at = None;
+        let mut is_known_to_exist = false;
         let target_state = &mut self.targets[id.0 as usize];
         if target_state.runs.get(key).is_some_and(|known| known.number == run)
             && let Some(known) = target_state.runs.remove(key)
         {
             started_at = known.started_at;
+            is_known_to_exist = known.is_listed || run > self.run_number_base;
             target_state.allocated -= known.size;
             if let Some(team) = &team {
                 self.team_usage.remove(team, known.size);
@@ -156,9 +158,15 @@
             return;
         };
         let was_done = task.state == TaskState::Done;
+        let task_has_no_other_run = task.other_runs.is_empty();
         let is_current = task.state == TaskState::Assigned { target: id, run };
         let is_other = state.remove_other_run(TaskRun { index: key.index, target: id, run });
         if end == End::Done && !step.long_running {
+            // The task may have another run, unless this one was known before.
+            let is_only_run = is_current && is_known_to_exist && task_has_no_other_run;
+            if !is_only_run && !step.gang && !was_done {
+                self.await_record(&key.step.job);
+            }
             return self.finish_task(key, step, now);
         }
         let is_counted = end == End::Failed && !step.long_running;
@@ -241,6 +249,13 @@
         }
     }
 
+    /// Lets the following steps of a job begin only after its progress is recorded.
+    fn await_record(&mut self, id: &Name) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.awaits_record = true;
+        }
+    }
+
     /// Marks a task as done, or all tasks of the step if it is a gang.
     fn finish_task(&mut self, key: &TaskKey, step: &Step, now: Duration) {
         let Some(state) = self.step_state_mut(&key.step) else {
--- a/crates/plan/src/job.rs
+++ b/crates/plan/src/job.rs
@@ -30,6 +30,10 @@
     pub(crate) next_occurrence: u32,
     /// Number of runs of the job that are charged to targets.
     pub(crate) run_count: u32,
+    /// Whether an end has to be recorded before a step that depends on another one
+    /// may begin: the next placer could take the steps for not begun if it finds
+    /// another run of the task.
+    pub(crate) awaits_record: bool,
     /// Time at which the state became final.
     pub(crate) ended_at: Option<Duration>,
 }
@@ -45,6 +49,7 @@
             occurrences: BTreeMap::new(),
             next_occurrence: 0,
             run_count: 0,
+            awaits_record: false,
             ended_at: None,
         };
         if let Some(progress) = progress {
--- a/crates/plan/src/listing.rs
+++ b/crates/plan/src/listing.rs
@@ -165,8 +165,8 @@
         let Some(&id) = self.target_ids.get(target) else {
             return;
         };
-        if !listing.has_more_ends {
-            self.unverified_targets.remove(target);
+        if !listing.has_more_ends && self.unverified_targets.remove(target).is_some() {
+            self.refresh_unknown_runs();
         }
         let target_state = &mut self.targets[id.0 as usize];
         target_state.has_unread_ends = listing.has_more_ends;
@@ -206,6 +206,7 @@
         self.drop_recorded_ends(id);
         for listed in &listing.running {
             self.apply_listed_run(id, listed, now);
+            self.note_unbegun_steps(id, listed);
         }
         let target_state = &mut self.targets[id.0 as usize];
         // Runs of unknown jobs take an unknown amount of resources.
@@ -251,7 +252,7 @@
             self.track_progress(id, listed, now);
             return;
         }
-        self.adopt_run(id, listed, now);
+        self.adopt_run(id, listed, now, now);
         if let Some(adopted) = self.targets[id.0 as usize].runs.get_mut(&listed.task)
             && adopted.number == listed.run
         {
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -20,6 +20,7 @@
     job::{Job, Origin},
     preempt::{Preemptible, Reservation},
     reappeared::{GivenUpRuns, ReappearedRun},
+    recovery::{LastOrder, UnknownRuns},
     restarts::ProcessRecord,
     settings::Settings,
     share::Bucket,
@@ -90,15 +91,22 @@
     /// have not listed all of them yet.
     /// Each with the time at which all leases of earlier terms have expired.
     pub(crate) unverified_targets: HashMap<Name, Duration>,
+    /// Time at which the term began.
+    pub(crate) began_at: Duration,
+    /// All runs of earlier terms that may exist on a target, as far as known from
+    /// an earlier placer.
+    pub(crate) inherited_runs: HashMap<Name, Vec<(TaskKey, u32)>>,
+    /// Last orders that may have been sent to targets in earlier terms, as far as
+    /// known from an earlier placer.
+    pub(crate) last_orders: HashMap<Name, LastOrder>,
+    /// Tasks that may have runs on targets that have not listed them.
+    pub(crate) unknown_runs: UnknownRuns,
     /// Processes of the targets, as recorded by an earlier placer.
     pub(crate) inherited_processes: ProcessRecord,
     /// Targets whose last restart is not recorded yet.
     pub(crate) unrecorded_restarts: Vec<TargetId>,
     /// Targets that were found to have an unconfirmed process.
     pub(crate) suspected_restarts: Vec<Name>,
-    /// Time at which the leases of unconfirmed processes have expired that got
-    /// orders of earlier placers.
-    pub(crate) inherited_unconfirmed_until: Duration,
     /// Time at which the leases of targets that were recorded as restarted have
     /// expired, if they are the longest that targets accept.
     pub(crate) inherited_restarts_until: Duration,
@@ -136,14 +144,17 @@
         let expired_at = now + settings.lapse_timeout();
         let idle_contact_timeout = settings.contact_timeout;
         let run_number_base = term.saturating_sub(1).saturating_mul(settings.run_numbers_per_term);
-        Self {
+        let mut planner = Self {
             settings,
             run_number_base,
             unverified_targets: held_targets.into_iter().map(|name| (name, expired_at)).collect(),
+            began_at: now,
             last_join_at: now,
             idle_contact_timeout,
             ..Self::default()
-        }
+        };
+        planner.refresh_unknown_runs();
+        planner
     }
 
     /// Replaces the configuration.
--- a/crates/plan/src/restarts.rs
+++ b/crates/plan/src/restarts.rs
@@ -55,7 +55,7 @@
         }
         self.inherited_processes = record;
         self.inherited_restarts_until = expired_at;
-        self.inherited_unconfirmed_until = unconfirmed_until;
+        self.refresh_unknown_runs();
     }
 
     /// Returns the record of the processes of these targets for the next placer.
@@ -120,14 +120,22 @@
     }
 
     pub(crate) fn suspect_restart(&mut self, id: TargetId, now: Duration) {
-        let until = now + self.settings.unconfirmed_lapse_timeout();
+        let target = &self.targets[id.0 as usize];
+        // A target that has listed nothing to this placer got no order that starts a
+        // run or grants a lease.
+        let has_orders = target.born_unix_ms != 0;
+        let last_order_at =
+            if has_orders { now } else { self.last_order_at(&target.info.id).min(now) };
+        let until = last_order_at + self.settings.unconfirmed_lapse_timeout();
         let target = &mut self.targets[id.0 as usize];
         target.last_contact_at = None;
         if target.suspicion.is_some() {
             return;
         }
         let Target { restarted_until, is_restart_recorded, .. } = *target;
-        target.suspicion = Some(Suspicion { since: now, restarted_until, is_restart_recorded });
+        let since = now;
+        target.suspicion =
+            Some(Suspicion { since, last_order_at, restarted_until, is_restart_recorded });
         target.restarted_until = restarted_until.max(Some(until));
         target.is_restart_recorded = false;
         let name = target.info.id.clone();
@@ -153,8 +161,8 @@
     /// Returns the time at which a lease has expired that orders for an earlier
     /// process may have prolonged; `None` if the target has no unconfirmed process.
     pub(crate) fn unconfirmed_until(&self, target: &Target) -> Option<Duration> {
-        let since = target.suspicion?.since;
-        let last_order_at = target.lease_granted_at.map_or(since, |granted| granted.max(since));
+        let known = target.suspicion?.last_order_at;
+        let last_order_at = target.lease_granted_at.map_or(known, |granted| granted.max(known));
         Some(last_order_at + self.settings.unconfirmed_lapse_timeout())
     }
 
@@ -180,9 +188,12 @@
             return;
         }
         self.targets[id.0 as usize].suspected_born_unix_ms = listed;
-        let target = &self.targets[id.0 as usize];
-        if let Some(expired_at) = self.unverified_targets.get_mut(&target.info.id) {
-            *expired_at = self.inherited_unconfirmed_until.max(*expired_at);
+        let name = &self.targets[id.0 as usize].info.id;
+        let unconfirmed_until =
+            self.last_order_at(name) + self.settings.unconfirmed_lapse_timeout();
+        if let Some(expired_at) = self.unverified_targets.get_mut(name) {
+            *expired_at = unconfirmed_until.max(*expired_at);
+            self.refresh_unknown_runs();
         }
         self.suspect_restart(id, now);
     }
--- a/crates/plan/src/search.rs
+++ b/crates/plan/src/search.rs
@@ -11,7 +11,7 @@
 use base::{Name, Resources};
 use work::{Policy, Step, StepKey};
 
-use crate::{decide::Round, job::Origin, planner::Planner, target::Sharing};
+use crate::{decide::Round, planner::Planner, target::Sharing};
 
 /// One in this many searches rotates among lower-ranked steps.
 const ROTATION_DIVISOR: usize = 4;
@@ -129,21 +129,24 @@
     /// for targets is needed to know that none can start.
     fn startable_tasks(&mut self, key: &StepKey, round: &Round, now: Duration) -> Option<u32> {
         let job = self.jobs.get(&key.job)?;
-        if job.origin == Origin::Inherited && !self.is_recovered() {
-            return None;
-        }
         if self.reservations.contains_key(key) {
             return None;
         }
         let spec = &job.spec;
         let step = &spec.steps[usize::from(key.step)];
         let state = self.step_state(key)?;
-        let waiting = state.waiting.len() as u32;
-        if waiting == 0 {
+        if state.waiting.is_empty() {
             // All tasks have been adopted since.
             self.unqueue_step(key);
             return None;
         }
+        let held_back = self.held_back_tasks(key);
+        let waiting = (state.waiting.len() as u32).saturating_sub(held_back);
+        // A gang starts as a whole.
+        let is_held_back = waiting == 0 || step.gang && held_back > 0;
+        if is_held_back || job.awaits_record && !step.after.is_empty() {
+            return None;
+        }
         if step.gang && state.has_runs() {
             // The rest of an earlier start of the gang has to end first.
             self.stop_members(key, now);
--- a/crates/plan/src/step.rs
+++ b/crates/plan/src/step.rs
@@ -84,6 +84,8 @@
     pub(crate) requested: Option<Vec<TargetId>>,
     /// Whether all steps that this one depends on are done.
     pub(crate) is_open: bool,
+    /// Whether no task of the step can have been started in an earlier term.
+    pub(crate) is_unbegun: bool,
 }
 
 impl StepState {
@@ -105,6 +107,7 @@
             permissions: Permissions::default(),
             requested: None,
             is_open: false,
+            is_unbegun: false,
         };
         let Some(progress) = progress else {
             return state;
--- a/crates/plan/src/target.rs
+++ b/crates/plan/src/target.rs
@@ -148,6 +148,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Suspicion {
     pub(crate) since: Duration,
+    /// Time of the last order for an earlier process that was known then.
+    pub(crate) last_order_at: Duration,
     /// Restart that was known before.
     pub(crate) restarted_until: Option<Duration>,
     /// Whether that restart is recorded.
--- a/crates/plan/tests/decisions/cell.rs
+++ b/crates/plan/tests/decisions/cell.rs
@@ -8,8 +8,8 @@
 
 use base::{Name, Resources};
 use plan::{
-    Action, AdviceRequest, ClosedTarget, ListedRun, Listing, Planner, Retention, RunEnd, Settings,
-    Start, StartAnswer, Stop, TargetInfo,
+    Action, AdviceRequest, ClosedTarget, Holding, ListedRun, Listing, Planner, ProcessRecord,
+    Retention, RunEnd, Settings, Start, StartAnswer, Stop, TargetInfo,
 };
 use work::{
     Advice, Config, End, JobState, Policy, Progress, Queue, Schedule, Service, Spec, Step, Team,
@@ -475,6 +475,31 @@
         next
     }
 
+    /// Lets a new placer take over by a handover. No target has sent a listing to it.
+    pub fn take_over_with_holdings(
+        self,
+        unreachable: &[ClosedTarget],
+        holdings: Vec<Holding>,
+    ) -> Self {
+        let restarts = self.planner.processes(&HashSet::new(), self.now);
+        let processes = self.planner.processes(&self.planner.held_targets(self.now), self.now);
+        let processes = ProcessRecord { born_unix_ms: processes.born_unix_ms, ..restarts };
+        let held = self.planner.held_targets(self.now);
+        let mut planner = Planner::new(Settings::default(), 2, held, self.now);
+        planner.inherit_processes(processes, self.now);
+        planner.inherit_holdings(holdings, self.now);
+        planner.configure(Arc::new(self.config.clone()));
+        for (id, spec) in &self.specs {
+            planner.inherit(id, spec.clone(), self.progress.get(id), self.now);
+        }
+        for (target, runs) in unreachable {
+            planner.adopt_unreachable(target, runs, self.now);
+        }
+        let mut next = Self { planner, ..self };
+        next.list_targets();
+        next
+    }
+
     pub fn list_targets(&mut self) {
         self.update_targets(|_| {});
     }
--- a/crates/plan/tests/decisions/main.rs
+++ b/crates/plan/tests/decisions/main.rs
@@ -12,5 +12,6 @@
 mod placement;
 mod preempt;
 mod random_faults;
+mod recovery;
 mod takeover;
 mod targets;
