Hand over what is known of all targets; record closed targets for all later terms

The successor was told only which targets did not answer, and waited for each target that fell silent around the handover, anew in each term. It is now told for each held target which runs may exist on it, how long its leases may last, and when the last order may have been sent; orders that were reported late are taken in before that. The record of closed targets stays valid in later terms, since each placer keeps the targets that it finds there closed until it has recorded them as open; records of earlier releases are valid for the next term as before.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -118,4 +118,5 @@
     LinkOpened = 570, "link to the leader opened";
     LinkLost = 571, "link to the leader lost";
     SettingsReloaded = 580, "settings reloaded";
+    RecoveryPending = 611, "tasks wait for targets that have not listed their runs";
 }
--- a/crates/node/src/leadership.rs
+++ b/crates/node/src/leadership.rs
@@ -38,7 +38,7 @@
     context::{Context, Leader, RETRY_BACKOFF, jitter},
     decode::decode,
     keys,
-    link::{PeerFrame, Succession},
+    link::{Holding, PeerFrame, Succession},
     placer::{self, guard::Guard},
 };
 
@@ -92,6 +92,8 @@
     pub(crate) restarted: HashSet<Name>,
     /// Targets with an unconfirmed process, as known to the previous leader.
     pub(crate) unconfirmed: HashSet<Name>,
+    /// What the previous leader knew of the held targets.
+    pub(crate) holdings: Vec<Holding>,
 }
 
 /// Prerequisites for taking the leadership.
@@ -227,14 +229,16 @@
             None
         }
     };
-    let Some(Succession { revision, unreachable_targets, restarted, unconfirmed }) = succession
-    else {
+    let Some(handed_over) = succession else {
         return Ok(None);
     };
+    let Succession { revision, unreachable_targets, restarted, unconfirmed, holdings } =
+        handed_over;
     let acquired = acquire_with(ctx, candidate, Revision(revision)).await?;
     Ok(acquired.map(|(leadership, leader)| {
-        let handed_over = Leadership { unreachable_targets, restarted, unconfirmed, ..leadership };
-        (handed_over, leader)
+        let leadership =
+            Leadership { unreachable_targets, restarted, unconfirmed, holdings, ..leadership };
+        (leadership, leader)
     }))
 }
 
@@ -313,6 +317,7 @@
         unreachable_targets: Vec::new(),
         restarted: HashSet::new(),
         unconfirmed: HashSet::new(),
+        holdings: Vec::new(),
     };
     leadership.extend(requested_at, granted.saturating_sub(lease_margin(ctx)));
     Ok(Some((leadership, leader)))
@@ -329,6 +334,7 @@
     };
     set_leader(ctx, None);
     ctx.metrics.leads.set(0);
+    ctx.metrics.set_recovery(0, 0);
     match ending {
         EndReason::Lost(reason) => {
             emit!(ctx.log, warn, LeadLost; "term" => leadership.term, "why" => reason)
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -93,6 +93,53 @@
     /// Targets with an unconfirmed process.
     #[serde(default)]
     pub(crate) unconfirmed: HashSet<Name>,
+    /// What is known of the held targets.
+    #[serde(default)]
+    pub(crate) holdings: Vec<Holding>,
+}
+
+/// What a leader knows of a held target when it hands over.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Holding {
+    /// Name of the target.
+    pub(crate) target: Name,
+    /// All runs that may be on the target; `None` if some are unknown.
+    pub(crate) runs: Option<Vec<(TaskKey, u32)>>,
+    /// Time after which all leases of the target have expired, in milliseconds.
+    pub(crate) lapse_left_ms: u64,
+    /// Time since the last order that may have been sent to the target, in
+    /// milliseconds.
+    pub(crate) order_age_ms: u64,
+}
+
+impl Holding {
+    /// Returns the number of runs that are named.
+    pub(crate) fn run_count(&self) -> usize {
+        self.runs.as_ref().map_or(0, Vec::len)
+    }
+}
+
+impl From<plan::Holding> for Holding {
+    fn from(known: plan::Holding) -> Self {
+        Self {
+            target: known.target,
+            runs: known.runs,
+            // Rounded up, as a wait must not be too short.
+            lapse_left_ms: known.lapse_left.as_millis() as u64 + 1,
+            order_age_ms: known.order_age.as_millis() as u64,
+        }
+    }
+}
+
+impl From<Holding> for plan::Holding {
+    fn from(handed_over: Holding) -> Self {
+        Self {
+            target: handed_over.target,
+            runs: handed_over.runs,
+            lapse_left: Duration::from_millis(handed_over.lapse_left_ms),
+            order_age: Duration::from_millis(handed_over.order_age_ms),
+        }
+    }
 }
 
 /// Frame sent by a node to the leader.
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -45,6 +45,10 @@
     pub(crate) takeovers: Counter,
     /// 1 while this node leads, 0 otherwise.
     pub(crate) leads: Gauge,
+    /// Inherited tasks that wait for targets which have not listed their runs.
+    pub(crate) recovery_tasks: Gauge,
+    /// Targets for which they wait.
+    pub(crate) recovery_targets: Gauge,
     /// Time to record a client's request.
     pub(crate) write_time: Histogram,
     /// Response time of start orders.
@@ -71,6 +75,8 @@
             limited_rounds: Counter::default(),
             takeovers: Counter::default(),
             leads: Gauge::default(),
+            recovery_tasks: Gauge::default(),
+            recovery_targets: Gauge::default(),
             write_time: histogram(),
             start_time: histogram(),
             record_time: histogram(),
@@ -99,6 +105,16 @@
         );
         registry.register("takeovers", "Takeovers of the lead", metrics.takeovers.clone());
         registry.register("leads", "Whether this node leads", metrics.leads.clone());
+        registry.register(
+            "recovery_tasks",
+            "Inherited tasks that wait for targets which have not listed their runs",
+            metrics.recovery_tasks.clone(),
+        );
+        registry.register(
+            "recovery_targets",
+            "Targets for which inherited tasks wait",
+            metrics.recovery_targets.clone(),
+        );
         let times = [
             ("write", "Time to record what a client asks for", &metrics.write_time),
             ("start", "Time for the answer to a start", &metrics.start_time),
@@ -131,6 +147,12 @@
         family.get_or_create(&Labels { kind, outcome }).inc();
     }
 
+    /// Sets the numbers of tasks and targets in the recovery after a takeover.
+    pub(crate) fn set_recovery(&self, tasks: u32, targets: usize) {
+        self.recovery_tasks.set(tasks.into());
+        self.recovery_targets.set(targets as i64);
+    }
+
     /// Adds a duration to a histogram.
     pub(crate) fn observe(histogram: &Histogram, time: Duration) {
         histogram.observe(time.as_secs_f64());
--- a/crates/node/src/placer/report.rs
+++ b/crates/node/src/placer/report.rs
@@ -3,10 +3,16 @@
 use std::time::Duration;
 
 use base::{Name, emit};
-use plan::{Blame, Crash, Evidence, Listing, ReappearedRun, ReleasedRun, Transition};
+use plan::{Blame, Crash, Evidence, Listing, ReappearedRun, Recovery, ReleasedRun, Transition};
 
 use crate::{metrics::Metrics, placer::run::Placer};
 
+/// Minimum time between log lines on tasks that wait for targets.
+const RECOVERY_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Maximum number of targets that such a line names.
+const MAX_LOGGED_TARGETS: usize = 8;
+
 impl Placer {
     /// Logs when the list of targets becomes too old to start work by it, and
     /// when it is current again.
@@ -19,6 +25,25 @@
         }
     }
 
+    /// Logs which inherited tasks wait for targets that have not listed their runs,
+    /// at most once in an interval.
+    pub(super) fn log_recovery(&mut self, now: Duration) {
+        if now.saturating_sub(self.recovery_logged_at) < RECOVERY_LOG_INTERVAL {
+            return;
+        }
+        self.recovery_logged_at = now;
+        let Some(Recovery { tasks, targets, unknown_targets, until }) = self.planner.recovery()
+        else {
+            return self.ctx.metrics.set_recovery(0, 0);
+        };
+        self.ctx.metrics.set_recovery(tasks, targets.len());
+        let names = targets.iter().take(MAX_LOGGED_TARGETS).map(|name| &**name);
+        emit!(self.ctx.log, info, RecoveryPending; "tasks" => tasks, "targets" => targets.len(),
+            "unknown" => unknown_targets, "first" => names.collect::<Vec<_>>().join(","),
+            "left_ms" => until.saturating_sub(now).as_millis() as u64,
+            "term" => self.leadership.term);
+    }
+
     /// Logs the ends in a listing that were not applied yet.
     pub(super) fn log_ends(&self, target: &Name, listing: &Listing) {
         let seen = self.planner.last_end(target, listing.born_unix_ms);
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -90,12 +90,14 @@
     pub(super) listed: TargetList,
     /// Targets recorded as possibly having runs.
     pub(super) held: HashSet<Name>,
-    /// Targets recorded in this term as closed to new work.
+    /// Targets recorded as closed to new work.
     pub(super) closed: HashSet<Name>,
     /// Targets recorded in this term as restarted.
     pub(super) restarted: HashSet<Name>,
     /// Recorded number of instances that have joined.
     pub(super) recorded_instances: u32,
+    /// Time at which it was last logged which tasks wait for targets.
+    pub(super) recovery_logged_at: Duration,
     /// Whether a snapshot of the held targets is being recorded.
     pub(super) is_recording_held: bool,
     /// Whether the last record of the held targets failed or is in flight.
@@ -183,6 +185,8 @@
         processes.restarted.extend(leadership.restarted.iter().cloned());
         processes.unconfirmed.extend(leadership.unconfirmed.iter().cloned());
         planner.inherit_processes(processes, now);
+        planner
+            .inherit_holdings(leadership.holdings.iter().cloned().map(Into::into).collect(), now);
         planner.expect_instances(expected_instances);
         for (id, spec, progress) in recorded.jobs {
             planner.inherit(&id, spec, progress.as_ref(), now);
@@ -190,13 +194,16 @@
         for (id, state) in recorded.ended {
             planner.inherit_ended(&id, state, now);
         }
-        // Closed targets recorded before the previous term may have been opened
-        // since.
-        let is_from_previous_term = recorded.closed.term + 1 == leadership.term;
-        let closed = recorded.closed.closed.iter().filter(|_| is_from_previous_term);
-        for (target, runs) in leadership.unreachable_targets.iter().chain(closed) {
+        // In records of earlier releases, closed targets may have been opened since.
+        let is_valid = recorded.closed.is_lasting || recorded.closed.term + 1 == leadership.term;
+        let closed = recorded.closed.closed.iter().filter(|_| is_valid);
+        for (target, runs) in leadership.unreachable_targets.iter().chain(closed.clone()) {
             planner.adopt_unreachable(target, runs, now);
         }
+        // They get no work before they are recorded as open, so that the record holds
+        // for the next placer, too.
+        let closed: HashSet<Name> = closed.map(|(target, _)| target.clone()).collect();
+        planner.set_closed_targets(&closed);
         for id in recorded.cancelled {
             planner.cancel(&id, now);
         }
@@ -219,9 +226,10 @@
             addresses: HashMap::new(),
             listed: TargetList::new(),
             held: recorded.held,
-            closed: HashSet::new(),
+            closed,
             restarted: HashSet::new(),
             recorded_instances: 0,
+            recovery_logged_at: Duration::ZERO,
             is_recording_held: false,
             is_held_unrecorded: false,
             records_in_flight: 0,
@@ -312,6 +320,7 @@
             self.ctx.metrics.limited_rounds.inc_by(self.planner.take_limited_rounds());
             self.next_round_at = now + duration * ROUND_INTERVAL_FACTOR;
         }
+        self.log_recovery(now);
         for request in std::mem::take(&mut self.unsent_advice) {
             self.request_advice(request);
         }
--- a/crates/node/src/placer/snapshot.rs
+++ b/crates/node/src/placer/snapshot.rs
@@ -4,8 +4,8 @@
 //! be on until the target answers or its lease has certainly expired. Closed
 //! targets are the exception: a closed target gets no new work until it is
 //! recorded as open again, so that no runs other than the recorded ones can be
-//! on it. The record of closed targets is valid for the next term only, because
-//! later placers may have opened the targets since.
+//! on it. Each placer keeps to this also for the targets that it finds recorded as
+//! closed, so that the record stays true in all later terms.
 //!
 //! Recorded with them is which process of each held target is known. A target
 //! that has restarted may hold a longer lease than any that was granted, and the
@@ -51,14 +51,17 @@
 pub(crate) struct ClosedRecord {
     /// Number of the term in which the record was written.
     pub(crate) term: u64,
+    /// Whether the closed targets are valid for all later terms. In records of
+    /// earlier releases, they are valid for the next term only.
+    #[serde(default)]
+    pub(crate) is_lasting: bool,
     /// Closed targets, each with all runs that may be on it.
     pub(crate) closed: Vec<ClosedTarget>,
     /// Number of instances that had joined the placer.
     #[serde(default)]
     pub(crate) instances: u32,
     /// Start times of the processes of the held targets, in milliseconds since
-    /// 1970. Unlike the closed targets, these and the next field are valid for
-    /// later terms as well.
+    /// 1970.
     #[serde(default)]
     born_unix_ms: HashMap<Name, u64>,
     /// Targets whose lease may be longer than was granted, because they have
@@ -112,6 +115,7 @@
     let ProcessRecord { born_unix_ms, restarted, unconfirmed } = processes;
     let record = ClosedRecord {
         term: leadership.term,
+        is_lasting: true,
         closed,
         instances,
         born_unix_ms,
--- a/crates/node/src/placer/succession.rs
+++ b/crates/node/src/placer/succession.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     leadership::EndReason,
-    link::{LeaderFrame, Succession},
+    link::{Holding, LeaderFrame, Succession},
     placer::{
         event::Event,
         run::{Placer, send_frame},
@@ -20,6 +20,13 @@
 /// Time for the last frame to be sent.
 const FINAL_FRAME_GRACE: Duration = Duration::from_millis(20);
 
+/// Time to send one target or run in the last frame: some 80 bytes over the slowest
+/// links, of 10 Mbit/s.
+const FRAME_ENTRY_TIME: Duration = Duration::from_micros(64);
+
+/// Time for orders that passed the check of the leadership to be reported.
+const ORDER_GRACE: Duration = Duration::from_millis(2);
+
 /// Timeout of the last writes of progress before the leadership ends.
 const FINAL_RECORD_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -72,8 +79,13 @@
             self.flush_records(events).await;
         }
         self.leadership.invalidate();
+        time::sleep(ORDER_GRACE).await;
+        self.note_last_orders(events);
         let unreachable_targets = self.planner.unreachable_targets(clock::now());
         let processes = self.planner.processes(&HashSet::new(), clock::now());
+        let holdings: Vec<_> =
+            self.planner.holdings(clock::now()).into_iter().map(Into::into).collect();
+        let entries = holdings.len() + holdings.iter().map(Holding::run_count).sum::<usize>();
         send_frame(
             sender,
             LeaderFrame::Succeed(Succession {
@@ -81,13 +93,29 @@
                 unreachable_targets,
                 restarted: processes.restarted,
                 unconfirmed: processes.unconfirmed,
+                holdings,
             }),
         );
         // The frame must be sent before the links are closed.
-        time::sleep(FINAL_FRAME_GRACE).await;
+        time::sleep(FINAL_FRAME_GRACE + FRAME_ENTRY_TIME * entries as u32).await;
         EndReason::HandedOver
     }
 
+    /// Applies the events that tell which orders were sent and what targets have
+    /// answered, since the successor relies on what it is told.
+    fn note_last_orders(&mut self, events: &mut mpsc::UnboundedReceiver<Event>) {
+        while let Ok(event) = events.try_recv() {
+            match event {
+                Event::LeaseGranted { .. }
+                | Event::LeaseTaken { .. }
+                | Event::TargetListed { .. }
+                | Event::TargetUnreachable { .. }
+                | Event::RestartSuspected { .. } => drop(self.handle(event)),
+                _ => {}
+            }
+        }
+    }
+
     /// Writes all unrecorded progress before another instance takes over.
     pub(super) async fn flush_records(&mut self, events: &mut mpsc::UnboundedReceiver<Event>) {
         let finish = async {
--- a/crates/node/tests/cell/main.rs
+++ b/crates/node/tests/cell/main.rs
@@ -5,6 +5,7 @@
 mod jobs;
 mod leadership;
 mod links;
+mod recovery;
 mod restarts;
 mod slow_store;
 mod store;
--- a/crates/plan/src/batch.rs
+++ b/crates/plan/src/batch.rs
@@ -16,7 +16,7 @@
 use base::Name;
 use work::Progress;
 
-use crate::{planner::Planner, target::TargetId};
+use crate::{job::AwaitedRecord, planner::Planner, target::TargetId};
 
 /// Records that are written in one change.
 #[derive(Debug)]
@@ -91,6 +91,7 @@
             }
             self.unrecorded_jobs.remove(&record.id);
             self.recording_jobs.insert(record.id.clone());
+            self.set_awaited_record(&record.id, AwaitedRecord::InFlight);
             records.push(record);
         }
         (!records.is_empty()).then_some(Batch { records })
@@ -101,10 +102,10 @@
     pub fn batch_recorded(&mut self, batch: Batch) {
         for Record { id, progress, .. } in batch.records {
             self.recording_jobs.remove(&id);
-            let is_recorded = !self.unrecorded_jobs.contains_key(&id);
-            if let Some(job) = self.jobs.get_mut(&id).filter(|job| is_recorded && job.awaits_record)
+            if let Some(job) = self.jobs.get_mut(&id)
+                && job.awaited_record == Some(AwaitedRecord::InFlight)
             {
-                job.awaits_record = false;
+                job.awaited_record = None;
                 self.is_changed = true;
             }
             if progress.state.is_final() && self.unpublished_ends.remove(&id) {
@@ -120,10 +121,18 @@
     pub fn batch_failed(&mut self, batch: Batch, now: Duration) {
         for Record { id, .. } in batch.records {
             self.recording_jobs.remove(&id);
+            self.set_awaited_record(&id, AwaitedRecord::Due);
             self.mark_unrecorded(&id, now);
         }
     }
 
+    /// Updates the state of a record that further steps of a job wait for, if any.
+    fn set_awaited_record(&mut self, id: &Name, state: AwaitedRecord) {
+        if let Some(awaited) = self.jobs.get_mut(id).and_then(|job| job.awaited_record.as_mut()) {
+            *awaited = state;
+        }
+    }
+
     /// Marks the progress of a job as changed since its last record.
     pub(crate) fn mark_unrecorded(&mut self, id: &Name, now: Duration) {
         self.unrecorded_jobs.entry(id.clone()).or_insert(now);
--- a/crates/plan/src/ends.rs
+++ b/crates/plan/src/ends.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     action::StopCause,
+    job::{AwaitedRecord, Origin},
     planner::Planner,
     step::{TaskRun, TaskState},
     target::{Phase, TargetId},
@@ -108,7 +109,9 @@
         now: Duration,
     ) {
         self.is_changed = true;
-        let team = self.jobs.get(&key.step.job).map(|job| job.spec.team.clone());
+        let job = self.jobs.get(&key.step.job);
+        let team = job.map(|job| job.spec.team.clone());
+        let is_own = job.is_some_and(|job| job.origin == Origin::Own);
         let mut started_at = None;
         let mut is_known_to_exist = false;
         let target_state = &mut self.targets[id.0 as usize];
@@ -116,7 +119,7 @@
             && let Some(known) = target_state.runs.remove(key)
         {
             started_at = known.started_at;
-            is_known_to_exist = known.is_listed || run > self.run_number_base;
+            is_known_to_exist = known.is_listed || is_own || run > self.run_number_base;
             target_state.allocated -= known.size;
             if let Some(team) = &team {
                 self.team_usage.remove(team, known.size);
@@ -252,7 +255,7 @@
     /// Lets the following steps of a job begin only after its progress is recorded.
     fn await_record(&mut self, id: &Name) {
         if let Some(job) = self.jobs.get_mut(id) {
-            job.awaits_record = true;
+            job.awaited_record = Some(AwaitedRecord::Due);
         }
     }
 
--- a/crates/plan/src/job.rs
+++ b/crates/plan/src/job.rs
@@ -15,6 +15,15 @@
     Inherited,
 }
 
+/// State of a record that has to be made before further steps begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AwaitedRecord {
+    /// In no batch yet.
+    Due,
+    /// In a batch that is being recorded.
+    InFlight,
+}
+
 /// Accepted job with its progress.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -30,10 +39,10 @@
     pub(crate) next_occurrence: u32,
     /// Number of runs of the job that are charged to targets.
     pub(crate) run_count: u32,
-    /// Whether an end has to be recorded before a step that depends on another one
-    /// may begin: the next placer could take the steps for not begun if it finds
-    /// another run of the task.
-    pub(crate) awaits_record: bool,
+    /// End that has to be recorded before a step that depends on another one may
+    /// begin: the next placer could take the step for not begun if it finds another
+    /// run of the task.
+    pub(crate) awaited_record: Option<AwaitedRecord>,
     /// Time at which the state became final.
     pub(crate) ended_at: Option<Duration>,
 }
@@ -49,7 +58,7 @@
             occurrences: BTreeMap::new(),
             next_occurrence: 0,
             run_count: 0,
-            awaits_record: false,
+            awaited_record: None,
             ended_at: None,
         };
         if let Some(progress) = progress {
--- a/crates/plan/src/recovery.rs
+++ b/crates/plan/src/recovery.rs
@@ -12,9 +12,9 @@
 //!
 //! The second rule needs care where a task has been done by another run than the
 //! one that is listed. A placer that learns of such an end starts the following
-//! steps only after the end is recorded ([`crate::job::Job::awaits_record`]); the
-//! next placer then finds the task recorded as done. docs/design/recovery.md has
-//! the argument in full.
+//! steps only after the end is recorded ([`crate::job::AwaitedRecord`]); the next
+//! placer then finds the task recorded as done. docs/design/recovery.md has the
+//! argument in full.
 
 use std::{
     collections::{HashMap, HashSet},
--- a/crates/plan/src/search.rs
+++ b/crates/plan/src/search.rs
@@ -144,7 +144,7 @@
         let waiting = (state.waiting.len() as u32).saturating_sub(held_back);
         // A gang starts as a whole.
         let is_held_back = waiting == 0 || step.gang && held_back > 0;
-        if is_held_back || job.awaits_record && !step.after.is_empty() {
+        if is_held_back || job.awaited_record.is_some() && !step.after.is_empty() {
             return None;
         }
         if step.gang && state.has_runs() {
--- a/crates/plan/tests/decisions/random_faults.rs
+++ b/crates/plan/tests/decisions/random_faults.rs
@@ -1,10 +1,12 @@
-//! Random faults on a simulated cell: no task runs twice.
+//! Random faults on a simulated cell: no task runs twice, and none that may run
+//! waits for long.
 //!
 //! The planner is driven as a node drives it, against targets that follow the
 //! users' page of the protocol. Each seed stands for a day with other faults. The
 //! environment variable `RANDOM_FAULTS=FIRST..LAST` names other days, which are
 //! played with all kinds of [`Orders`].
 
+mod delays;
 mod disruption;
 mod faults;
 mod judge;
@@ -40,11 +42,12 @@
     Some(first.parse().ok()?..last.parse().ok()?)
 }
 
-/// Plays a day and expects that no task runs twice.
+/// Plays a day and expects that no task runs twice, and that none waits for long.
 fn play_checked(seed: u64, orders: Orders) -> Day {
     let day = play(seed, orders, None);
     expect_that!(day.violations, is_empty(), "seed {seed}, {orders:?}");
-    if !day.violations.is_empty() {
+    expect_that!(day.delays, is_empty(), "seed {seed}, {orders:?}");
+    if !day.violations.is_empty() || !day.delays.is_empty() {
         let mut trace = Vec::new();
         play(seed, orders, Some(&mut trace));
         println!("{}", trace.join("\n"));
@@ -62,7 +65,7 @@
         }
         return;
     }
-    let (mut starts, mut noted, mut terms, mut restarts) = (0, 0, 0, 0);
+    let (mut starts, mut noted, mut terms, mut restarts, mut due) = (0, 0, 0, 0, 0);
     for seed in DAYS {
         // Orders that outlive their process are not ruled out (docs/FINDINGS.md).
         let day = play_checked(seed, Orders::Connected);
@@ -70,6 +73,7 @@
         noted += day.noted;
         terms += day.terms;
         restarts += day.restarts;
+        due += day.due_starts;
     }
     // Days on which little happens would pass in any case.
     let days = DAYS.count();
@@ -77,6 +81,7 @@
     expect_that!(noted, ge(30 * days));
     expect_that!(terms, ge(2 * days as u32));
     expect_that!(restarts, ge(3 * days as u64));
+    expect_that!(due, ge(20 * days));
 }
 
 #[gtest]
--- a/crates/plan/tests/decisions/random_faults/judge.rs
+++ b/crates/plan/tests/decisions/random_faults/judge.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Returns whether a task has a run or is done.
+    pub fn is_running_or_done(&self, task: &TaskKey) -> bool {
+        self.done.contains_key(task) || self.running.get(task).is_some_and(|runs| !runs.is_empty())
+    }
+
     pub fn ended(&mut self, task: &TaskKey, place: Place, run: u32) {
         if let Some(running) = self.running.get_mut(task) {
             running.retain(|known| *known != (place, run));
--- a/crates/plan/tests/decisions/random_faults/leader.rs
+++ b/crates/plan/tests/decisions/random_faults/leader.rs
@@ -8,8 +8,8 @@
 
 use base::Name;
 use plan::{
-    Action, AdviceRequest, Availability, Batch, ClosedTarget, Planner, ProcessRecord, Record,
-    Settings, StartAnswer, TargetInfo,
+    Action, AdviceRequest, Availability, Batch, ClosedTarget, Holding, Planner, ProcessRecord,
+    Record, Settings, StartAnswer, TargetInfo,
 };
 use work::{Config, Spec, TaskKey};
 
@@ -76,6 +76,14 @@
 pub struct Handover {
     pub unreachable: Vec<ClosedTarget>,
     pub processes: ProcessRecord,
+    pub holdings: Vec<Holding>,
+}
+
+impl Handover {
+    /// Returns whether nothing was handed over.
+    pub fn is_none_known(&self) -> bool {
+        self.holdings.is_empty()
+    }
 }
 
 /// Purpose of a call.
@@ -149,17 +157,18 @@
         let mut planner = Planner::new(settings, term, held.clone(), now);
         planner.configure(config);
         planner.inherit_processes(processes, now);
+        planner.inherit_holdings(handover.holdings, now);
         for (id, spec) in &store.jobs {
             planner.inherit(id, spec.clone(), store.progress.get(id), now);
         }
         for (id, state) in store.ended() {
             planner.inherit_ended(id, state, now);
         }
-        let is_from_previous_term = store.snapshot_term + 1 == term;
-        let closed = closed.iter().filter(|_| is_from_previous_term);
-        for (target, runs) in handover.unreachable.iter().chain(closed) {
+        for (target, runs) in handover.unreachable.iter().chain(&closed) {
             planner.adopt_unreachable(target, runs, now);
         }
+        let closed: HashSet<Name> = closed.into_iter().map(|(target, _)| target).collect();
+        planner.set_closed_targets(&closed);
         for id in &store.cancelled {
             planner.cancel(id, now);
         }
@@ -177,7 +186,7 @@
             effects: Vec::new(),
             listed: BTreeMap::new(),
             held,
-            closed: HashSet::new(),
+            closed,
             restarted: HashSet::new(),
             is_recording_held: false,
             is_held_unrecorded: false,
@@ -192,6 +201,11 @@
         leader
     }
 
+    /// Returns whether the leader starts nothing because it hands over.
+    pub fn is_handing_over(&self) -> bool {
+        self.handover_at.is_some()
+    }
+
     pub fn take_effects(&mut self) -> Vec<Effect> {
         std::mem::take(&mut self.effects)
     }
@@ -307,7 +321,8 @@
         self.is_valid = false;
         let unreachable = self.planner.unreachable_targets(now);
         let processes = self.planner.processes(&HashSet::new(), now);
-        self.effects.push(Effect::End(Some(Handover { unreachable, processes })));
+        let holdings = self.planner.holdings(now);
+        self.effects.push(Effect::End(Some(Handover { unreachable, processes, holdings })));
     }
 
     fn record_batches(&mut self, now: Duration) {
--- a/crates/plan/tests/decisions/random_faults/network.rs
+++ b/crates/plan/tests/decisions/random_faults/network.rs
@@ -59,6 +59,7 @@
 
     /// Sends an order of the leader.
     pub fn send(&mut self, call: Call, timeout: Duration) {
+        self.delays.sent(&call, self.now);
         let there = self.latency() + self.send_delay;
         let is_late = self.rng.random_bool(self.faults.late_ratio);
         let target = &self.targets[call.target];
@@ -307,6 +308,9 @@
         let parked = std::mem::take(&mut process.parked);
         self.note(|_| format!("{place:?} ends {task:?} run {run} as {end:?}, number {number}"));
         self.judge.ended(task, place, run);
+        if end == End::Failed {
+            self.delays.failed(place.0, self.now);
+        }
         if end == End::Done {
             self.judge.done(task, place, number, self.now);
         }
--- a/crates/plan/tests/decisions/random_faults/target.rs
+++ b/crates/plan/tests/decisions/random_faults/target.rs
@@ -67,7 +67,7 @@
 /// Run on a target.
 #[derive(Clone, Copy, Debug)]
 pub struct Run {
-    started_at: Duration,
+    pub started_at: Duration,
     work: Duration,
     pub is_stopping: bool,
 }
--- a/crates/plan/tests/decisions/random_faults/workload.rs
+++ b/crates/plan/tests/decisions/random_faults/workload.rs
@@ -8,7 +8,7 @@
 
 pub const SERVICE: &str = "pool";
 const TEAM: &str = "team";
-const PLAIN_QUEUE: &str = "plain";
+pub const PLAIN_QUEUE: &str = "plain";
 const ADVISED_QUEUE: &str = "advised";
 
 /// Lifetime of a ticket.
--- a/crates/plan/tests/decisions/random_faults/world.rs
+++ b/crates/plan/tests/decisions/random_faults/world.rs
@@ -13,6 +13,7 @@
 use work::{Config, Spec, StepKey};
 
 use super::{
+    delays::{self, Delays},
     disruption::{Disruption, Trouble},
     faults::{Faults, Kind, Orders},
     judge::Judge,
@@ -42,6 +43,8 @@
     ShowList,
     ConfirmList,
     Submission,
+    /// The cell is looked at for tasks that wait.
+    Observation,
     /// A write reaches the store.
     Write {
         write: Write,
@@ -60,6 +63,10 @@
     /// Tasks that broke the rule, and how.
     pub violations: Vec<(work::TaskKey, String)>,
     pub starts: usize,
+    /// Tasks that were not started in time, and when.
+    pub delays: Vec<(work::TaskKey, String)>,
+    /// Tasks that were seen to be due and were started.
+    pub due_starts: usize,
     /// Ends of done tasks that were taken note of.
     pub noted: usize,
     pub terms: u32,
@@ -76,6 +83,7 @@
     pub store: Store,
     pub trouble: Option<(Trouble, Duration)>,
     pub judge: Judge,
+    pub delays: Delays,
     pub leader: Option<Leader>,
     pub specs: BTreeMap<Name, Spec>,
     pub gangs: BTreeMap<(StepKey, u32), Gang>,
@@ -103,6 +111,8 @@
     }
     Day {
         violations: world.judge.violations,
+        delays: world.delays.violations,
+        due_starts: world.delays.starts,
         starts: world.judge.starts,
         noted: world.judge.noted,
         terms: world.store.term,
@@ -121,6 +131,7 @@
             store: Store::default(),
             trouble: None,
             judge: Judge::default(),
+            delays: Delays::default(),
             leader: None,
             specs: BTreeMap::new(),
             gangs: BTreeMap::new(),
@@ -150,6 +161,7 @@
         world.schedule(Duration::ZERO, Event::TakeOver(0, Handover::default()));
         world.schedule(Duration::ZERO, Event::ConfirmList);
         world.schedule(Duration::ZERO, Event::Submission);
+        world.schedule(Duration::ZERO, Event::Observation);
         world
     }
 
@@ -226,6 +238,10 @@
                 self.schedule(Duration::from_millis(500), Event::ConfirmList);
             }
             Event::Submission => self.submit(),
+            Event::Observation => {
+                self.observe();
+                self.schedule(delays::INTERVAL, Event::Observation);
+            }
             Event::Write { write, is_answered, latency } => {
                 let outcome = self.store.apply(&write);
                 if is_answered {
@@ -296,6 +312,10 @@
 
     fn begin(&mut self, handover: Handover) {
         let handed_over = handover.clone();
+        if handover.is_none_known() {
+            let processes = self.store.snapshot.processes.born_unix_ms.clone();
+            self.delays.killed(self.now, processes);
+        }
         let leader = Leader::new(&self.store, Arc::clone(&self.config), handover, self.now);
         let term = leader.term;
         self.note(|world| {
--- a/crates/plan/tests/decisions/recovery.rs
+++ b/crates/plan/tests/decisions/recovery.rs
@@ -118,6 +118,16 @@
     expect_that!(starts[0].task.step.step, eq(1));
 }
 
+#[gtest]
+fn step_after_a_run_of_this_term_does_not_wait_for_a_record() {
+    // Short runs end before they are listed; each step would wait for the store.
+    let mut cell = Cell::new(2).take_over();
+    cell.accept("job", two_steps());
+    let start = start_one(&mut cell);
+    cell.end_run(&start, End::Done);
+    expect_that!(cell.decide_starts().len(), eq(1));
+}
+
 /// Lets a new placer take over with what the earlier one hands over.
 fn hand_over(mut cell: Cell) -> Cell {
     cell.record();
