--- a/crates/node/src/leadership.rs
+++ b/crates/node/src/leadership.rs
@@ -39,7 +39,7 @@
     context::{Context, Leader, RETRY_BACKOFF, jitter},
     decode::decode,
     keys,
-    link::{PeerFrame, Succession},
+    link::{Holding, PeerFrame, Succession},
     placer::{self, guard::Guard},
 };
 
@@ -95,6 +95,8 @@
     pub(crate) unconfirmed: HashSet<Name>,
     /// Usual speeds of the targets; `None` unless the previous leader handed over.
     pub(crate) speeds: Option<SpeedRecord>,
+    /// What the previous leader knew of the held targets.
+    pub(crate) holdings: Vec<Holding>,
 }
 
 /// Prerequisites for taking the leadership.
@@ -234,16 +236,22 @@
             None
         }
     };
-    let Some(Succession { revision, unreachable_targets, restarted, unconfirmed, speeds }) =
-        succession
-    else {
+    let Some(handed_over) = succession else {
         return Ok(None);
     };
+    let Succession { revision, unreachable_targets, restarted, unconfirmed, speeds, holdings } =
+        handed_over;
     let acquired = acquire_with(ctx, candidate, Revision(revision)).await?;
     Ok(acquired.map(|(leadership, leader)| {
-        let handed_over =
-            Leadership { unreachable_targets, restarted, unconfirmed, speeds, ..leadership };
-        (handed_over, leader)
+        let leadership = Leadership {
+            unreachable_targets,
+            restarted,
+            unconfirmed,
+            speeds,
+            holdings,
+            ..leadership
+        };
+        (leadership, leader)
     }))
 }
 
@@ -323,6 +331,7 @@
         restarted: HashSet::new(),
         unconfirmed: HashSet::new(),
         speeds: None,
+        holdings: Vec::new(),
     };
     leadership.extend(requested_at, granted.saturating_sub(lease_margin(ctx)));
     Ok(Some((leadership, leader)))
@@ -341,6 +350,7 @@
     ctx.metrics.leads.set(0);
     ctx.metrics.evacuated_runs.set(0);
     ctx.metrics.uneven_targets.set(0);
+    ctx.metrics.set_recovery(0, 0);
     match ending {
         EndReason::Lost(reason) => {
             emit!(ctx.log, warn, LeadLost; "term" => leadership.term, "why" => reason)
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -99,6 +99,10 @@
     /// Number of targets that are usually faster or slower than the others; 0 unless
     /// this node leads.
     pub(crate) uneven_targets: Gauge,
+    /// Inherited tasks that wait for targets which have not listed their runs.
+    pub(crate) recovery_tasks: Gauge,
+    /// Targets for which they wait.
+    pub(crate) recovery_targets: Gauge,
     /// Time to record a client's request.
     pub(crate) write_time: Histogram,
     /// Response time of start orders.
@@ -130,6 +134,8 @@
             evacuations: Gauge::default(),
             evacuated_runs: Gauge::default(),
             uneven_targets: Gauge::default(),
+            recovery_tasks: Gauge::default(),
+            recovery_targets: Gauge::default(),
             write_time: histogram(),
             start_time: histogram(),
             record_time: histogram(),
@@ -175,6 +181,16 @@
             "Targets that are usually faster or slower than the others",
             metrics.uneven_targets.clone(),
         );
+        registry.register(
+            "recovery_tasks",
+            "Inherited tasks that wait for targets which have not listed their runs",
+            metrics.recovery_tasks.clone(),
+        );
+        registry.register(
+            "recovery_targets",
+            "Targets for which inherited tasks wait",
+            metrics.recovery_targets.clone(),
+        );
         let times = [
             ("write", "Time to record what a client asks for", &metrics.write_time),
             ("start", "Time for the answer to a start", &metrics.start_time),
@@ -207,6 +223,12 @@
         family.get_or_create(&Labels { kind, outcome }).inc();
     }
 
+    /// Sets the numbers of tasks and targets in the recovery after a takeover.
+    pub(crate) fn set_recovery(&self, tasks: u32, targets: usize) {
+        self.recovery_tasks.set(tasks.into());
+        self.recovery_targets.set(targets as i64);
+    }
+
     /// Adds a duration to a histogram.
     pub(crate) fn observe(histogram: &Histogram, time: Duration) {
         histogram.observe(time.as_secs_f64());
--- a/crates/node/tests/cell/main.rs
+++ b/crates/node/tests/cell/main.rs
@@ -7,6 +7,7 @@
 mod jobs;
 mod leadership;
 mod links;
+mod recovery;
 mod restarts;
 mod slow_store;
 mod speeds;
--- a/crates/plan/src/listing.rs
+++ b/crates/plan/src/listing.rs
@@ -171,8 +171,8 @@
         let Some(&id) = self.target_ids.get(target) else {
             return;
         };
-        if !listing.has_more_ends {
-            self.unverified_targets.remove(target);
+        if !listing.has_more_ends && self.unverified_targets.remove(target).is_some() {
+            self.refresh_unknown_runs();
         }
         let target_state = &mut self.targets[id.0 as usize];
         target_state.has_unread_ends = listing.has_more_ends;
@@ -213,6 +213,7 @@
         self.drop_recorded_ends(id);
         for listed in &listing.running {
             self.apply_listed_run(id, listed, now);
+            self.note_unbegun_steps(id, listed);
         }
         self.apply_figures(id, listing, requested_at);
         let target_state = &mut self.targets[id.0 as usize];
@@ -259,7 +260,7 @@
             self.track_progress(id, listed, now);
             return;
         }
-        self.adopt_run(id, listed, now);
+        self.adopt_run(id, listed, now, now);
         if let Some(adopted) = self.targets[id.0 as usize].runs.get_mut(&listed.task)
             && adopted.number == listed.run
         {
--- a/crates/plan/tests/decisions/main.rs
+++ b/crates/plan/tests/decisions/main.rs
@@ -13,6 +13,7 @@
 mod placement;
 mod preempt;
 mod random_faults;
+mod recovery;
 mod sharing;
 mod speeds;
 mod takeover;
