Refuse jobs whose number of tasks wraps at 2^64

Cause: the tasks of an occurrence times the occurrences were multiplied in 64 bits without a check, so that 2^32 - 1, 2^32 - 1 and 2 tasks, 2^31 times, gave 0. The job was accepted, and each leader aborted on the memory for its tasks.

Change: Spec::task_count saturates, and such a job is refused with 400. A stored job over the limit is given up before memory is taken for its tasks, so that it doesn't prevent a takeover; event 621 reports it. Jobs of more steps than the 16 bits of their numbers are refused as well.

Related paths: the objective of a job (estimates times the factor of its queue), latest start times, the average objective, the room of targets for tasks without size in the choice of targets for advice (2^32 - 1 times 1,000), the task counts of racks and of preemption, and the count in event JobAccepted now saturate.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -118,4 +118,5 @@
     LinkOpened = 570, "link to the leader opened";
     LinkLost = 571, "link to the leader lost";
     SettingsReloaded = 580, "settings reloaded";
+    JobOversized = 621, "stored job has more tasks than are allowed; given up";
 }
--- a/crates/node/src/frontend.rs
+++ b/crates/node/src/frontend.rs
@@ -151,9 +151,8 @@
         Metrics::count(&self.ctx.metrics.requests, "submit", outcome_of(&outcome));
         match &outcome {
             Ok(()) => {
-                let tasks: u32 = spec.steps.iter().map(|step| step.count).sum();
                 emit!(self.ctx.log, info, JobAccepted; "job" => %id, "queue" => %spec.queue,
-                    "team" => %spec.team, "steps" => spec.steps.len(), "tasks" => tasks,
+                    "team" => %spec.team, "steps" => spec.steps.len(), "tasks" => spec.task_count(),
                     "objective_ms" => plan::job_objective_ms(&spec.steps, &spec.policy));
                 self.ctx.states.merge([(id.clone(), JobState::Queued)], clock::now());
             }
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -185,6 +185,9 @@
         planner.inherit_processes(processes, now);
         planner.expect_instances(expected_instances);
         for (id, spec, progress) in recorded.jobs {
+            if spec.task_count() > work::MAX_TASKS {
+                emit!(ctx.log, error, JobOversized; "job" => %id, "tasks" => spec.task_count());
+            }
             planner.inherit(&id, spec, progress.as_ref(), now);
         }
         for (id, state) in recorded.ended {
--- a/crates/plan/src/admit.rs
+++ b/crates/plan/src/admit.rs
@@ -193,8 +193,8 @@
     /// Updates the average objective of a queue's jobs with that of a new job.
     pub(crate) fn update_average_objective(&mut self, queue: &Name, newest_ms: u64) {
         let average = self.average_objective_ms.entry(queue.clone()).or_insert(newest_ms);
-        *average =
-            (*average * (1000 - NEWEST_WEIGHT_MILLI) + newest_ms * NEWEST_WEIGHT_MILLI) / 1000;
+        let weighted = average.saturating_mul(1000 - NEWEST_WEIGHT_MILLI);
+        *average = weighted.saturating_add(newest_ms.saturating_mul(NEWEST_WEIGHT_MILLI)) / 1000;
     }
 
     /// Returns the waiting work by priority and pool, for advice from
--- a/crates/plan/src/advice.rs
+++ b/crates/plan/src/advice.rs
@@ -322,17 +322,18 @@
     known.sort_by_cached_key(order);
     unknown.sort_by_cached_key(order);
     let cheap = advice.request_us / cheap_time_divisor / advice.target_us.max(1);
-    let mut expected_milli = 0;
+    let mut expected_milli: u32 = 0;
     let mut chosen = Vec::new();
     let numbered = (0..).zip(
         known.iter().map(|s| (s, 1000)).chain(unknown.iter().map(|s| (s, allowed_ratio_milli))),
     );
     for (number, (slot, ratio_milli)) in numbered {
-        if expected_milli >= wanted * SURPLUS_RATIO_MILLI && number >= cheap {
+        if expected_milli >= wanted.saturating_mul(SURPLUS_RATIO_MILLI) && number >= cheap {
             break;
         }
         chosen.push(slot.target);
-        expected_milli += slot.tasks.min(wanted) * ratio_milli;
+        let expected = slot.tasks.min(wanted).saturating_mul(ratio_milli);
+        expected_milli = expected_milli.saturating_add(expected);
     }
     chosen
 }
@@ -355,15 +356,17 @@
         });
         return enough.map(|slot| slot.target).collect();
     }
+    let surplus_milli = wanted.saturating_mul(SURPLUS_RATIO_MILLI);
+    let wanted_when_empty_milli = wanted.saturating_mul(EMPTY_CAPACITY_RATIO * 1000);
     let known_when_empty = sum_tasks(known.iter().copied(), |slot| slot.tasks_when_empty);
     let known_with_preemption = sum_tasks(known.iter().copied(), |slot| slot.tasks_with_preemption);
-    if known_when_empty >= wanted * EMPTY_CAPACITY_RATIO {
+    if known_when_empty >= wanted.saturating_mul(EMPTY_CAPACITY_RATIO) {
         // The allowed targets will have enough room at some time, so further
         // targets only help if they have room now.
         let likely = sum_tasks(unknown.iter().copied(), |slot| slot.tasks_with_preemption)
             .saturating_mul(allowed_ratio_milli)
             / 1000;
-        if known_with_preemption.saturating_add(likely) < wanted * SURPLUS_RATIO_MILLI / 1000 {
+        if known_with_preemption.saturating_add(likely) < surplus_milli / 1000 {
             return Vec::new();
         }
     }
@@ -371,7 +374,7 @@
         Reverse((slot.tasks_with_preemption, slot.tasks, slot.remaining_ppm()))
     });
     let mut free_milli = known_with_preemption.saturating_mul(1000);
-    let mut when_empty_milli = known_when_empty * 1000;
+    let mut when_empty_milli = known_when_empty.saturating_mul(1000);
     let mut chosen: Vec<TargetId> = known
         .iter()
         .filter(|slot| slot.tasks_with_preemption > 0)
@@ -379,14 +382,13 @@
         .collect();
     let mut has_new = false;
     for slot in unknown {
-        if free_milli >= wanted * SURPLUS_RATIO_MILLI
-            && when_empty_milli >= wanted * EMPTY_CAPACITY_RATIO * 1000
-        {
+        if free_milli >= surplus_milli && when_empty_milli >= wanted_when_empty_milli {
             break;
         }
         chosen.push(slot.target);
-        free_milli += slot.tasks_with_preemption.min(wanted) * allowed_ratio_milli;
-        when_empty_milli += slot.tasks_when_empty.min(wanted) * allowed_ratio_milli;
+        let expected_milli = |tasks: u32| tasks.min(wanted).saturating_mul(allowed_ratio_milli);
+        free_milli = free_milli.saturating_add(expected_milli(slot.tasks_with_preemption));
+        when_empty_milli = when_empty_milli.saturating_add(expected_milli(slot.tasks_when_empty));
         has_new = true;
     }
     if has_new { chosen } else { Vec::new() }
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -551,7 +551,8 @@
     let mut tasks: HashMap<&Name, u32> = HashMap::new();
     for slot in slots {
         let rack = &planner.targets[slot.target.0 as usize].info.rack;
-        *tasks.entry(rack).or_default() += count(slot);
+        let sum = tasks.entry(rack).or_default();
+        *sum = sum.saturating_add(count(slot));
     }
     tasks.into_iter().max_by_key(|(rack, tasks)| (*tasks, *rack)).map(|(rack, _)| rack.clone())
 }
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -9,7 +9,7 @@
 use base::Name;
 use place::Health;
 use quota::Usage;
-use work::{Config, JobState, Progress, Spec, StepKey, TaskKey};
+use work::{Config, JobState, MAX_TASKS, Progress, Spec, StepKey, TaskKey};
 
 use crate::{
     action::{Action, Stop, StopCause},
@@ -181,6 +181,10 @@
         if self.jobs.contains_key(id) {
             return;
         }
+        // Versions whose count of tasks wrapped accepted such jobs. Their tasks
+        // would not fit into memory.
+        let is_oversized = spec.task_count() > MAX_TASKS;
+        let progress = progress.filter(|progress| !is_oversized || progress.state.is_final());
         let mut job = Job::new(Arc::new(spec), origin, progress);
         if origin == Origin::Own
             && let Some(team) = self.config.teams.get(&job.spec.team)
@@ -214,6 +218,9 @@
             self.open_steps(id, occurrence, now);
         }
         self.is_changed = true;
+        if is_oversized && self.jobs.get(id).is_some_and(|job| !job.state.is_final()) {
+            self.end_job(id, JobState::Failed, now);
+        }
     }
 
     /// Cancels a job and stops its runs.
--- a/crates/plan/src/preempt.rs
+++ b/crates/plan/src/preempt.rs
@@ -180,7 +180,7 @@
         let (usable, hold) = if with_preemption(&with_ticket) >= step.count {
             (with_ticket, HoldMode::HasTickets)
         } else if preempt_priority.is_some()
-            && with_preemption(&allowed) >= step.count * AMPLE_ROOM_RATIO
+            && with_preemption(&allowed) >= step.count.saturating_mul(AMPLE_ROOM_RATIO)
             && advice.is_some_and(|advice| !self.is_advice_scarce(advice, now))
         {
             (allowed, HoldMode::RequestOnly)
@@ -203,7 +203,9 @@
             .collect();
         let members = match hold {
             // Some of the room may be taken by the time the tickets arrive.
-            HoldMode::RequestOnly => step.count + step.count.div_ceil(EXTRA_MEMBERS_DIVISOR),
+            HoldMode::RequestOnly => {
+                step.count.saturating_add(step.count.div_ceil(EXTRA_MEMBERS_DIVISOR))
+            }
             HoldMode::HasTickets | HoldMode::UntilTickets => step.count,
         };
         let Some(candidates) = choose_places(candidates, step.size, members) else {
--- a/crates/plan/src/rank.rs
+++ b/crates/plan/src/rank.rs
@@ -144,7 +144,7 @@
             return Some(u32::MAX);
         }
         let slack_ms = self.settings.preemption.slack.as_millis() as u64;
-        (unix_ms + slack_ms <= rank.latest_start_ms).then_some(rank.priority)
+        (unix_ms.saturating_add(slack_ms) <= rank.latest_start_ms).then_some(rank.priority)
     }
 
     /// Returns which targets a step goes to first, by the time that its job has
@@ -154,9 +154,9 @@
             return SpeedPreference::Any;
         };
         let slack_ms = latest_start_ms.saturating_sub(unix_ms);
-        if slack_ms < remaining_ms * TIGHT_SLACK_PERCENT / 100 {
+        if slack_ms < remaining_ms.saturating_mul(TIGHT_SLACK_PERCENT) / 100 {
             SpeedPreference::Fast
-        } else if slack_ms > remaining_ms * AMPLE_SLACK_PERCENT / 100 {
+        } else if slack_ms > remaining_ms.saturating_mul(AMPLE_SLACK_PERCENT) / 100 {
             SpeedPreference::Slow
         } else {
             SpeedPreference::Any
@@ -189,9 +189,11 @@
         let since_ms = spec.accepted_unix_ms.max(spec.due_unix_ms(key.occurrence));
         let objective_ms = job.chains.objective_ms(policy);
         let remaining_ms = job.chains.chain_ms(usize::from(key.step))?;
-        let latest_start_ms = (since_ms + objective_ms).saturating_sub(remaining_ms);
+        let start_within_ms =
+            |limit_ms| since_ms.saturating_add(limit_ms).saturating_sub(remaining_ms);
+        let latest_start_ms = start_within_ms(objective_ms);
         let last_useful_start_ms =
-            (since_ms + objective_ms * USELESS_OBJECTIVE_RATIO).saturating_sub(remaining_ms);
+            start_within_ms(objective_ms.saturating_mul(USELESS_OBJECTIVE_RATIO));
         Some(Times { remaining_ms, latest_start_ms, last_useful_start_ms })
     }
 }
@@ -232,8 +234,9 @@
 
     /// Returns the time within which the job has to be done, in milliseconds.
     pub(crate) fn objective_ms(&self, policy: &Policy) -> u64 {
-        self.longest_ms * u64::from(policy.objective_factor_milli) / 1000
-            + u64::from(policy.objective_ms)
+        let by_chain_ms =
+            self.longest_ms.saturating_mul(u64::from(policy.objective_factor_milli)) / 1000;
+        by_chain_ms.saturating_add(u64::from(policy.objective_ms))
     }
 }
 
--- a/crates/plan/tests/decisions/main.rs
+++ b/crates/plan/tests/decisions/main.rs
@@ -4,6 +4,7 @@
 mod advice;
 mod backlog;
 mod blame;
+mod bounds;
 mod cell;
 mod crashes;
 mod gangs;
--- a/crates/work/src/lib.rs
+++ b/crates/work/src/lib.rs
@@ -13,5 +13,5 @@
 pub use config::{Advice, Config, Limits, Policy, Queue, Service, Team};
 pub use progress::{Progress, StepProgress};
 pub use record::{DecodeError, decode, encode};
-pub use spec::{Schedule, Spec, Step, StepKey, TaskKey};
+pub use spec::{MAX_TASKS, Schedule, Spec, Step, StepKey, TaskKey};
 pub use state::{End, JobState};
--- a/crates/work/src/spec.rs
+++ b/crates/work/src/spec.rs
@@ -9,7 +9,7 @@
 /// Upper limit on the tasks of one job, summed over all steps and occurrences.
 /// Bounds the memory that one job can take in the placer; far above what the
 /// users' workload sheets need.
-const MAX_TASKS: u64 = 100_000;
+pub const MAX_TASKS: u64 = 100_000;
 
 /// Accepted job.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -87,11 +87,13 @@
         if self.steps.is_empty() {
             return Some("a job needs a step");
         }
-        let per_occurrence: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
+        if self.steps.len() > usize::from(u16::MAX) {
+            return Some("the job has too many steps");
+        }
         if self.steps.iter().any(|step| step.count == 0) {
             return Some("a step needs a task");
         }
-        if per_occurrence * u64::from(self.occurrences()) > MAX_TASKS {
+        if self.task_count() > MAX_TASKS {
             return Some("the job has too many tasks");
         }
         let is_later = |(number, step): (usize, &Step)| {
@@ -103,6 +105,13 @@
         None
     }
 
+    /// Returns the number of tasks of all steps and occurrences, saturating.
+    pub fn task_count(&self) -> u64 {
+        let counts = self.steps.iter().map(|step| u64::from(step.count));
+        let per_occurrence = counts.fold(0, u64::saturating_add);
+        per_occurrence.saturating_mul(u64::from(self.occurrences()))
+    }
+
     /// Returns the number of times that the steps run.
     pub fn occurrences(&self) -> u32 {
         self.schedule.map_or(1, |schedule| schedule.times.max(1))
