Count runs that are being stopped towards max_per_target

Cause: when a task was done, its second run was stopped but left the account of its step, so that another task of the step was placed beside it. A run of a done task that a target lists after a takeover was not entered at all.

Change: such a run is kept among the other runs of its task until its end is certain; count_on already counts these. A task that is done is never started, so the entry delays only tasks for which the target would be over its limit.

Failing first: placement::stopped_run_of_a_task_that_is_done_... and placement::listed_run_of_a_task_that_is_done_... (a start in place of none).

--- a/crates/plan/src/ends.rs
+++ b/crates/plan/src/ends.rs
@@ -241,6 +241,21 @@
         }
     }
 
+    /// Stops the current run of a task that is done. The run counts on its target
+    /// until its end is certain.
+    fn stop_needless(&mut self, key: &TaskKey, current: TaskRun, now: Duration) {
+        let TaskRun { target, run, .. } = current;
+        let Some(known) = self.targets[target.0 as usize].runs.get(key) else {
+            return;
+        };
+        if known.number == run
+            && let Some(state) = self.step_state_mut(&key.step)
+        {
+            state.tasks[key.index as usize].other_runs.push(current);
+        }
+        self.stop_run(target, key, run, StopCause::Needless, now);
+    }
+
     /// Marks a task as done, or all tasks of the step if it is a gang.
     fn finish_task(&mut self, key: &TaskKey, step: &Step, now: Duration) {
         let Some(state) = self.step_state_mut(&key.step) else {
@@ -251,13 +266,10 @@
                 state.mark_done(index);
             }
         } else {
-            let other = state.tasks[key.index as usize].state;
+            let current = state.current_run(key.index);
             state.mark_done(key.index);
-            // Another run of the task is no longer needed.
-            if let TaskState::Assigned { target, run } = other
-                && self.targets[target.0 as usize].runs.contains_key(key)
-            {
-                self.stop_run(target, key, run, StopCause::Needless, now);
+            if let Some(current) = current {
+                self.stop_needless(key, current, now);
             }
         }
         self.mark_unrecorded(&key.step.job, now);
--- a/crates/plan/src/step.rs
+++ b/crates/plan/src/step.rs
@@ -175,6 +175,7 @@
             return smallvec![latest];
         };
         if task.state == TaskState::Done {
+            self.tasks[latest.index as usize].other_runs.push(latest);
             return smallvec![latest];
         }
         let current = if step.gang {
--- a/crates/plan/tests/decisions/placement.rs
+++ b/crates/plan/tests/decisions/placement.rs
@@ -4,7 +4,7 @@
 
 use base::Name;
 use googletest::prelude::*;
-use plan::{Availability, StartAnswer, TargetInfo};
+use plan::{Availability, Start, StartAnswer, TargetInfo};
 use work::{End, Step};
 
 use crate::cell::{Cell, step};
@@ -100,3 +100,44 @@
     expect_that!(second.len(), eq(1));
     expect_that!(second[0].task.step.occurrence, eq(1));
 }
+
+#[gtest]
+fn stopped_run_of_a_task_that_is_done_counts_towards_the_limit_per_target() {
+    // A third task was placed beside it (review/seen-2/route-day.toml).
+    let mut cell = Cell::new(2);
+    cell.accept("job", vec![Step { max_per_target: Some(1), ..step(3) }]);
+    let starts = cell.decide_starts();
+    expect_that!(starts.len(), eq(2));
+    cell.answer_starts(&starts, &StartAnswer::Started);
+    let (lost, other) = (&starts[0], &starts[1]);
+    cell.make_unreachable(&lost.target);
+    cell.advance(Duration::from_secs(7));
+    cell.end_run(other, End::Done);
+    cell.list_nothing(&other.target);
+    let again = cell.decide_starts();
+    cell.answer_starts(&again, &StartAnswer::Started);
+    assert_that!(again.len(), eq(1));
+    expect_that!((&again[0].task, &again[0].target), eq((&lost.task, &other.target)));
+    // The first run was done after all, so the second one is stopped.
+    cell.end_run(lost, End::Done);
+    cell.make_unreachable(&lost.target);
+    expect_that!(cell.decide_starts(), is_empty());
+    cell.end_run(&again[0], End::Stopped);
+    expect_that!(cell.decide_starts().len(), eq(1));
+}
+
+#[gtest]
+fn listed_run_of_a_task_that_is_done_counts_after_a_takeover() {
+    let mut cell = Cell::new(1);
+    cell.accept("job", vec![Step { max_per_target: Some(1), ..step(2) }]);
+    let starts = cell.decide_starts();
+    cell.answer_starts(&starts, &StartAnswer::Started);
+    cell.end_run(&starts[0], End::Done);
+    let mut next = cell.take_over();
+    let later = Start { run: starts[0].run + 1, ..starts[0].clone() };
+    next.list_running(std::slice::from_ref(&later));
+    expect_that!(next.decide_starts(), is_empty());
+    expect_that!(next.take_stops().len(), eq(1));
+    next.end_run(&later, End::Stopped);
+    expect_that!(next.decide_starts().len(), eq(1));
+}
