Probe suspected targets sooner when work has no other room

Cause: after one failure of all tasks of six services, all targets that had runs were suspected. Each further failure in the same listing doubled the back-off, up to 30 s, one probe at a time was sent, and no run that lasts ever cleared a target, so empty targets stayed closed. Failures were never forgotten either.

Change: only a failure after a probe doubles the back-off. Work that finds no other room probes suspected targets after 0.5 to 3 s, one task at a time, unless a failure would fail its job; sound work first, then the teams with the fewest probes, each team on half of the targets at first. A long-running task that has worked for 1 s clears a suspected target (twice as long after each time), and after 60 s the failures of a target that isn't suspected. Event 622 and the counter suspicions{target,probed} show the probes.

The tests of a target on which tasks fail late and of two teams guard the limits of the change and passed before.

Ruled out: a shorter back-off for all, as a failing target would then take tasks that have room elsewhere.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -119,4 +119,5 @@
     LinkLost = 571, "link to the leader lost";
     SettingsReloaded = 580, "settings reloaded";
     JobOversized = 621, "stored job has more tasks than are allowed; given up";
+    TargetProbed = 622, "suspected target probed";
 }
--- a/crates/node/src/placer/report.rs
+++ b/crates/node/src/placer/report.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base::{Name, emit};
-use plan::{Blame, Crash, Evidence, Listing, ReappearedRun, ReleasedRun, Transition};
+use plan::{Blame, Crash, Evidence, Listing, Probe, ReappearedRun, ReleasedRun, Transition};
 
 use crate::{metrics::Metrics, placer::run::Placer};
 
@@ -83,6 +83,13 @@
         }
     }
 
+    /// Logs and counts a probe of a suspected target.
+    pub(super) fn log_probe(&self, probe: &Probe) {
+        Metrics::count(&self.ctx.metrics.suspicions, "target", "probed");
+        emit!(self.ctx.log, info, TargetProbed; "target" => %probe.target, "job" => %probe.job,
+            "soundness" => ?probe.soundness);
+    }
+
     /// Logs and counts the crash of a target under a task.
     pub(super) fn log_crash(&self, crash: &Crash) {
         let step = &crash.task.step;
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -327,6 +327,9 @@
         for blame in self.planner.take_blames() {
             self.log_blame(&blame);
         }
+        for probe in self.planner.take_probes() {
+            self.log_probe(&probe);
+        }
         for crash in self.planner.take_crashes() {
             self.log_crash(&crash);
         }
--- a/crates/place/src/health.rs
+++ b/crates/place/src/health.rs
@@ -66,6 +66,10 @@
     thresholds: Thresholds,
     failures: SmallVec<[JobFailures; 2]>,
     backoff: Option<Backoff>,
+    last_failure: Duration,
+    /// Number of times that a run that lasted has ended a suspicion since the last
+    /// success.
+    lasting_clears: u32,
 }
 
 /// Failures of one job on a worker since the last success there.
@@ -79,8 +83,27 @@
 struct Backoff {
     delay: Duration,
     next_probe: Duration,
+    /// Time of the last probe, or of the suspicion.
+    last_probe: Duration,
+    /// Whether a probe was sent since the last failure.
+    is_probed: bool,
 }
 
+/// The delay of probes by work that has no other room is the regular one over
+/// this divisor.
+const EARLY_DIVISOR: u32 = 6;
+
+/// Upper limit of the delay of probes by work that has no other room.
+const MAX_EARLY_DELAY: Duration = Duration::from_secs(3);
+
+/// Time for which a run has to last to clear a suspected worker; doubled each time
+/// that a worker is suspected again afterwards.
+const MIN_LASTING_TIME: Duration = Duration::from_secs(1);
+
+/// Time for which a run has to last to clear the failures of a worker that is not
+/// suspected, and upper limit for suspected ones.
+const MAX_LASTING_TIME: Duration = Duration::from_secs(60);
+
 impl Health {
     /// Creates the record of a worker without failures.
     pub fn new(thresholds: Thresholds) -> Self {
@@ -118,14 +141,55 @@
         self.backoff.is_some_and(|backoff| now >= backoff.next_probe + delay)
     }
 
+    /// Returns whether the worker is suspected and may get a task as a probe that
+    /// would otherwise have no room.
+    pub fn is_early_probe_due(&self, now: Duration) -> bool {
+        self.has_waited(1, now)
+    }
+
+    /// Returns whether nothing has used such a probe for as long again.
+    pub fn is_early_probe_overdue(&self, now: Duration) -> bool {
+        self.has_waited(2, now)
+    }
+
+    fn has_waited(&self, delays: u32, now: Duration) -> bool {
+        self.backoff.is_some_and(|backoff| {
+            let delay = (backoff.delay / EARLY_DIVISOR).min(MAX_EARLY_DELAY);
+            now >= backoff.last_probe + delay * delays
+        })
+    }
+
     /// Notes that a probe was sent at `now`, which delays the next one by the
     /// current backoff.
     pub fn start_probe(&mut self, now: Duration) {
         if let Some(backoff) = &mut self.backoff {
             backoff.next_probe = now + backoff.delay;
+            backoff.last_probe = now;
+            backoff.is_probed = true;
         }
     }
 
+    /// Records that a run without an end of its own still works at `now`; it was
+    /// confirmed at `confirmed`. If it has lasted since the last failure, the
+    /// failures are forgotten; returns the change of health, if any.
+    pub fn record_lasting(&mut self, confirmed: Duration, now: Duration) -> Option<Transition> {
+        if self.failures.is_empty() || confirmed < self.last_failure {
+            return None;
+        }
+        let suspected = self.is_suspected();
+        let needed = if suspected {
+            MIN_LASTING_TIME.saturating_mul(1 << self.lasting_clears.min(6)).min(MAX_LASTING_TIME)
+        } else {
+            MAX_LASTING_TIME
+        };
+        if now.saturating_sub(confirmed) < needed {
+            return None;
+        }
+        let lasting_clears = if suspected { self.lasting_clears + 1 } else { 0 };
+        *self = Self { lasting_clears, ..Self::new(self.thresholds) };
+        suspected.then_some(Transition::Cleared)
+    }
+
     /// Takes back the failures of a job that was found to be at fault; returns
     /// the change of health, if any.
     pub fn forgive(&mut self, job: &Name) -> Option<Transition> {
@@ -142,14 +206,23 @@
         } else if self.failures.len() < MAX_JOBS {
             self.failures.push(JobFailures { job: job.clone(), count: 1 });
         }
+        self.last_failure = now;
         if !self.has_evidence() {
             return None;
         }
-        let transition = self.backoff.is_none().then_some(Transition::Suspected);
         let Thresholds { min_backoff, max_backoff, .. } = self.thresholds;
-        let delay = self.backoff.map_or(min_backoff, |b| (b.delay * 2).min(max_backoff));
-        self.backoff = Some(Backoff { delay, next_probe: now + delay });
-        transition
+        let Some(backoff) = &mut self.backoff else {
+            let (delay, next_probe) = (min_backoff, now + min_backoff);
+            self.backoff = Some(Backoff { delay, next_probe, last_probe: now, is_probed: false });
+            return Some(Transition::Suspected);
+        };
+        // Failures of runs from before the suspicion are no failed probes.
+        if backoff.is_probed || now >= backoff.next_probe {
+            backoff.delay = (backoff.delay * 2).min(max_backoff);
+            backoff.next_probe = now + backoff.delay;
+            backoff.is_probed = false;
+        }
+        None
     }
 
     /// Returns whether the failures suffice to suspect the worker.
--- a/crates/plan/src/blame.rs
+++ b/crates/plan/src/blame.rs
@@ -83,6 +83,23 @@
         self.report_transition(id, transition, job);
     }
 
+    /// Updates the health of a target on which a long-running task works, which
+    /// has no end that would clear the target.
+    pub(crate) fn clear_target(
+        &mut self,
+        id: TargetId,
+        key: &TaskKey,
+        confirmed_at: Duration,
+        now: Duration,
+    ) {
+        let step = self.jobs.get(&key.step.job);
+        let step = step.and_then(|job| job.spec.steps.get(usize::from(key.step.step)));
+        if step.is_some_and(|step| step.long_running) {
+            let transition = self.targets[id.0 as usize].health.record_lasting(confirmed_at, now);
+            self.report_transition(id, transition, &key.step.job);
+        }
+    }
+
     fn report_transition(&mut self, id: TargetId, transition: Option<Transition>, job: &Name) {
         if let Some(transition) = transition {
             let target = self.targets[id.0 as usize].info.id.clone();
--- a/crates/plan/src/crash.rs
+++ b/crates/plan/src/crash.rs
@@ -49,10 +49,14 @@
     /// at `confirmed_at`, has lasted.
     pub(crate) fn clear_lasting(
         &mut self,
+        id: TargetId,
         key: &TaskKey,
         confirmed_at: Option<Duration>,
         now: Duration,
     ) {
+        if let Some(confirmed_at) = confirmed_at {
+            self.clear_target(id, key, confirmed_at, now);
+        }
         if confirmed_at.is_none_or(|at| now.saturating_sub(at) < CLEARING_TIME) {
             return;
         }
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -17,6 +17,7 @@
     permission::Permission,
     planner::Planner,
     preempt::Preemptible,
+    probe::{Probe, Soundness},
     rank::SpeedPreference,
     search::{self, FullShapes},
     step::{StepState, TaskState},
@@ -38,6 +39,8 @@
     /// Number of short advice requests that were deferred in this round.
     pub(crate) deferred_short_requests: u32,
     pub(crate) preemptible: Preemptible,
+    /// Whether suspected targets get early probes in this part of the round.
+    pub(crate) is_probing: bool,
 }
 
 /// Data of a target that most steps need. Kept small, because each round reads
@@ -49,18 +52,32 @@
     capacity: Resources,
     /// Whether the target may get at most one task, as a probe.
     is_probed: bool,
+    /// When a suspected target gets a probe; `None` if it gets none.
+    probe: Option<ProbeTime>,
     /// Whether a task that fails wherever it runs may be the probe.
     takes_faulty: bool,
     /// Class of the target's usual speed.
     speed_class: i8,
 }
 
+/// When a suspected target gets a probe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ProbeTime {
+    /// Now, by any work, since its back-off has ended.
+    Due,
+    /// Now, since its pool has no sound target.
+    LastResort,
+    /// Now, by work that has no other room.
+    Early,
+}
+
 impl Headroom {
     fn of(target: &Target, now: Duration) -> Self {
         Self {
             free: target.free(),
             capacity: target.info.capacity,
             is_probed: target.health.is_suspected(),
+            probe: None,
             takes_faulty: !target.health.is_suspected() || target.health.is_probe_overdue(now),
             speed_class: target.speed.class(now),
         }
@@ -74,6 +91,11 @@
         self.headrooms[id.0 as usize].free
     }
 
+    /// Returns whether a suspected target may get a probe.
+    pub(crate) fn has_probes(&self) -> bool {
+        self.headrooms.iter().any(|room| room.probe.is_some())
+    }
+
     /// Takes resources of a target for the rest of the round.
     pub(crate) fn allocate(&mut self, id: TargetId, size: Resources) {
         self.headrooms[id.0 as usize].free -= size;
@@ -150,9 +172,13 @@
         if !self.is_list_current(now) || !std::mem::take(&mut self.is_changed) {
             return;
         }
+        let mut headrooms: Vec<Headroom> =
+            self.targets.iter().map(|target| Headroom::of(target, now)).collect();
+        let open_targets = self.open_targets(&mut headrooms, now);
         let mut round = Round {
-            open_targets: self.open_targets(now),
-            headrooms: self.targets.iter().map(|target| Headroom::of(target, now)).collect(),
+            open_targets,
+            headrooms,
+            is_probing: false,
             unverified_usage: HashMap::new(),
             full_shapes: FullShapes::default(),
             deferred_short_requests: 0,
@@ -171,8 +197,13 @@
 
     /// Returns the targets that may get work, by pool. A suspected target gets a
     /// probe when its back-off ends, or at once if all targets of its pool are
-    /// suspected and it is idle: work that waits then has no other chance.
-    fn open_targets(&self, now: Duration) -> HashMap<Name, Vec<TargetId>> {
+    /// suspected and it is idle: work that waits then has no other chance. Early
+    /// probes are marked in `headrooms`.
+    fn open_targets(
+        &self,
+        headrooms: &mut [Headroom],
+        now: Duration,
+    ) -> HashMap<Name, Vec<TargetId>> {
         let (contact_timeout, idle_timeout) =
             (self.settings.contact_timeout, self.idle_contact_timeout);
         let open: Vec<(TargetId, &Target)> = (0..)
@@ -191,7 +222,14 @@
             let gets_work = !target.health.is_suspected()
                 || target.health.is_probe_due(now)
                 || !sound_pools.contains(service) && target.runs.is_empty();
-            if gets_work {
+            let probe = match target.health.is_suspected() {
+                true if target.health.is_probe_due(now) => Some(ProbeTime::Due),
+                true if gets_work => Some(ProbeTime::LastResort),
+                true if target.health.is_early_probe_due(now) => Some(ProbeTime::Early),
+                true | false => None,
+            };
+            headrooms[id.0 as usize].probe = probe;
+            if gets_work || probe.is_some() {
                 open_targets.entry(service.clone()).or_default().push(id);
             }
         }
@@ -241,10 +279,12 @@
         let policy = self.config.policy(&spec.queue, &spec.policy);
         let (service, advice) = (policy.service.clone(), policy.advice);
         let mut slots = self.slots(key, step, &service, advice, round);
-        // Steps with a limit per target and faulty tasks leave out targets with room.
+        // Steps with a limit per target and tasks that have failed leave out targets with
+        // room.
         let sees_all_room = search::needs_only_room(step, policy)
             && step.max_per_target.is_none()
-            && !self.step_state(key).is_some_and(StepState::has_waiting_faulty);
+            && !round.is_probing
+            && !self.step_state(key).is_some_and(|state| Soundness::of(state).has_failed());
         if slots.is_empty() && sees_all_room {
             round.full_shapes.insert(&service, step);
         }
@@ -263,6 +303,10 @@
         }
         for target in chosen {
             round.allocate(target, step.size);
+            if round.headrooms[target.0 as usize].probe.is_some() && !step.gang {
+                // One probe in a round is enough.
+                round.allocate(target, Resources::MAX);
+            }
             self.start_next_task(key, &spec, target, now);
         }
         if self.step_state(key).is_some_and(|state| state.waiting.is_empty()) {
@@ -333,10 +377,22 @@
         let mut slots = Vec::with_capacity(open.len());
         let mut with_room = 0;
         let full = self.full_targets(key, step, state, advice, open.len());
-        let is_faulty = state.has_waiting_faulty();
+        let (soundness, is_plain) = (Soundness::of(state), !step.gang && advice.is_none());
+        let mut early = round.is_probing.then(|| self.probe_filter(key, service)).flatten();
         for (position, &id) in open.iter().enumerate() {
             let room = &round.headrooms[id.0 as usize];
-            if is_faulty && !room.takes_faulty {
+            let target = &self.targets[id.0 as usize];
+            let is_taken = match (room.probe, &mut early) {
+                (None, _) => true,
+                (Some(ProbeTime::Due), None) if is_plain => !soundness.has_failed(),
+                (Some(_), None) if is_plain => false,
+                (Some(ProbeTime::Early), None) => false,
+                (Some(ProbeTime::Due), Some(_)) | (Some(_), None) => {
+                    room.takes_faulty || soundness != Soundness::Faulty
+                }
+                (Some(_), Some(early)) => early.takes(target, self.last_round_at),
+            };
+            if !is_taken {
                 continue;
             }
             // Gangs also request advice on targets without room.
@@ -468,6 +524,7 @@
             Some(Permission::Allowed { ticket, .. }) => Some(ticket.clone()),
             Some(Permission::Refused) | None => None,
         };
+        let soundness = Soundness::of_task(&state.tasks[index as usize], state.done_count);
         let task = &mut state.tasks[index as usize];
         task.last_run = run;
         task.state = TaskState::Assigned { target, run };
@@ -477,7 +534,11 @@
         let target_state = &mut self.targets[target.0 as usize];
         if target_state.health.is_suspected() {
             target_state.health.start_probe(now);
+            target_state.probed_by = (soundness != Soundness::Sound).then(|| spec.team.clone());
+            let probe = target_state.info.id.clone();
+            self.probes.push(Probe { target: probe, job: key.job.clone(), soundness });
         }
+        let target_state = &mut self.targets[target.0 as usize];
         let is_far = step.data_rack.as_ref().is_some_and(|rack| *rack != target_state.info.rack);
         // Other runs take longer or shorter for reasons beside the target.
         let is_comparable = !step.gang
--- a/crates/plan/src/listing.rs
+++ b/crates/plan/src/listing.rs
@@ -247,7 +247,7 @@
             if let Some(checkpoint) = &listed.checkpoint {
                 self.save_checkpoint(&listed.task, checkpoint);
             }
-            self.clear_lasting(&listed.task, confirmed_at, now);
+            self.clear_lasting(id, &listed.task, confirmed_at, now);
             self.track_progress(id, listed, now);
             return;
         }
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -19,6 +19,7 @@
     ends::ReleasedRun,
     job::{Job, Origin},
     preempt::{Preemptible, Reservation},
+    probe::Probe,
     reappeared::{GivenUpRuns, ReappearedRun},
     restarts::ProcessRecord,
     settings::Settings,
@@ -72,6 +73,7 @@
     pub(crate) reappeared_runs: Vec<ReappearedRun>,
     pub(crate) crashes: Vec<Crash>,
     pub(crate) blames: Vec<Blame>,
+    pub(crate) probes: Vec<Probe>,
     pub(crate) state_changes: Vec<(Name, JobState)>,
     /// Earliest time of the next publication of state changes.
     next_publish_at: Duration,
--- a/crates/plan/src/search.rs
+++ b/crates/plan/src/search.rs
@@ -106,18 +106,20 @@
     /// targets suffice.
     pub(crate) fn place_waiting(&mut self, unix_ms: u64, round: &mut Round, now: Duration) {
         let mut budget = SearchBudget::new(self.settings.max_searches_per_round);
-        for key in self.ordered_steps(unix_ms) {
+        let steps = self.ordered_steps(unix_ms);
+        for key in &steps {
             if budget.is_spent() {
                 break;
             }
-            if !budget.allows(&key, &self.searched_steps) {
+            if !budget.allows(key, &self.searched_steps) {
                 continue;
             }
-            if let Some(wanted) = self.startable_tasks(&key, round, now) {
-                budget.count(&key, &mut self.searched_steps);
-                self.place_step(&key, wanted, round, now);
+            if let Some(wanted) = self.startable_tasks(key, round, now) {
+                budget.count(key, &mut self.searched_steps);
+                self.place_step(key, wanted, round, now);
             }
         }
+        self.place_probes(&steps, round, now);
         if budget.is_spent() {
             self.limited_rounds += 1;
         } else {
@@ -127,7 +129,12 @@
 
     /// Returns the number of tasks of a step to start, or `None` if no search
     /// for targets is needed to know that none can start.
-    fn startable_tasks(&mut self, key: &StepKey, round: &Round, now: Duration) -> Option<u32> {
+    pub(crate) fn startable_tasks(
+        &mut self,
+        key: &StepKey,
+        round: &Round,
+        now: Duration,
+    ) -> Option<u32> {
         let job = self.jobs.get(&key.job)?;
         if job.origin == Origin::Inherited && !self.is_recovered() {
             return None;
--- a/crates/plan/src/step.rs
+++ b/crates/plan/src/step.rs
@@ -261,12 +261,6 @@
         waiting.any(|task| !task.crashed_runs.is_empty())
     }
 
-    /// Returns whether a task that waits fails wherever it runs.
-    pub(crate) fn has_waiting_faulty(&self) -> bool {
-        let mut waiting = self.waiting.iter().filter_map(|index| self.tasks.get(*index as usize));
-        waiting.any(Task::is_faulty)
-    }
-
     /// Returns the number of tasks that may have a run on `target`.
     pub(crate) fn count_on(&self, target: TargetId) -> u32 {
         let is_there = |task: &&Task| {
--- a/crates/plan/src/target.rs
+++ b/crates/plan/src/target.rs
@@ -195,6 +195,9 @@
     /// Whether the last listing lacked some of the target's ends.
     pub(crate) has_unread_ends: bool,
     pub(crate) health: Health,
+    /// Team whose task was the last probe of the target, unless the task was known
+    /// to be sound.
+    pub(crate) probed_by: Option<Name>,
     pub(crate) speed: Speed,
     /// Whether the target lists runs that the planner does not know.
     pub(crate) has_unknown_runs: bool,
--- a/crates/plan/tests/decisions/blame.rs
+++ b/crates/plan/tests/decisions/blame.rs
@@ -127,3 +127,108 @@
     let starts = trial.start();
     expect_that!(starts.iter().filter(|start| job(start) == "sound").count(), eq(1));
 }
+
+/// Lets all runs of lasting jobs fail once, and returns how long some task of
+/// `job` waits.
+fn wait_after_failures(trial: &mut Trial, jobs: usize) -> Duration {
+    for number in 0..jobs {
+        let step = Step { long_running: true, estimate_ms: 0, max_per_target: Some(1), ..step(6) };
+        trial.cell.accept(&format!("service-{number}"), vec![step]);
+    }
+    expect_that!(trial.start().len(), eq(6 * jobs));
+    for _ in 0..30 {
+        trial.pass(|_| None);
+    }
+    let failed_at = trial.cell.now;
+    trial.pass(|_| Some(End::Failed));
+    while trial.running.len() < 6 * jobs && trial.cell.now < failed_at + Duration::from_secs(30) {
+        trial.start();
+        trial.pass(|_| None);
+    }
+    trial.cell.now.saturating_sub(failed_at)
+}
+
+#[gtest]
+fn lasting_tasks_that_all_failed_once_run_again_within_three_seconds() {
+    // Two thirds of the tasks waited 24 s for probes of empty targets (review/10).
+    expect_that!(wait_after_failures(&mut Trial::new(), 6), le(Duration::from_secs(3)));
+}
+
+#[gtest]
+fn failures_of_long_ago_have_no_target_suspected() {
+    let mut trial = Trial::new();
+    for job in ["first", "second"] {
+        trial.accept_lasting(job);
+    }
+    trial.start();
+    // Each run fails in turn, two minutes apart.
+    for round in 0..12 {
+        let failing = trial.running[round % trial.running.len()].clone();
+        trial.pass(|start| (start.task == failing.task).then_some(End::Failed));
+        trial.start();
+        for _ in 0..400 {
+            trial.pass(|_| None);
+        }
+    }
+    let blames = trial.cell.planner.take_blames();
+    expect_that!(blames, is_empty());
+}
+
+#[gtest]
+fn target_on_which_lasting_tasks_fail_late_gets_only_probes() {
+    // It is cleared by a run that lasts, each time later.
+    let bad = "target-2";
+    let mut trial = Trial::new();
+    for job in ["first", "second", "third", "fourth"] {
+        trial.cell.accept(
+            job,
+            vec![Step { long_running: true, estimate_ms: 0, max_per_target: Some(1), ..step(8) }],
+        );
+    }
+    let mut started = std::collections::HashMap::new();
+    let mut late_starts = 0;
+    for round in 0..400 {
+        let now = trial.cell.now;
+        for start in trial.start() {
+            if *start.target == *bad && round >= 200 {
+                late_starts += 1;
+            }
+            started.insert((start.task.clone(), start.run), now);
+        }
+        trial.pass(|start| {
+            let age = now.saturating_sub(started[&(start.task.clone(), start.run)]);
+            (*start.target == *bad && age >= Duration::from_millis(1500)).then_some(End::Failed)
+        });
+    }
+    // 60 s; one probe in 3 s by each task that has no other room.
+    expect_that!(late_starts, le(30));
+}
+
+#[gtest]
+fn failing_work_of_one_team_leaves_probes_to_sound_work() {
+    // Two targets fail everything at first, so all are suspected.
+    let mut trial = Trial::new();
+    for number in 0..8 {
+        trial.cell.accept(&format!("faulty-{number}"), vec![step(8)]);
+    }
+    for round in 0..10 {
+        // Failing work always waits.
+        for number in 0..4 {
+            trial.cell.accept(&format!("faulty-{round}-{number}"), vec![step(8)]);
+        }
+        trial.start();
+        trial.pass(fails_if_faulty);
+    }
+    trial.cell.accept_from_other_team("sound", vec![step(4)]);
+    let accepted_at = trial.cell.now;
+    let mut started = 0;
+    while started < 4 && trial.cell.now < accepted_at + Duration::from_secs(10) {
+        for number in 0..4 {
+            let id = format!("faulty-{}-{number}", trial.cell.now.as_millis());
+            trial.cell.accept(&id, vec![step(8)]);
+        }
+        started += trial.start().iter().filter(|start| job(start) == "sound").count();
+        trial.pass(fails_if_faulty);
+    }
+    expect_that!(trial.cell.now.saturating_sub(accepted_at), le(Duration::from_secs(3)));
+}
