--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -123,6 +123,8 @@
     EvacuationsUnconfirmed = 603, "evacuations not confirmed recently";
     EvacuationRead = 604, "evacuation of a data centre read";
     RecoveryPending = 611, "tasks wait for targets that have not listed their runs";
+    JobOversized = 621, "stored job has more tasks than are allowed; given up";
+    TargetProbed = 622, "suspected target probed";
     SpeedsInherited = 641, "usual speeds of the targets taken over";
     SpeedsRecorded = 642, "usual speeds of the targets recorded";
     SpeedsNotRecorded = 643, "usual speeds of the targets could not be recorded";
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -204,6 +204,9 @@
             .inherit_holdings(leadership.holdings.iter().cloned().map(Into::into).collect(), now);
         planner.expect_instances(expected_instances);
         for (id, spec, progress) in recorded.jobs {
+            if spec.task_count() > work::MAX_TASKS {
+                emit!(ctx.log, error, JobOversized; "job" => %id, "tasks" => spec.task_count());
+            }
             planner.inherit(&id, spec, progress.as_ref(), now);
         }
         for (id, state) in recorded.ended {
@@ -355,6 +358,9 @@
         for blame in self.planner.take_blames() {
             self.log_blame(&blame);
         }
+        for probe in self.planner.take_probes() {
+            self.log_probe(&probe);
+        }
         for crash in self.planner.take_crashes() {
             self.log_crash(&crash);
         }
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -18,6 +18,7 @@
     permission::Permission,
     planner::Planner,
     preempt::Preemptible,
+    probe::{Probe, Soundness},
     rank::SpeedPreference,
     search::{self, FullShapes},
     sharing::{Exposure, Harm},
@@ -41,6 +42,8 @@
     pub(crate) deferred_short_requests: u32,
     pub(crate) preemptible: Preemptible,
     pub(crate) spared: Spared,
+    /// Whether suspected targets get early probes in this part of the round.
+    pub(crate) is_probing: bool,
 }
 
 /// Data of a target that most steps need. Kept small, because each round reads
@@ -55,12 +58,25 @@
     capacity: Resources,
     /// Whether the target may get at most one task, as a probe.
     is_probed: bool,
+    /// When a suspected target gets a probe; `None` if it gets none.
+    probe: Option<ProbeTime>,
     /// Whether a task that fails wherever it runs may be the probe.
     takes_faulty: bool,
     /// Class of the target's usual speed.
     speed_class: i8,
 }
 
+/// When a suspected target gets a probe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ProbeTime {
+    /// Now, by any work, since its back-off has ended.
+    Due,
+    /// Now, since its pool has no sound target.
+    LastResort,
+    /// Now, by work that has no other room.
+    Early,
+}
+
 impl Headroom {
     /// Returns the headroom of a target at `now`, where `yields` tells whether
     /// backfill gives way to other tasks.
@@ -70,6 +86,7 @@
             backfill_cpu_milli: if yields { target.backfill_cpu_milli } else { 0 },
             capacity: target.info.capacity,
             is_probed: target.health.is_suspected(),
+            probe: None,
             takes_faulty: !target.health.is_suspected() || target.health.is_probe_overdue(now),
             speed_class: if target.is_cold(now) {
                 COLD_CLASS
@@ -97,6 +114,11 @@
         self.headrooms[id.0 as usize].free
     }
 
+    /// Returns whether a suspected target may get a probe.
+    pub(crate) fn has_probes(&self) -> bool {
+        self.headrooms.iter().any(|room| room.probe.is_some())
+    }
+
     /// Takes resources of a target for the rest of the round.
     pub(crate) fn allocate(&mut self, id: TargetId, size: Resources) {
         self.headrooms[id.0 as usize].free -= size;
@@ -192,9 +214,12 @@
         }
         let yields = self.settings.interference.is_enabled;
         let headroom = |target| Headroom::of(target, yields, now);
+        let mut headrooms: Vec<Headroom> = self.targets.iter().map(headroom).collect();
+        let open_targets = self.open_targets(&mut headrooms, now);
         let mut round = Round {
-            open_targets: self.open_targets(now),
-            headrooms: self.targets.iter().map(headroom).collect(),
+            open_targets,
+            headrooms,
+            is_probing: false,
             unverified_usage: HashMap::new(),
             full_shapes: FullShapes::default(),
             deferred_short_requests: 0,
@@ -214,8 +239,13 @@
 
     /// Returns the targets that may get work, by pool. A suspected target gets a
     /// probe when its back-off ends, or at once if all targets of its pool are
-    /// suspected and it is idle: work that waits then has no other chance.
-    fn open_targets(&self, now: Duration) -> HashMap<Name, Vec<TargetId>> {
+    /// suspected and it is idle: work that waits then has no other chance. Early
+    /// probes are marked in `headrooms`.
+    fn open_targets(
+        &self,
+        headrooms: &mut [Headroom],
+        now: Duration,
+    ) -> HashMap<Name, Vec<TargetId>> {
         let (contact_timeout, idle_timeout) =
             (self.settings.contact_timeout, self.idle_contact_timeout);
         let open: Vec<(TargetId, &Target)> = (0..)
@@ -234,7 +264,14 @@
             let gets_work = !target.health.is_suspected()
                 || target.health.is_probe_due(now)
                 || !sound_pools.contains(service) && target.runs.is_empty();
-            if gets_work {
+            let probe = match target.health.is_suspected() {
+                true if target.health.is_probe_due(now) => Some(ProbeTime::Due),
+                true if gets_work => Some(ProbeTime::LastResort),
+                true if target.health.is_early_probe_due(now) => Some(ProbeTime::Early),
+                true | false => None,
+            };
+            headrooms[id.0 as usize].probe = probe;
+            if gets_work || probe.is_some() {
                 open_targets.entry(service.clone()).or_default().push(id);
             }
         }
@@ -284,10 +321,12 @@
         let policy = self.config.policy(&spec.queue, &spec.policy);
         let (service, advice) = (policy.service.clone(), policy.advice);
         let mut slots = self.slots(key, step, &service, advice, round);
-        // Steps with a limit per target and faulty tasks leave out targets with room.
+        // Steps with a limit per target and tasks that have failed leave out targets with
+        // room.
         let sees_all_room = search::needs_only_room(step, policy)
             && step.max_per_target.is_none()
-            && !self.step_state(key).is_some_and(StepState::has_waiting_faulty);
+            && !round.is_probing
+            && !self.step_state(key).is_some_and(|state| Soundness::of(state).has_failed());
         if slots.is_empty() && sees_all_room {
             round.full_shapes.insert(&service, step);
         }
@@ -307,6 +346,10 @@
         }
         for target in chosen {
             round.allocate_task(target, step, self.settings.interference.is_enabled);
+            if round.headrooms[target.0 as usize].probe.is_some() && !step.gang {
+                // One probe in a round is enough.
+                round.allocate(target, Resources::MAX);
+            }
             self.start_next_task(key, &spec, target, now);
         }
         if self.step_state(key).is_some_and(|state| state.waiting.is_empty()) {
@@ -375,11 +418,23 @@
         let mut slots = Vec::with_capacity(open.len());
         let mut with_room = 0;
         let full = self.full_targets(key, step, state, advice, open.len());
-        let is_faulty = state.has_waiting_faulty();
         let exposure = self.exposure(key, step);
+        let (soundness, is_plain) = (Soundness::of(state), !step.gang && advice.is_none());
+        let mut early = round.is_probing.then(|| self.probe_filter(key, service)).flatten();
         for (position, &id) in open.iter().enumerate() {
             let room = &round.headrooms[id.0 as usize];
-            if is_faulty && !room.takes_faulty {
+            let target = &self.targets[id.0 as usize];
+            let is_taken = match (room.probe, &mut early) {
+                (None, _) => true,
+                (Some(ProbeTime::Due), None) if is_plain => !soundness.has_failed(),
+                (Some(_), None) if is_plain => false,
+                (Some(ProbeTime::Early), None) => false,
+                (Some(ProbeTime::Due), Some(_)) | (Some(_), None) => {
+                    room.takes_faulty || soundness != Soundness::Faulty
+                }
+                (Some(_), Some(early)) => early.takes(target, self.last_round_at),
+            };
+            if !is_taken {
                 continue;
             }
             // Gangs also request advice on targets without room.
@@ -516,6 +571,7 @@
             Some(Permission::Allowed { ticket, .. }) => Some(ticket.clone()),
             Some(Permission::Refused) | None => None,
         };
+        let soundness = Soundness::of_task(&state.tasks[index as usize], state.done_count);
         let task = &mut state.tasks[index as usize];
         task.last_run = run;
         task.state = TaskState::Assigned { target, run };
@@ -525,7 +581,11 @@
         let target_state = &mut self.targets[target.0 as usize];
         if target_state.health.is_suspected() {
             target_state.health.start_probe(now);
+            target_state.probed_by = (soundness != Soundness::Sound).then(|| spec.team.clone());
+            let probe = target_state.info.id.clone();
+            self.probes.push(Probe { target: probe, job: key.job.clone(), soundness });
         }
+        let target_state = &mut self.targets[target.0 as usize];
         let is_far = step.data_rack.as_ref().is_some_and(|rack| *rack != target_state.info.rack);
         // Other runs take longer or shorter for reasons beside the target.
         let is_comparable = !step.gang
@@ -600,7 +660,8 @@
     let mut tasks: HashMap<&Name, u32> = HashMap::new();
     for slot in slots {
         let rack = &planner.targets[slot.target.0 as usize].info.rack;
-        *tasks.entry(rack).or_default() += count(slot);
+        let sum = tasks.entry(rack).or_default();
+        *sum = sum.saturating_add(count(slot));
     }
     tasks.into_iter().max_by_key(|(rack, tasks)| (*tasks, *rack)).map(|(rack, _)| rack.clone())
 }
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -9,7 +9,7 @@
 use base::Name;
 use place::Health;
 use quota::Usage;
-use work::{Config, JobState, Progress, Spec, StepKey, TaskKey};
+use work::{Config, JobState, MAX_TASKS, Progress, Spec, StepKey, TaskKey};
 
 use crate::{
     action::{Action, Stop, StopCause},
@@ -21,6 +21,7 @@
     evacuation::Evacuation,
     job::{Job, Origin},
     preempt::{Preemptible, Reservation},
+    probe::Probe,
     reappeared::{GivenUpRuns, ReappearedRun},
     recovery::{LastOrder, UnknownRuns},
     restarts::ProcessRecord,
@@ -77,6 +78,7 @@
     pub(crate) reappeared_runs: Vec<ReappearedRun>,
     pub(crate) crashes: Vec<Crash>,
     pub(crate) blames: Vec<Blame>,
+    pub(crate) probes: Vec<Probe>,
     pub(crate) state_changes: Vec<(Name, JobState)>,
     /// Earliest time of the next publication of state changes.
     next_publish_at: Duration,
@@ -203,6 +205,10 @@
             return;
         }
         self.control.note_steps(&spec.steps);
+        // Versions whose count of tasks wrapped accepted such jobs. Their tasks
+        // would not fit into memory.
+        let is_oversized = spec.task_count() > MAX_TASKS;
+        let progress = progress.filter(|progress| !is_oversized || progress.state.is_final());
         let mut job = Job::new(Arc::new(spec), origin, progress);
         if origin == Origin::Own
             && let Some(team) = self.config.teams.get(&job.spec.team)
@@ -236,6 +242,9 @@
             self.open_steps(id, occurrence, now);
         }
         self.is_changed = true;
+        if is_oversized && self.jobs.get(id).is_some_and(|job| !job.state.is_final()) {
+            self.end_job(id, JobState::Failed, now);
+        }
     }
 
     /// Cancels a job and stops its runs.
--- a/crates/plan/src/search.rs
+++ b/crates/plan/src/search.rs
@@ -106,11 +106,13 @@
     /// targets suffice.
     pub(crate) fn place_waiting(&mut self, unix_ms: u64, round: &mut Round, now: Duration) {
         round.spared.is_active = self.targets.iter().any(|target| target.is_cold(now));
-        let is_limited = self.place_in_order(self.ordered_steps(unix_ms), round, now);
+        let steps = self.ordered_steps(unix_ms);
+        let is_limited = self.place_in_order(&steps, round, now);
         if std::mem::take(&mut round.spared.is_active) {
             let spared = std::mem::take(&mut round.spared.steps);
-            self.place_in_order(spared, round, now);
+            self.place_in_order(&spared, round, now);
         }
+        self.place_probes(&steps, round, now);
         if is_limited {
             self.limited_rounds += 1;
         } else {
@@ -119,18 +121,18 @@
     }
 
     /// Places steps in this order. Returns whether the searches did not suffice.
-    fn place_in_order(&mut self, steps: Vec<StepKey>, round: &mut Round, now: Duration) -> bool {
+    fn place_in_order(&mut self, steps: &[StepKey], round: &mut Round, now: Duration) -> bool {
         let mut budget = SearchBudget::new(self.settings.max_searches_per_round);
         for key in steps {
             if budget.is_spent() {
                 break;
             }
-            if !budget.allows(&key, &self.searched_steps) {
+            if !budget.allows(key, &self.searched_steps) {
                 continue;
             }
-            if let Some(wanted) = self.startable_tasks(&key, round, now) {
-                budget.count(&key, &mut self.searched_steps);
-                self.place_step(&key, wanted, round, now);
+            if let Some(wanted) = self.startable_tasks(key, round, now) {
+                budget.count(key, &mut self.searched_steps);
+                self.place_step(key, wanted, round, now);
             }
         }
         budget.is_spent()
@@ -138,7 +140,12 @@
 
     /// Returns the number of tasks of a step to start, or `None` if no search
     /// for targets is needed to know that none can start.
-    fn startable_tasks(&mut self, key: &StepKey, round: &Round, now: Duration) -> Option<u32> {
+    pub(crate) fn startable_tasks(
+        &mut self,
+        key: &StepKey,
+        round: &Round,
+        now: Duration,
+    ) -> Option<u32> {
         let job = self.jobs.get(&key.job)?;
         if self.reservations.contains_key(key) {
             return None;
--- a/crates/work/src/lib.rs
+++ b/crates/work/src/lib.rs
@@ -15,5 +15,5 @@
 pub use evacuations::Evacuations;
 pub use progress::{Progress, StepProgress};
 pub use record::{DecodeError, decode, encode};
-pub use spec::{Schedule, Spec, Step, StepKey, TaskKey};
+pub use spec::{MAX_TASKS, Schedule, Spec, Step, StepKey, TaskKey};
 pub use state::{End, JobState};
