Give tasks up only after crashes that they are proven to cause

Cause: each crash of a target counted against all tasks that may have had a run there, also unanswered starts, and three of them failed the job.

Change: a crash proves something only if a run is known to have begun and no task of another job is in question. Tasks are cleared by equal tasks that are done, or by a run of 60 s. A suspect gets an empty target, other work stays off it while there is other room, and one task of its step runs at a time until one is done. Crashes prove nothing while many targets without the job crash or fall silent; eight unproven ones still have a job given up, since jobs that crash targets could otherwise hide each other for good. Long-running tasks are never given up. Suspects and proofs are part of the stored progress.

--- a/crates/node/src/placer/report.rs
+++ b/crates/node/src/placer/report.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use base::{Name, emit};
-use plan::{Blame, Crash, Evidence, Listing, Probe, ReappearedRun, ReleasedRun, Transition};
+use plan::{
+    Blame, Crash, Evidence, Listing, Probe, ReappearedRun, ReleasedRun, Transition, Verdict,
+};
 
 use crate::{metrics::Metrics, placer::run::Placer};
 
@@ -93,12 +95,17 @@
     /// Logs and counts the crash of a target under a task.
     pub(super) fn log_crash(&self, crash: &Crash) {
         let step = &crash.task.step;
-        let outcome = if crash.is_given_up { "given_up" } else { "counted" };
+        let outcome = match (crash.is_given_up, crash.verdict) {
+            (true, _) => "given_up",
+            (false, Verdict::Proven) => "counted",
+            (false, Verdict::Unproven) => "unproven",
+            (false, Verdict::Possible) => "suspected",
+        };
         Metrics::count(&self.ctx.metrics.crashes, "task", outcome);
         emit!(self.ctx.log, warn, TargetCrashed; "job" => %step.job,
             "occurrence" => step.occurrence, "step" => step.step, "task" => crash.task.index,
             "run" => crash.run, "target" => %crash.target, "crashes" => crash.crashes,
-            "given_up" => crash.is_given_up);
+            "verdict" => ?crash.verdict, "given_up" => crash.is_given_up);
     }
 }
 
--- a/crates/plan/src/crash.rs
+++ b/crates/plan/src/crash.rs
@@ -1,10 +1,19 @@
 //! Crashes of targets, and the tasks that ran there.
 //!
 //! A task may crash each target that starts it. A target that comes back as
-//! another process has crashed, unless it had been drained; this counts against
-//! all tasks that had runs there, since it is unknown which one was the cause.
-//! A task under which several targets have crashed is given up. A run that lasts
-//! clears its task: a long-running task outlives many targets.
+//! another process has crashed, unless it had been drained. The tasks of which
+//! runs may have been there are then suspects, except those that are cleared: by
+//! an equal task that is done, or by a run that has lasted. A suspect starts alone
+//! on its target if there is an empty one, and one task of a step at a time until
+//! one of them is done. A crash proves that a task is the cause only if its run
+//! is known to have begun and no task of another job is in question. A task with
+//! three proofs is given up. Equal tasks of a step count together until one of them
+//! is done; a long-running task never is, but is kept apart.
+//!
+//! Targets also crash for other reasons, often many at once. Crashes prove nothing
+//! while many targets without runs of the job crash or fall silent as well; only
+//! eight of them have a task given up, and none counts while targets crash of which
+//! no task can be the cause.
 
 use std::time::Duration;
 
@@ -14,16 +23,128 @@
 use crate::{
     listing::Listing,
     planner::Planner,
-    step::TaskState,
-    target::{Phase, Run, TargetId},
+    target::{Availability, Phase, Run, Target, TargetId},
 };
 
-/// Number of targets that crash under a task before the task is given up.
+/// Number of proven crashes before a task is given up.
 const MAX_CRASHES: u32 = 3;
 
 /// Time for which a run has to last to clear its task.
 const CLEARING_TIME: Duration = Duration::from_secs(60);
 
+/// Number of crashes in which a task was alone, proven or not, before it is given
+/// up. Jobs that crash targets one after the other would otherwise make crashes
+/// widespread for good; a sound task is rarely met so often.
+const MAX_LONE_CRASHES: u32 = 8;
+
+/// Time within which crashes of several targets count as having one cause. Targets
+/// that crash together come back within a few seconds of each other.
+const CRASH_WINDOW: Duration = Duration::from_secs(3);
+
+/// Minimum number of crashed or silent targets that show another cause than a
+/// job, and minimum share of the listed targets, as a divisor. Ordinary crashes
+/// take 0.14 of the targets or more; jobs that crash targets are a few percent.
+const MIN_WIDESPREAD: usize = 3;
+
+/// Number of crashes of which no task can be the cause, after which others prove
+/// nothing at all. Jobs that crash targets never cause such crashes.
+const MIN_CAUSELESS: usize = 2;
+
+/// Share of the listed targets, as a divisor, and time within which so many crash
+/// that known suspects don't explain it.
+const WAVE_DIVISOR: usize = 10;
+const WAVE_WINDOW: Duration = Duration::from_secs(2);
+const WIDESPREAD_DIVISOR: usize = 20;
+
+/// Run that was lost in a crash, or given up because the lease had expired.
+#[derive(Clone, Debug)]
+pub(crate) struct LostRun {
+    pub(crate) task: TaskKey,
+    pub(crate) run: u32,
+    /// Whether the run is known to have begun.
+    has_begun: bool,
+    /// Whether the run had lasted, so that it is not the cause.
+    has_lasted: bool,
+}
+
+impl LostRun {
+    pub(crate) fn new(task: &TaskKey, run: &Run, now: Duration) -> Self {
+        let lasted = run.confirmed_at.map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        Self {
+            task: task.clone(),
+            run: run.number,
+            has_begun: run.has_begun,
+            has_lasted: run.has_begun && lasted >= CLEARING_TIME,
+        }
+    }
+}
+
+/// Crashes of targets within the last few seconds.
+#[derive(Debug, Default)]
+pub(crate) struct RecentCrashes {
+    crashes: Vec<RecentCrash>,
+    /// Runs that were taken for the cause of a crash.
+    proofs: Vec<(Duration, TaskKey, u32)>,
+}
+
+#[derive(Debug)]
+struct RecentCrash {
+    at: Duration,
+    target: Name,
+    /// Jobs that may have been the cause.
+    jobs: Vec<Name>,
+    /// Whether one of them was a suspect before.
+    is_explained: bool,
+}
+
+impl RecentCrashes {
+    fn insert(&mut self, crash: RecentCrash) {
+        self.crashes.retain(|known| {
+            crash.at.saturating_sub(known.at) <= CRASH_WINDOW && known.target != crash.target
+        });
+        self.crashes.push(crash);
+    }
+
+    fn contains(&self, target: &Name) -> bool {
+        self.crashes.iter().any(|crash| crash.target == *target)
+    }
+
+    /// Returns the number of crashes within the last seconds of which neither this
+    /// job nor a known suspect may be the cause.
+    fn count_without(&self, job: &Name, now: Duration) -> usize {
+        let is_recent = |crash: &&RecentCrash| now.saturating_sub(crash.at) <= CRASH_WINDOW;
+        let recent = self.crashes.iter().filter(is_recent);
+        recent.filter(|crash| !crash.is_explained && !crash.jobs.contains(job)).count()
+    }
+
+    /// Returns whether targets have crashed of which no task can be the cause.
+    fn has_causeless(&self, now: Duration) -> bool {
+        let is_recent = |crash: &&RecentCrash| now.saturating_sub(crash.at) <= CRASH_WINDOW;
+        let recent = self.crashes.iter().filter(is_recent);
+        recent.filter(|crash| crash.jobs.is_empty()).count() >= MIN_CAUSELESS
+    }
+
+    /// Returns the number of crashes within a short time of which neither this job
+    /// can be the cause, nor a suspect that was alone.
+    fn wave_without(&self, job: &Name, now: Duration) -> usize {
+        let is_recent = |crash: &&RecentCrash| now.saturating_sub(crash.at) <= WAVE_WINDOW;
+        let recent = self.crashes.iter().filter(is_recent);
+        let others = recent.filter(|crash| !crash.jobs.contains(job));
+        others.filter(|crash| !crash.is_explained || crash.jobs.len() != 1).count()
+    }
+}
+
+/// What a crash shows of a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The task, or one of others, may be the cause.
+    Possible,
+    /// The task was alone, but many targets crash.
+    Unproven,
+    /// The task is the cause.
+    Proven,
+}
+
 /// Crash of a target under a task.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Crash {
@@ -33,8 +154,10 @@
     pub task: TaskKey,
     /// Number of the run.
     pub run: u32,
-    /// Number of targets that have crashed under the task so far.
+    /// Number of proven crashes that count against the task so far.
     pub crashes: u32,
+    /// What the crash shows of the task.
+    pub verdict: Verdict,
     /// Whether the task is given up, and its job fails.
     pub is_given_up: bool,
 }
@@ -65,7 +188,9 @@
             return;
         };
         task.failed_targets.clear();
-        if !std::mem::take(&mut task.crashed_runs).is_empty() {
+        task.crashed_runs.clear();
+        task.unproven_crashes = 0;
+        if std::mem::take(&mut task.is_suspect) {
             self.mark_unrecorded(&key.step.job, now);
         }
     }
@@ -104,8 +229,7 @@
         self.count_crash(id, is_lost, now);
     }
 
-    /// Counts the crash of a target under the tasks of the runs that were lost
-    /// with it.
+    /// Judges the crash of a target by the runs that were lost with it.
     fn count_crash(
         &mut self,
         id: TargetId,
@@ -118,29 +242,133 @@
             return;
         }
         let runs = target.runs.iter().filter(|(task, run)| is_lost(task, run));
-        lost.extend(runs.map(|(task, run)| (task.clone(), run.number)));
+        lost.extend(runs.map(|(task, run)| LostRun::new(task, run, now)));
         let target = target.info.id.clone();
-        for (task, run) in lost {
-            self.count_crash_under(&target, task, run, now);
+        lost.retain(|run| !run.has_lasted && self.may_have_crashed(&run.task));
+        let mut jobs: Vec<Name> = lost.iter().map(|run| run.task.step.job.clone()).collect();
+        jobs.dedup();
+        let is_known_suspect = lost.iter().any(|run| {
+            let task = self.step_state(&run.task.step).map(|state| &state.tasks);
+            let task = task.and_then(|tasks| tasks.get(run.task.index as usize));
+            task.is_some_and(|task| task.is_suspect)
+        });
+        self.recent_crashes.insert(RecentCrash {
+            at: now,
+            target: target.clone(),
+            jobs: jobs.clone(),
+            is_explained: is_known_suspect,
+        });
+        self.retract_proofs(now);
+        // Only the tasks of one job can have been the cause.
+        let is_proof = jobs.len() == 1 && lost.iter().any(|run| run.has_begun);
+        if let Some(position) = lost.iter().position(|run| run.has_begun).filter(|_| is_proof) {
+            // The crash counts once, whatever number of tasks of the job was there.
+            let cause = lost.swap_remove(position);
+            let verdict = if self.recent_crashes.has_causeless(now) {
+                Verdict::Possible
+            } else if self.is_widespread(&cause.task.step.job, now) {
+                Verdict::Unproven
+            } else {
+                Verdict::Proven
+            };
+            self.record_crash(&target, &cause, verdict, now);
+        }
+        for run in lost {
+            self.record_crash(&target, &run, Verdict::Possible, now);
         }
     }
 
-    fn count_crash_under(&mut self, target: &Name, task: TaskKey, run: u32, now: Duration) {
-        let state = self.step_state_mut(&task.step);
-        let Some(task_state) = state.and_then(|state| state.tasks.get_mut(task.index as usize))
-        else {
+    /// Returns whether a task may be the cause of a crash: it is not cleared by
+    /// runs of equal tasks that ended well.
+    fn may_have_crashed(&self, task: &TaskKey) -> bool {
+        self.step_state(&task.step).is_some_and(|state| state.may_crash(task.index))
+    }
+
+    /// Returns whether a suspect of another job than `job` runs on a target and may
+    /// still be found to crash it.
+    pub(crate) fn has_lone_suspect(&self, id: TargetId, job: &Name) -> bool {
+        let mut runs = self.targets[id.0 as usize].runs.iter();
+        runs.any(|(task, run)| {
+            run.is_suspect && task.step.job != *job && self.may_have_crashed(task)
+        })
+    }
+
+    /// Returns whether so many targets without runs of the job have crashed or
+    /// fallen silent lately that the crashes have another cause.
+    fn is_widespread(&self, job: &Name, now: Duration) -> bool {
+        let listed =
+            || self.targets.iter().filter(|t| t.info.availability != Availability::Unlisted);
+        let min = MIN_WIDESPREAD.max(listed().count() / WIDESPREAD_DIVISOR);
+        let is_silent = |target: &&Target| {
+            let runs = target.runs.keys().chain(target.lapsed_runs.iter().map(|run| &run.task));
+            target.last_contact_at.is_none()
+                && runs.into_iter().all(|task| task.step.job != *job)
+                && !self.recent_crashes.contains(&target.info.id)
+        };
+        let crashed = self.recent_crashes.count_without(job, now);
+        let min_wave = (MIN_WIDESPREAD + 1).max(listed().count() / WAVE_DIVISOR);
+        crashed >= min
+            || self.recent_crashes.wave_without(job, now) >= min_wave
+            || crashed + listed().filter(is_silent).count() >= min
+    }
+
+    /// Takes back recent proofs if the crashes turn out to be widespread.
+    fn retract_proofs(&mut self, now: Duration) {
+        let proofs = std::mem::take(&mut self.recent_crashes.proofs);
+        for (at, task, run) in proofs {
+            if now.saturating_sub(at) > CRASH_WINDOW {
+                continue;
+            }
+            let is_causeless = self.recent_crashes.has_causeless(now);
+            if !is_causeless && !self.is_widespread(&task.step.job, now) {
+                self.recent_crashes.proofs.push((at, task, run));
+                continue;
+            }
+            if let Some(state) = self.step_state_mut(&task.step)
+                && let Some(task) = state.tasks.get_mut(task.index as usize)
+            {
+                let count = task.crashed_runs.len();
+                task.crashed_runs.retain(|known| *known != run);
+                if !is_causeless {
+                    task.unproven_crashes += (count - task.crashed_runs.len()) as u32;
+                }
+            }
+            self.mark_unrecorded(&task.step.job, now);
+        }
+    }
+
+    /// Records that a task may have crashed a target, or is proven to have.
+    fn record_crash(&mut self, target: &Name, lost: &LostRun, verdict: Verdict, now: Duration) {
+        let LostRun { task: key, run, .. } = lost;
+        let is_long_running = self.jobs.get(&key.step.job).is_some_and(|job| {
+            job.spec.steps.get(usize::from(key.step.step)).is_some_and(|step| step.long_running)
+        });
+        let Some(state) = self.step_state_mut(&key.step) else {
+            return;
+        };
+        let Some(task) = state.tasks.get_mut(key.index as usize) else {
             return;
         };
-        if task_state.state == TaskState::Done || task_state.crashed_runs.contains(&run) {
+        if task.crashed_runs.contains(run) {
             return;
         }
-        task_state.crashed_runs.push(run);
-        let crashes = task_state.crashed_runs.len() as u32;
-        let is_given_up = crashes >= MAX_CRASHES;
-        let job = task.step.job.clone();
+        task.is_suspect = true;
+        let verdict = if is_long_running { Verdict::Possible } else { verdict };
+        match verdict {
+            Verdict::Proven => task.crashed_runs.push(*run),
+            Verdict::Unproven => task.unproven_crashes += 1,
+            Verdict::Possible => {}
+        }
+        let (crashes, unproven) = state.crash_counts(key.index);
+        let is_given_up = verdict != Verdict::Possible
+            && (crashes >= MAX_CRASHES || crashes + unproven >= MAX_LONE_CRASHES);
+        let job = key.step.job.clone();
         self.mark_unrecorded(&job, now);
-        let target = target.clone();
-        self.crashes.push(Crash { target, task, run, crashes, is_given_up });
+        if verdict == Verdict::Proven {
+            self.recent_crashes.proofs.push((now, key.clone(), *run));
+        }
+        let (target, task) = (target.clone(), key.clone());
+        self.crashes.push(Crash { target, task, run: *run, crashes, verdict, is_given_up });
         if is_given_up {
             self.end_job(&job, JobState::Failed, now);
         }
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -136,6 +136,9 @@
     capacity: Resources,
     /// Class of the target's usual speed; the lowest is the fastest.
     pub(crate) speed_class: i8,
+    /// Whether a suspect of another job has the target to itself while there is
+    /// other room.
+    is_reserved: bool,
     /// Expiry of the ticket of the step, if the target is known to be allowed.
     ticket_expires_at: Option<Duration>,
 }
@@ -279,6 +282,9 @@
         let policy = self.config.policy(&spec.queue, &spec.policy);
         let (service, advice) = (policy.service.clone(), policy.advice);
         let mut slots = self.slots(key, step, &service, advice, round);
+        if slots.iter().any(|slot| !slot.is_reserved && slot.tasks > 0) {
+            slots.retain(|slot| !slot.is_reserved);
+        }
         // Steps with a limit per target and tasks that have failed leave out targets with
         // room.
         let sees_all_room = search::needs_only_room(step, policy)
@@ -407,7 +413,7 @@
                 None => None,
             };
             let preemptible = preemptible.get(id.0 as usize).copied().unwrap_or_default();
-            if let Some(slot) = self.slot(id, step, state, room, preemptible) {
+            if let Some(slot) = self.slot(id, &key.job, step, state, room, preemptible) {
                 let slot = Slot { ticket_expires_at, ..slot };
                 with_room += usize::from(slot.tasks > 0);
                 slots.push(slot);
@@ -446,6 +452,7 @@
     fn slot(
         &self,
         id: TargetId,
+        job: &Name,
         step: &Step,
         state: &StepState,
         room: &Headroom,
@@ -484,6 +491,7 @@
             remaining,
             capacity,
             speed_class,
+            is_reserved: !step.gang && self.has_lone_suspect(id, job),
             ticket_expires_at: None,
         })
     }
@@ -529,7 +537,7 @@
         task.last_run = run;
         task.state = TaskState::Assigned { target, run };
         let checkpoint = task.checkpoint.clone();
-        let is_suspect = !task.crashed_runs.is_empty();
+        let is_suspect = task.is_suspect;
         let task = TaskKey { step: key.clone(), index };
         let target_state = &mut self.targets[target.0 as usize];
         if target_state.health.is_suspected() {
@@ -560,8 +568,9 @@
 
 /// Chooses a target for each of up to `wanted` tasks: near the data, on one
 /// rack if that matters, by the preferred speed, and on the fullest targets
-/// first, so that large gaps remain. Tasks under which targets have crashed are
-/// kept apart, so that the innocent ones are not lost with the cause again.
+/// first, so that large gaps remain. Tasks that may have crashed targets are kept
+/// apart and get empty targets, so that the innocent ones are not lost with the
+/// cause again.
 fn choose_targets(
     step: &Step,
     mut slots: Vec<Slot>,
@@ -574,6 +583,8 @@
         is_suspect
             && planner.targets[slot.target.0 as usize].runs.values().any(|run| run.is_suspect)
     };
+    let is_shared =
+        |slot: &Slot| is_suspect && !planner.targets[slot.target.0 as usize].runs.is_empty();
     let rack_of = |slot: &Slot| &planner.targets[slot.target.0 as usize].info.rack;
     if step.same_rack
         && let Some(rack) = rack_with_most_room(&slots, |slot| slot.tasks, planner)
@@ -581,14 +592,14 @@
         slots.sort_by_cached_key(|slot| {
             let is_elsewhere = *rack_of(slot) != rack;
             let class = preference.order(slot.speed_class);
-            (is_elsewhere, has_suspects(slot), class, slot.remaining_ppm())
+            (is_elsewhere, has_suspects(slot), is_shared(slot), class, slot.remaining_ppm())
         });
     } else {
         let is_far =
             |slot: &Slot| step.data_rack.as_ref().is_some_and(|rack| rack_of(slot) != rack);
         slots.sort_by_cached_key(|slot| {
             let class = preference.order(slot.speed_class);
-            (has_suspects(slot), is_far(slot), class, slot.remaining_ppm())
+            (has_suspects(slot), is_shared(slot), is_far(slot), class, slot.remaining_ppm())
         });
     }
     let each = slots.iter().flat_map(|slot| (0..slot.tasks).map(|_| slot.target));
--- a/crates/plan/src/ends.rs
+++ b/crates/plan/src/ends.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     action::StopCause,
+    crash::LostRun,
     planner::Planner,
     step::{TaskRun, TaskState},
     target::{Phase, TargetId},
@@ -88,11 +89,11 @@
             }
             let until = self.unconfirmed_until(target);
             let gone = target.runs.iter().filter(|(_, run)| !target.may_exist(run, now, until));
-            let gone: Vec<_> = gone.map(|(task, run)| (task.clone(), run.number)).collect();
-            for (task, run) in gone {
+            let gone: Vec<LostRun> = gone.map(|(task, run)| LostRun::new(task, run, now)).collect();
+            for lost in gone {
                 let id = TargetId(index as u32);
-                self.targets[index].lapsed_runs.push((task.clone(), run));
-                self.release_run(id, &task, run, Evidence::LeaseExpired, now);
+                self.targets[index].lapsed_runs.push(lost.clone());
+                self.release_run(id, &lost.task, lost.run, Evidence::LeaseExpired, now);
             }
         }
     }
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -43,7 +43,7 @@
 pub use adopt::{ClosedTarget, UNKNOWN_TARGETS};
 pub use batch::{Batch, Record, Retention};
 pub use blame::Blame;
-pub use crash::Crash;
+pub use crash::{Crash, Verdict};
 pub use ends::{Evidence, ReleasedRun};
 pub use listing::{ListedRun, Listing, Refusal, RunEnd, StartAnswer};
 pub use place::Transition;
--- a/crates/plan/src/listing.rs
+++ b/crates/plan/src/listing.rs
@@ -108,6 +108,7 @@
             StartAnswer::Started => {
                 target_state.unanswered_starts = 0;
                 known.confirmed_at = Some(now);
+                known.has_begun = true;
                 if known.phase == Phase::Starting {
                     known.phase = Phase::Running;
                 }
@@ -239,6 +240,7 @@
             && known.number == listed.run
         {
             known.is_listed = true;
+            known.has_begun = true;
             if matches!(known.phase, Phase::Starting | Phase::Unanswered(_)) {
                 known.phase = Phase::Running;
                 known.confirmed_at = Some(now);
@@ -256,6 +258,7 @@
             && adopted.number == listed.run
         {
             adopted.is_listed = true;
+            adopted.has_begun = true;
         }
     }
 
--- a/crates/plan/src/step.rs
+++ b/crates/plan/src/step.rs
@@ -46,7 +46,12 @@
     pub(crate) last_run: u32,
     /// Numbers of the failed runs.
     pub(crate) failed_runs: SmallVec<[u32; 4]>,
-    /// Numbers of the runs that were lost in crashes of targets.
+    /// Whether the task may have crashed a target.
+    pub(crate) is_suspect: bool,
+    /// Number of crashes of this term in which the task was alone, and that proved
+    /// nothing since many targets crashed.
+    pub(crate) unproven_crashes: u32,
+    /// Numbers of the runs that are proven to have crashed a target.
     pub(crate) crashed_runs: SmallVec<[u32; 4]>,
     /// Targets on which runs failed in this term, up to those that show that the
     /// task is faulty.
@@ -93,6 +98,8 @@
             other_runs: SmallVec::new(),
             last_run: 0,
             failed_runs: SmallVec::new(),
+            is_suspect: false,
+            unproven_crashes: 0,
             crashed_runs: SmallVec::new(),
             failed_targets: SmallVec::new(),
             checkpoint: None,
@@ -119,8 +126,14 @@
                 task.failed_runs.clone_from(runs);
             }
         }
+        for index in &progress.suspect_tasks {
+            if let Some(task) = state.tasks.get_mut(*index as usize) {
+                task.is_suspect = true;
+            }
+        }
         for (index, runs) in &progress.crashed_runs {
             if let Some(task) = state.tasks.get_mut(*index as usize) {
+                task.is_suspect = true;
                 task.crashed_runs.clone_from(runs);
             }
         }
@@ -258,7 +271,38 @@
     /// Returns whether targets have crashed under a task that waits.
     pub(crate) fn has_waiting_suspects(&self) -> bool {
         let mut waiting = self.waiting.iter().filter_map(|index| self.tasks.get(*index as usize));
-        waiting.any(|task| !task.crashed_runs.is_empty())
+        waiting.any(|task| task.is_suspect)
+    }
+
+    /// Returns whether a run of the task has not ended well and the other tasks of
+    /// the step, which are equal, have not either.
+    pub(crate) fn may_crash(&self, index: u32) -> bool {
+        let task = self.tasks.get(index as usize);
+        task.is_some_and(|task| {
+            task.state != TaskState::Done && (task.is_suspect || self.done_count == 0)
+        })
+    }
+
+    /// Returns whether only one task of the step may run at a time, since it is not
+    /// known whether the tasks crash their targets.
+    pub(crate) fn is_on_trial(&self) -> bool {
+        self.done_count == 0 && self.tasks.iter().any(|task| task.is_suspect)
+    }
+
+    /// Returns the number of crashes that count against a task, the proven ones and
+    /// the others: those of all tasks of the step until one of them is done.
+    pub(crate) fn crash_counts(&self, index: u32) -> (u32, u32) {
+        let proven = |task: &Task| task.crashed_runs.len() as u32;
+        let unproven = |task: &Task| task.unproven_crashes;
+        (self.count_against(index, proven), self.count_against(index, unproven))
+    }
+
+    fn count_against(&self, index: u32, of: impl Fn(&Task) -> u32) -> u32 {
+        if self.done_count > 0 {
+            self.tasks.get(index as usize).map_or(0, of)
+        } else {
+            self.tasks.iter().map(of).sum()
+        }
     }
 
     /// Returns the number of tasks that may have a run on `target`.
@@ -286,6 +330,10 @@
                 .filter(|(_, task)| !task.failed_runs.is_empty())
                 .map(|(index, task)| (index, task.failed_runs.clone()))
                 .collect(),
+            suspect_tasks: numbered()
+                .filter(|(_, task)| task.is_suspect && task.state != TaskState::Done)
+                .map(|(index, _)| index)
+                .collect(),
             crashed_runs: numbered()
                 .filter(|(_, task)| !task.crashed_runs.is_empty())
                 .map(|(index, task)| (index, task.crashed_runs.clone()))
--- a/crates/plan/src/target.rs
+++ b/crates/plan/src/target.rs
@@ -10,7 +10,7 @@
 use smallvec::SmallVec;
 use work::{Step, TaskKey};
 
-use crate::speed::Speed;
+use crate::{crash::LostRun, speed::Speed};
 
 /// Position of a target in its planner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -119,7 +119,9 @@
     pub(crate) last_sample: Option<(u32, Duration)>,
     /// Whether the target has listed the run.
     pub(crate) is_listed: bool,
-    /// Whether a target has crashed under the task.
+    /// Whether the target is known to have begun the run.
+    pub(crate) has_begun: bool,
+    /// Whether the task may have crashed a target.
     pub(crate) is_suspect: bool,
     /// Time of the start order; `None` if the time of the whole run would say
     /// nothing about the speed of the target.
@@ -138,6 +140,7 @@
             progress: None,
             last_sample: None,
             is_listed: false,
+            has_begun: false,
             is_suspect: false,
             started_at: None,
         }
@@ -187,7 +190,7 @@
     pub(crate) has_drained: bool,
     /// Runs that were given up since the last listing because the lease had
     /// expired.
-    pub(crate) lapsed_runs: Vec<(TaskKey, u32)>,
+    pub(crate) lapsed_runs: Vec<LostRun>,
     /// Highest number of an end that was applied.
     pub(crate) last_end: u64,
     /// Ends that were applied but are not recorded yet: their numbers and jobs.
--- a/crates/work/src/progress.rs
+++ b/crates/work/src/progress.rs
@@ -30,7 +30,9 @@
     /// Numbers of the failed runs, by task number. A target may list the same
     /// end more than once, so a mere count could count a failure twice.
     pub failed_runs: Vec<(u32, SmallVec<[u32; 4]>)>,
-    /// Numbers of the runs that were lost in crashes of targets, by task number.
+    /// Numbers of the tasks that may have crashed a target.
+    pub suspect_tasks: Vec<u32>,
+    /// Numbers of the runs that are proven to have crashed a target, by task number.
     pub crashed_runs: Vec<(u32, SmallVec<[u32; 4]>)>,
     /// Last checkpoint of each task that has one, by task number.
     pub checkpoints: Vec<(u32, Name)>,
