Judge the speed of targets by comparison with each other

Cause: the progress of each run was compared with the usual ratio of its queue to the estimate, so a job that took 20 times its estimate made all its targets slow, and the pool was closed to new work for 13 s.

Change: a run is compared with runs of the same step on other targets, and only without any with the queue. Each run counts once, with a bounded weight, so that one long task doesn't make its target slow. If half of the targets of a pool seem slow, none of them is closed.

Failing first: job_that_takes_longer_than_estimated_closes_no_pool (1 start of 4). single_long_task_... passed before and guards the bound of one run.

--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -21,7 +21,7 @@
     rank::SpeedPreference,
     search::{self, FullShapes},
     step::{StepState, TaskState},
-    target::{Phase, Run, Sharing, Target, TargetId},
+    target::{Availability, Phase, Run, Sharing, Target, TargetId},
 };
 
 /// Working state of one round of decisions, updated as steps are placed in
@@ -175,6 +175,7 @@
         if !self.is_list_current(now) || !std::mem::take(&mut self.is_changed) {
             return;
         }
+        self.mark_slow_targets(now);
         let mut headrooms: Vec<Headroom> =
             self.targets.iter().map(|target| Headroom::of(target, now)).collect();
         let open_targets = self.open_targets(&mut headrooms, now);
@@ -198,6 +199,24 @@
         self.preemptible = round.preemptible;
     }
 
+    /// Marks the targets that are slower than others of their pool. If half of a
+    /// pool seems slow, the tasks are, and none of it is marked.
+    fn mark_slow_targets(&mut self, now: Duration) {
+        let mut pools: HashMap<Name, (usize, usize)> = HashMap::new();
+        for target in &mut self.targets {
+            target.is_slow = target.speed.is_slow(now);
+            if target.info.availability == Availability::Ready {
+                let (slow, all) = pools.entry(target.info.service.clone()).or_default();
+                *slow += usize::from(target.is_slow);
+                *all += 1;
+            }
+        }
+        for target in &mut self.targets {
+            let pool = pools.get(&target.info.service);
+            target.is_slow &= pool.is_some_and(|(slow, all)| slow * 2 < *all);
+        }
+    }
+
     /// Returns the targets that may get work, by pool. A suspected target gets a
     /// probe when its back-off ends, or at once if all targets of its pool are
     /// suspected and it is idle: work that waits then has no other chance. Early
--- a/crates/plan/src/progress.rs
+++ b/crates/plan/src/progress.rs
@@ -55,7 +55,11 @@
         // Progress below one percent is rounded to 0.
         let advance = f64::from(listed.percent.saturating_sub(percent)).max(0.5);
         let ratio = elapsed.as_millis() as f64 * 100.0 / advance / f64::from(step.estimate_ms);
-        let baseline = self.run_baselines.entry(job.spec.queue.clone()).or_default();
-        target.speed.record_progress(ratio, baseline, now);
+        let queue = job.spec.queue.clone();
+        let state = self.step_state_mut(&listed.task.step);
+        let others = state.and_then(|state| state.speeds.compare(id, ratio, now));
+        let baseline = self.run_baselines.entry(queue).or_default();
+        let speed = &mut self.targets[id.0 as usize].speed;
+        speed.record_progress(&listed.task, ratio, others, baseline, now);
     }
 }
--- a/crates/plan/src/speed.rs
+++ b/crates/plan/src/speed.rs
@@ -2,17 +2,23 @@
 //!
 //! Targets differ in speed, and a target can become several times slower, or its
 //! tasks can stall, while it still answers in time. The speed of each run is
-//! compared with the usual ratio of run time to estimate in its queue; queues
-//! with inaccurate estimates weigh less. Two averages are kept for each target:
+//! compared with that of runs of the same step on other targets, or else with the
+//! usual ratio of run time to estimate in its queue; queues with inaccurate
+//! estimates weigh less. Two averages are kept for each target:
 //!
 //! - a recent one, from the progress of runs, tells targets that are too slow to
-//!   get work. Its observations decay, so that a slow target is tried again;
+//!   get work. Its observations decay, so that a slow target is tried again. One
+//!   run is not enough, since some tasks take several times as long as others;
 //! - a usual one, from the whole times of finished runs, tells fast targets from
 //!   slow ones. Jobs with little time to spare go to the fast ones first, and
 //!   jobs with much time leave them free.
 
 use std::time::Duration;
 
+use work::TaskKey;
+
+use crate::target::TargetId;
+
 /// Time in which the weight of an observation falls to 1/e in the recent
 /// average.
 const RECENT_DECAY: Duration = Duration::from_secs(4);
@@ -35,6 +41,11 @@
 /// Ratio to the baseline above which a target gets no work.
 const SLOW_RATIO: f64 = 2.2;
 
+/// Limit for the deviation of one run, as a ratio, and for its weight. With them,
+/// one run does not exceed `SLOW_RATIO`.
+const MAX_RUN_RATIO: f64 = 8.0;
+const MAX_RUN_WEIGHT: f64 = 7.0;
+
 /// Difference of the logarithms of the run times in two neighbouring classes of
 /// speed. Less would let noise decide instead of room.
 const CLASS_WIDTH: f64 = 0.1;
@@ -98,20 +109,61 @@
     }
 }
 
-/// Estimates of a target's speed, relative to the baselines of its queues.
-#[derive(Clone, Copy, Debug, Default)]
+/// Latest progress of a run, compared with others.
+#[derive(Clone, Debug)]
+struct RunSpeed {
+    task: TaskKey,
+    deviation: f64,
+    weight: f64,
+    at: Duration,
+}
+
+/// Estimates of a target's speed, relative to other targets.
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Speed {
-    recent: Average,
+    recent: Vec<RunSpeed>,
     usual: Average,
 }
 
+/// Latest progress of the runs of a step, by target.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct StepSpeeds(Vec<(TargetId, f64, Duration)>);
+
+impl StepSpeeds {
+    /// Records the run time over the estimate of a run on a target. Returns the
+    /// median of those of the step's runs on other targets, if there are any.
+    pub(crate) fn compare(&mut self, target: TargetId, ratio: f64, now: Duration) -> Option<f64> {
+        self.0.retain(|(id, _, at)| *id != target && now.saturating_sub(*at) < RECENT_DECAY);
+        let mut others: Vec<f64> = self.0.iter().map(|(_, ratio, _)| *ratio).collect();
+        self.0.push((target, ratio, now));
+        others.sort_by(f64::total_cmp);
+        others.get(others.len() / 2).copied()
+    }
+}
+
 impl Speed {
     /// Adds a sample of a run in progress. `ratio` is the run time, extrapolated
-    /// from recent progress, over the estimate.
-    pub(crate) fn record_progress(&mut self, ratio: f64, baseline: &mut Baseline, now: Duration) {
-        let sample = baseline.deviation(ratio);
-        self.recent.add(sample, RECENT_DECAY, now);
-        baseline.update(sample.0);
+    /// from recent progress, over the estimate, and `others` that of runs of the
+    /// same step on other targets.
+    pub(crate) fn record_progress(
+        &mut self,
+        task: &TaskKey,
+        ratio: f64,
+        others: Option<f64>,
+        baseline: &mut Baseline,
+        now: Duration,
+    ) {
+        let (from_usual, usual_weight) = baseline.deviation(ratio);
+        let (deviation, weight) = match others {
+            Some(others) => ((ratio / others).ln(), MAX_RUN_WEIGHT),
+            None => (from_usual, usual_weight.min(MAX_RUN_WEIGHT)),
+        };
+        let limit = MAX_RUN_RATIO.ln();
+        let deviation = deviation.clamp(-limit, limit);
+        self.recent
+            .retain(|run| run.task != *task && now.saturating_sub(run.at) < RECENT_DECAY * 4);
+        self.recent.push(RunSpeed { task: task.clone(), deviation, weight, at: now });
+        baseline.update(from_usual);
     }
 
     /// Adds a finished run. `ratio` is its run time over the estimate.
@@ -122,9 +174,17 @@
         baseline.update(sample.0 - self.usual.value(USUAL_DECAY, now));
     }
 
-    /// Returns whether the target is too slow to get work.
+    /// Returns whether the target is slower than others by so much that it should
+    /// get no work.
     pub(crate) fn is_slow(&self, now: Duration) -> bool {
-        self.recent.value(RECENT_DECAY, now) > SLOW_RATIO.ln()
+        let (mut sum, mut whole) = (0.0, PRIOR_WEIGHT);
+        for run in &self.recent {
+            let age = now.saturating_sub(run.at).div_duration_f64(RECENT_DECAY);
+            let weight = run.weight * (-age).exp();
+            sum += run.deviation * weight;
+            whole += weight;
+        }
+        sum / whole > SLOW_RATIO.ln()
     }
 
     /// Returns the class of the target's usual speed: 0 for a normal one, less
--- a/crates/plan/src/step.rs
+++ b/crates/plan/src/step.rs
@@ -6,7 +6,9 @@
 use smallvec::{SmallVec, smallvec};
 use work::{Step, StepProgress};
 
-use crate::{blame::MIN_FAULTY_TARGETS, permission::Permissions, target::TargetId};
+use crate::{
+    blame::MIN_FAULTY_TARGETS, permission::Permissions, speed::StepSpeeds, target::TargetId,
+};
 
 /// State of a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -85,6 +87,7 @@
     /// Number of tasks that are done.
     pub(crate) done_count: u32,
     pub(crate) permissions: Permissions,
+    pub(crate) speeds: StepSpeeds,
     /// Targets named by advice requests in flight; `None` if there are none.
     pub(crate) requested: Option<Vec<TargetId>>,
     /// Whether all steps that this one depends on are done.
@@ -110,6 +113,7 @@
             waiting: (0..step.count).collect(),
             done_count: 0,
             permissions: Permissions::default(),
+            speeds: StepSpeeds::default(),
             requested: None,
             is_open: false,
         };
--- a/crates/plan/src/target.rs
+++ b/crates/plan/src/target.rs
@@ -202,6 +202,8 @@
     /// to be sound.
     pub(crate) probed_by: Option<Name>,
     pub(crate) speed: Speed,
+    /// Whether the target gets no work since it is slower than others of its pool.
+    pub(crate) is_slow: bool,
     /// Whether the target lists runs that the planner does not know.
     pub(crate) has_unknown_runs: bool,
     /// Number of consecutive checks that found the target unreachable.
@@ -290,7 +292,7 @@
             && !self.has_unrecorded_restart(now)
             && !self.is_closed
             && now >= self.backoff_until
-            && !self.speed.is_slow(now)
+            && !self.is_slow
     }
 
     /// Returns whether the description is by the process that sent the last
--- a/crates/plan/tests/decisions/targets.rs
+++ b/crates/plan/tests/decisions/targets.rs
@@ -4,7 +4,7 @@
 
 use base::{Name, Resources};
 use googletest::prelude::*;
-use plan::{Refusal, StartAnswer};
+use plan::{Refusal, Start, StartAnswer};
 use work::{Advice, End, JobState, Step};
 
 use crate::cell::{Cell, QUEUE, step};
@@ -279,3 +279,49 @@
         }
     }
 }
+
+/// Lets tasks run as estimated for ten seconds, and returns the starts of a job with
+/// these steps, of which all runs take 20 times their estimates for 3 s.
+fn run_long_tasks(cell: &mut Cell, steps: Vec<Step>) -> Vec<Start> {
+    for round in 0..40 {
+        cell.accept(&format!("usual-{round}"), vec![step(4)]);
+        let starts = cell.decide_starts();
+        cell.answer_starts(&starts, &StartAnswer::Started);
+        for tenth in 1..10 {
+            cell.advance(Duration::from_millis(100));
+            cell.list_progress(&starts, |_| tenth * 10);
+        }
+        cell.advance(Duration::from_millis(100));
+        for start in &starts {
+            cell.end_run(start, End::Done);
+        }
+    }
+    cell.accept("long", steps);
+    let starts = cell.decide_starts();
+    cell.answer_starts(&starts, &StartAnswer::Started);
+    for tenth in 1..30 {
+        cell.advance(Duration::from_millis(100));
+        cell.list_progress(&starts, |_| tenth / 2);
+    }
+    starts
+}
+
+#[gtest]
+fn job_that_takes_longer_than_estimated_closes_no_pool() {
+    // No target got work for 13 s, as all counted as slow (review-cell estimates).
+    let mut cell = Cell::new(4);
+    let long = Step { max_per_target: Some(1), ..step(4) };
+    let starts = run_long_tasks(&mut cell, vec![long]);
+    expect_that!(starts.len(), eq(4));
+    cell.accept("next", vec![Step { max_per_target: Some(1), ..step(4) }]);
+    expect_that!(cell.decide_starts().len(), eq(4));
+}
+
+#[gtest]
+fn single_long_task_does_not_make_its_target_slow() {
+    let mut cell = Cell::new(4);
+    let starts = run_long_tasks(&mut cell, vec![step(1)]);
+    expect_that!(starts.len(), eq(1));
+    cell.accept("next", vec![Step { max_per_target: Some(1), ..step(4) }]);
+    expect_that!(cell.decide_starts().len(), eq(4));
+}
