Give up tasks whose targets crash before they answer the start

One task of a suspect step ran at a time, which stalled sound steps after the restart of one target. And one job that crashed several targets at once counted as several causes, which left the crashes of other such jobs unproven.

Change: an unanswered start counts if its run was the only one on the target and crashes are not widespread. A suspect step runs on one target at a time, not one task at a time; a crash counts once for all its tasks there. Crashes that one other job may have caused count as one cause. The limit of unproven crashes is 12; with 8, a sound job was given up in waves that crash half of the targets.

Ruled out: no count of any unanswered start, as the planner can't tell a target that crashed before its answer from one that the start never reached.

--- a/crates/plan/src/crash.rs
+++ b/crates/plan/src/crash.rs
@@ -4,21 +4,22 @@
 //! another process has crashed, unless it had been drained. The tasks of which
 //! runs may have been there are then suspects, except those that are cleared: by
 //! an equal task that is done, or by a run that has lasted. A suspect starts alone
-//! on its target if there is an empty one, and one task of a step at a time until
-//! one of them is done. A crash proves that a task is the cause only if its run
-//! is known to have begun and no task of another job is in question. A task with
-//! three proofs is given up. Equal tasks of a step count together until one of them
-//! is done; a long-running task never is, but is kept apart.
+//! on its target if there is an empty one, and a step has one such target at a time
+//! until one of its tasks is done. A crash proves that a task is the cause only if
+//! no task of another job is in question, and its run is known to have begun or no
+//! other run was on the target: a target may crash before it answers the start. A
+//! task with three proofs is given up. Equal tasks of a step count together until
+//! one of them is done; a long-running task never is, but is kept apart.
 //!
 //! Targets also crash for other reasons, often many at once. Crashes prove nothing
-//! while many targets without runs of the job crash or fall silent as well; only
-//! eight of them have a task given up, and none counts while targets crash of which
+//! while many targets without runs of the job crash or fall silent as well, unless
+//! a few other jobs may be the cause of all of these; only twelve of them have a task given up, and none counts while targets crash of which
 //! no task can be the cause.
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 use base::Name;
-use work::{JobState, TaskKey};
+use work::{JobState, Step, StepKey, TaskKey};
 
 use crate::{
     listing::Listing,
@@ -34,8 +35,9 @@
 
 /// Number of crashes in which a task was alone, proven or not, before it is given
 /// up. Jobs that crash targets one after the other would otherwise make crashes
-/// widespread for good; a sound task is rarely met so often.
-const MAX_LONE_CRASHES: u32 = 8;
+/// widespread for good. A sound task is rarely met so often; with a limit of 8, one
+/// was given up in 31 waves that crashed half of the targets each.
+const MAX_LONE_CRASHES: u32 = 12;
 
 /// Time within which crashes of several targets count as having one cause. Targets
 /// that crash together come back within a few seconds of each other.
@@ -84,7 +86,7 @@
 pub(crate) struct RecentCrashes {
     crashes: Vec<RecentCrash>,
     /// Runs that were taken for the cause of a crash.
-    proofs: Vec<(Duration, TaskKey, u32)>,
+    proofs: Vec<(Duration, LostRun)>,
 }
 
 #[derive(Debug)]
@@ -109,12 +111,13 @@
         self.crashes.iter().any(|crash| crash.target == *target)
     }
 
-    /// Returns the number of crashes within the last seconds of which neither this
-    /// job nor a known suspect may be the cause.
-    fn count_without(&self, job: &Name, now: Duration) -> usize {
+    /// Returns the number of causes, up to `max`, of the crashes within the last
+    /// seconds of which neither this job nor a known suspect may be the cause.
+    fn count_without(&self, job: &Name, max: usize, now: Duration) -> usize {
         let is_recent = |crash: &&RecentCrash| now.saturating_sub(crash.at) <= CRASH_WINDOW;
         let recent = self.crashes.iter().filter(is_recent);
-        recent.filter(|crash| !crash.is_explained && !crash.jobs.contains(job)).count()
+        let unexplained = recent.filter(|crash| !crash.is_explained && !crash.jobs.contains(job));
+        count_causes(unexplained, max)
     }
 
     /// Returns whether targets have crashed of which no task can be the cause.
@@ -124,16 +127,37 @@
         recent.filter(|crash| crash.jobs.is_empty()).count() >= MIN_CAUSELESS
     }
 
-    /// Returns the number of crashes within a short time of which neither this job
-    /// can be the cause, nor a suspect that was alone.
-    fn wave_without(&self, job: &Name, now: Duration) -> usize {
+    /// Returns the number of causes, up to `max`, of the crashes within a short time
+    /// of which neither this job can be the cause, nor a suspect that was alone.
+    fn wave_without(&self, job: &Name, max: usize, now: Duration) -> usize {
         let is_recent = |crash: &&RecentCrash| now.saturating_sub(crash.at) <= WAVE_WINDOW;
         let recent = self.crashes.iter().filter(is_recent);
         let others = recent.filter(|crash| !crash.jobs.contains(job));
-        others.filter(|crash| !crash.is_explained || crash.jobs.len() != 1).count()
+        count_causes(others.filter(|crash| !crash.is_explained || crash.jobs.len() != 1), max)
     }
 }
 
+/// Returns an estimate of the least number of causes that explain the crashes, up
+/// to `max`: one job may have crashed all targets on which it had runs. The limit
+/// bounds the work when most targets crash.
+fn count_causes<'a>(crashes: impl Iterator<Item = &'a RecentCrash>, max: usize) -> usize {
+    let mut rest: Vec<&RecentCrash> = crashes.collect();
+    let mut causes = 0;
+    while causes < max && !rest.is_empty() {
+        let mut counts: HashMap<&Name, usize> = HashMap::new();
+        for job in rest.iter().flat_map(|crash| &crash.jobs) {
+            *counts.entry(job).or_default() += 1;
+        }
+        let Some((job, _)) = counts.into_iter().max_by_key(|(job, count)| (*count, *job)) else {
+            // No job can have caused any of the others.
+            return max.min(causes + rest.len());
+        };
+        rest.retain(|crash| !crash.jobs.contains(job));
+        causes += 1;
+    }
+    causes
+}
+
 /// What a crash shows of a task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -244,8 +268,10 @@
         let runs = target.runs.iter().filter(|(task, run)| is_lost(task, run));
         lost.extend(runs.map(|(task, run)| LostRun::new(task, run, now)));
         let target = target.info.id.clone();
+        let is_alone = lost.len() == 1;
         lost.retain(|run| !run.has_lasted && self.may_have_crashed(&run.task));
         let mut jobs: Vec<Name> = lost.iter().map(|run| run.task.step.job.clone()).collect();
+        jobs.sort_unstable();
         jobs.dedup();
         let is_known_suspect = lost.iter().any(|run| {
             let task = self.step_state(&run.task.step).map(|state| &state.tasks);
@@ -259,17 +285,20 @@
             is_explained: is_known_suspect,
         });
         self.retract_proofs(now);
-        // Only the tasks of one job can have been the cause.
-        let is_proof = jobs.len() == 1 && lost.iter().any(|run| run.has_begun);
-        if let Some(position) = lost.iter().position(|run| run.has_begun).filter(|_| is_proof) {
+        // Only the tasks of one job can have been the cause. A start without an answer
+        // may not have reached the target, so it counts only without other runs there.
+        let is_proof = |run: &LostRun| jobs.len() == 1 && (run.has_begun || is_alone);
+        if let Some(position) = lost.iter().position(is_proof) {
             // The crash counts once, whatever number of tasks of the job was there.
             let cause = lost.swap_remove(position);
             let verdict = if self.recent_crashes.has_causeless(now) {
                 Verdict::Possible
-            } else if self.is_widespread(&cause.task.step.job, now) {
+            } else if !self.is_widespread(&cause.task.step.job, now) {
+                Verdict::Proven
+            } else if cause.has_begun {
                 Verdict::Unproven
             } else {
-                Verdict::Proven
+                Verdict::Possible
             };
             self.record_crash(&target, &cause, verdict, now);
         }
@@ -293,6 +322,24 @@
         })
     }
 
+    /// Retains one of the chosen targets if the tasks of the step may all crash
+    /// theirs: the one that runs them, or else the first.
+    pub(crate) fn retain_tried_target(
+        &self,
+        key: &StepKey,
+        step: &Step,
+        chosen: &mut Vec<TargetId>,
+    ) {
+        let state = self.step_state(key).filter(|state| state.is_on_trial());
+        let Some(state) = state.filter(|_| !step.gang && !step.long_running) else {
+            return;
+        };
+        let is_heard = |id: &TargetId| self.targets[id.0 as usize].last_contact_at.is_some();
+        let tried = state.current_runs().map(|run| run.target).find(is_heard);
+        let tried = tried.or_else(|| chosen.first().copied());
+        chosen.retain(|id| Some(*id) == tried);
+    }
+
     /// Returns whether so many targets without runs of the job have crashed or
     /// fallen silent lately that the crashes have another cause.
     fn is_widespread(&self, job: &Name, now: Duration) -> bool {
@@ -305,31 +352,32 @@
                 && runs.into_iter().all(|task| task.step.job != *job)
                 && !self.recent_crashes.contains(&target.info.id)
         };
-        let crashed = self.recent_crashes.count_without(job, now);
+        let crashed = self.recent_crashes.count_without(job, min, now);
         let min_wave = (MIN_WIDESPREAD + 1).max(listed().count() / WAVE_DIVISOR);
         crashed >= min
-            || self.recent_crashes.wave_without(job, now) >= min_wave
+            || self.recent_crashes.wave_without(job, min_wave, now) >= min_wave
             || crashed + listed().filter(is_silent).count() >= min
     }
 
     /// Takes back recent proofs if the crashes turn out to be widespread.
     fn retract_proofs(&mut self, now: Duration) {
         let proofs = std::mem::take(&mut self.recent_crashes.proofs);
-        for (at, task, run) in proofs {
+        for (at, lost) in proofs {
+            let LostRun { task, run, has_begun, .. } = &lost;
             if now.saturating_sub(at) > CRASH_WINDOW {
                 continue;
             }
             let is_causeless = self.recent_crashes.has_causeless(now);
             if !is_causeless && !self.is_widespread(&task.step.job, now) {
-                self.recent_crashes.proofs.push((at, task, run));
+                self.recent_crashes.proofs.push((at, lost));
                 continue;
             }
             if let Some(state) = self.step_state_mut(&task.step)
                 && let Some(task) = state.tasks.get_mut(task.index as usize)
             {
                 let count = task.crashed_runs.len();
-                task.crashed_runs.retain(|known| *known != run);
-                if !is_causeless {
+                task.crashed_runs.retain(|known| known != run);
+                if *has_begun && !is_causeless {
                     task.unproven_crashes += (count - task.crashed_runs.len()) as u32;
                 }
             }
@@ -365,7 +413,7 @@
         let job = key.step.job.clone();
         self.mark_unrecorded(&job, now);
         if verdict == Verdict::Proven {
-            self.recent_crashes.proofs.push((now, key.clone(), *run));
+            self.recent_crashes.proofs.push((now, lost.clone()));
         }
         let (target, task) = (target.clone(), key.clone());
         self.crashes.push(Crash { target, task, run: *run, crashes, verdict, is_given_up });
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -322,7 +322,8 @@
         }
         let preference = self.speed_preference(key, self.last_round_unix_ms);
         let is_suspect = self.step_state(key).is_some_and(StepState::has_waiting_suspects);
-        let chosen = choose_targets(step, slots, preference, is_suspect, wanted, self);
+        let mut chosen = choose_targets(step, slots, preference, is_suspect, wanted, self);
+        self.retain_tried_target(key, step, &mut chosen);
         if step.gang && (chosen.len() as u32) < wanted {
             return;
         }
--- a/crates/plan/src/search.rs
+++ b/crates/plan/src/search.rs
@@ -162,17 +162,7 @@
             return None;
         }
         let allowed = self.allowed_tasks(&spec.team, step.size, round).min(waiting);
-        let wanted = match step.gang {
-            true => step.count,
-            // One of several tasks that may all crash their targets is tried.
-            false if !step.long_running && state.is_on_trial() => {
-                let mut runs = state.current_runs();
-                let is_tried =
-                    runs.any(|run| self.targets[run.target.0 as usize].last_contact_at.is_some());
-                allowed.min(u32::from(!is_tried))
-            }
-            false => allowed,
-        };
+        let wanted = if step.gang { step.count } else { allowed };
         if wanted == 0 || allowed < wanted {
             return None;
         }
--- a/crates/plan/src/step.rs
+++ b/crates/plan/src/step.rs
@@ -287,8 +287,8 @@
         })
     }
 
-    /// Returns whether only one task of the step may run at a time, since it is not
-    /// known whether the tasks crash their targets.
+    /// Returns whether only one target at a time may run tasks of the step, since it
+    /// is not known whether the tasks crash their targets.
     pub(crate) fn is_on_trial(&self) -> bool {
         self.done_count == 0 && self.tasks.iter().any(|task| task.is_suspect)
     }
