--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -23,7 +23,7 @@
     search::{self, FullShapes},
     sharing::{Exposure, Harm},
     step::{StepState, TaskState},
-    target::{Phase, Run, Sharing, Target, TargetId},
+    target::{Availability, Phase, Run, Sharing, Target, TargetId},
 };
 
 /// Working state of one round of decisions, updated as steps are placed in
@@ -172,6 +172,9 @@
     /// How much a task of the step and the runs on the target slow each other
     /// down.
     harm: Harm,
+    /// Whether a suspect of another job has the target to itself while there is
+    /// other room.
+    is_reserved: bool,
     /// Expiry of the ticket of the step, if the target is known to be allowed.
     ticket_expires_at: Option<Duration>,
 }
@@ -212,6 +215,7 @@
         {
             return;
         }
+        self.mark_slow_targets(now);
         let yields = self.settings.interference.is_enabled;
         let headroom = |target| Headroom::of(target, yields, now);
         let mut headrooms: Vec<Headroom> = self.targets.iter().map(headroom).collect();
@@ -237,6 +241,24 @@
         self.preemptible = round.preemptible;
     }
 
+    /// Marks the targets that are slower than others of their pool. If half of a
+    /// pool seems slow, the tasks are, and none of it is marked.
+    fn mark_slow_targets(&mut self, now: Duration) {
+        let mut pools: HashMap<Name, (usize, usize)> = HashMap::new();
+        for target in &mut self.targets {
+            target.is_slow = target.speed.is_slow(now);
+            if target.info.availability == Availability::Ready {
+                let (slow, all) = pools.entry(target.info.service.clone()).or_default();
+                *slow += usize::from(target.is_slow);
+                *all += 1;
+            }
+        }
+        for target in &mut self.targets {
+            let pool = pools.get(&target.info.service);
+            target.is_slow &= pool.is_some_and(|(slow, all)| slow * 2 < *all);
+        }
+    }
+
     /// Returns the targets that may get work, by pool. A suspected target gets a
     /// probe when its back-off ends, or at once if all targets of its pool are
     /// suspected and it is idle: work that waits then has no other chance. Early
@@ -321,6 +343,9 @@
         let policy = self.config.policy(&spec.queue, &spec.policy);
         let (service, advice) = (policy.service.clone(), policy.advice);
         let mut slots = self.slots(key, step, &service, advice, round);
+        if slots.iter().any(|slot| !slot.is_reserved && slot.tasks > 0) {
+            slots.retain(|slot| !slot.is_reserved);
+        }
         // Steps with a limit per target and tasks that have failed leave out targets with
         // room.
         let sees_all_room = search::needs_only_room(step, policy)
@@ -340,7 +365,8 @@
         self.spare_cold(key, &mut slots, round);
         let preference = self.speed_preference(key, self.last_round_unix_ms);
         let is_suspect = self.step_state(key).is_some_and(StepState::has_waiting_suspects);
-        let chosen = choose_targets(step, slots, preference, is_suspect, wanted, self);
+        let mut chosen = choose_targets(step, slots, preference, is_suspect, wanted, self);
+        self.retain_tried_target(key, step, &mut chosen);
         if step.gang && (chosen.len() as u32) < wanted {
             return;
         }
@@ -450,7 +476,8 @@
             };
             let preemptible = preemptible.get(id.0 as usize).copied().unwrap_or_default();
             if let Some(slot) = self.slot(id, step, state, room, preemptible, exposure) {
-                let slot = Slot { ticket_expires_at, ..slot };
+                let is_reserved = !step.gang && self.has_lone_suspect(id, &key.job);
+                let slot = Slot { ticket_expires_at, is_reserved, ..slot };
                 with_room += usize::from(slot.tasks > 0);
                 slots.push(slot);
             }
@@ -530,6 +557,7 @@
             capacity,
             speed_class,
             harm: exposure.map_or(Harm::default(), |exposure| self.harm(id, exposure)),
+            is_reserved: false,
             ticket_expires_at: None,
         })
     }
@@ -576,7 +604,7 @@
         task.last_run = run;
         task.state = TaskState::Assigned { target, run };
         let checkpoint = task.checkpoint.clone();
-        let is_suspect = !task.crashed_runs.is_empty();
+        let is_suspect = task.is_suspect;
         let task = TaskKey { step: key.clone(), index };
         let target_state = &mut self.targets[target.0 as usize];
         if target_state.health.is_suspected() {
@@ -608,8 +636,9 @@
 
 /// Chooses a target for each of up to `wanted` tasks: near the data, on one
 /// rack if that matters, where it neither slows nor is slowed down, by the
-/// preferred speed, and on the fullest targets first, so that large gaps remain. Tasks under which targets have crashed are
-/// kept apart, so that the innocent ones are not lost with the cause again.
+/// preferred speed, and on the fullest targets first, so that large gaps remain.
+/// Tasks that may have crashed targets are kept apart and get empty targets, so
+/// that the innocent ones are not lost with the cause again.
 fn choose_targets(
     step: &Step,
     mut slots: Vec<Slot>,
@@ -622,6 +651,8 @@
         is_suspect
             && planner.targets[slot.target.0 as usize].runs.values().any(|run| run.is_suspect)
     };
+    let is_shared =
+        |slot: &Slot| is_suspect && !planner.targets[slot.target.0 as usize].runs.is_empty();
     let rack_of = |slot: &Slot| &planner.targets[slot.target.0 as usize].info.rack;
     if step.same_rack
         && let Some(rack) = rack_with_most_room(&slots, |slot| slot.tasks, planner)
@@ -629,14 +660,28 @@
         slots.sort_by_cached_key(|slot| {
             let is_elsewhere = *rack_of(slot) != rack;
             let class = preference.order(slot.speed_class);
-            (is_elsewhere, has_suspects(slot), slot.harm, class, slot.remaining_ppm())
+            (
+                is_elsewhere,
+                has_suspects(slot),
+                is_shared(slot),
+                slot.harm,
+                class,
+                slot.remaining_ppm(),
+            )
         });
     } else {
         let is_far =
             |slot: &Slot| step.data_rack.as_ref().is_some_and(|rack| rack_of(slot) != rack);
         slots.sort_by_cached_key(|slot| {
             let class = preference.order(slot.speed_class);
-            (has_suspects(slot), slot.harm, is_far(slot), class, slot.remaining_ppm())
+            (
+                has_suspects(slot),
+                is_shared(slot),
+                slot.harm,
+                is_far(slot),
+                class,
+                slot.remaining_ppm(),
+            )
         });
     }
     let each = slots.iter().flat_map(|slot| (0..slot.tasks).map(|_| slot.target));
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -51,7 +51,7 @@
 pub use batch::{Batch, Record, Retention};
 pub use blame::Blame;
 pub use control::ControlStatus;
-pub use crash::Crash;
+pub use crash::{Crash, Verdict};
 pub use ends::{Evidence, ReleasedRun};
 pub use evacuation::EvacuationChange;
 pub use interference::Claim;
--- a/crates/plan/src/target.rs
+++ b/crates/plan/src/target.rs
@@ -11,6 +11,7 @@
 use work::{Step, TaskKey};
 
 use crate::{
+    crash::LostRun,
     interference::Kind,
     pace::{Pace, Throttle},
     sharing::Latency,
@@ -127,7 +128,9 @@
     pub(crate) last_sample: Option<(u32, Duration)>,
     /// Whether the target has listed the run.
     pub(crate) is_listed: bool,
-    /// Whether a target has crashed under the task.
+    /// Whether the target is known to have begun the run.
+    pub(crate) has_begun: bool,
+    /// Whether the task may have crashed a target.
     pub(crate) is_suspect: bool,
     /// Time of the start order; `None` if the time of the whole run would say
     /// nothing about the speed of the target.
@@ -157,6 +160,7 @@
             progress: None,
             last_sample: None,
             is_listed: false,
+            has_begun: false,
             is_suspect: false,
             started_at: None,
         }
@@ -219,7 +223,7 @@
     pub(crate) has_drained: bool,
     /// Runs that were given up since the last listing because the lease had
     /// expired.
-    pub(crate) lapsed_runs: Vec<(TaskKey, u32)>,
+    pub(crate) lapsed_runs: Vec<LostRun>,
     /// Highest number of an end that was applied.
     pub(crate) last_end: u64,
     /// Ends that were applied but are not recorded yet: their numbers and jobs.
@@ -231,6 +235,8 @@
     /// to be sound.
     pub(crate) probed_by: Option<Name>,
     pub(crate) speed: Speed,
+    /// Whether the target gets no work since it is slower than others of its pool.
+    pub(crate) is_slow: bool,
     /// Whether the target lists runs that the planner does not know.
     pub(crate) has_unknown_runs: bool,
     /// Number of consecutive checks that found the target unreachable.
@@ -342,7 +348,7 @@
             && !self.has_unrecorded_restart(now)
             && !self.is_closed
             && now >= self.backoff_until
-            && !self.speed.is_slow(now)
+            && !self.is_slow
     }
 
     /// Returns whether the description is by the process that sent the last
