--- a/crates/node/src/configs.rs
+++ b/crates/node/src/configs.rs
@@ -110,8 +110,8 @@
     Ok(revision)
 }
 
-/// Reads the whole configuration and all evacuations, and returns the revision from which to follow
-/// changes.
+/// Reads the whole configuration and all evacuations, and returns the revision
+/// from which to follow changes.
 async fn reread(ctx: &Context) -> Result<Revision, Error> {
     let (key, prefix) = ctx.services.catalog.config_key();
     let prefix = if ctx.follows_evacuations() { prefix } else { key };
--- a/crates/node/src/placer/order.rs
+++ b/crates/node/src/placer/order.rs
@@ -18,7 +18,8 @@
 /// Timeout of the answer to an order.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Sends the order to start a run on a target in a data centre, and reports the outcome as an event.
+/// Sends the order to start a run on a target in `data_centre`, and reports the
+/// outcome as an event.
 pub(crate) async fn start(
     ctx: Arc<Context>,
     leadership: Arc<Leadership>,
--- a/crates/plan/src/advice.rs
+++ b/crates/plan/src/advice.rs
@@ -16,10 +16,11 @@
 use crate::{
     action::{Action, AdviceRequest, RequestLength},
     admit::RequestLoad,
-    decide::{Round, Slot, sum_tasks},
     permission::Permission,
     planner::Planner,
     rank::SpeedPreference,
+    round::Round,
+    slot::{Slot, sum_tasks},
     target::TargetId,
 };
 
--- a/crates/plan/src/cold.rs
+++ b/crates/plan/src/cold.rs
@@ -9,9 +9,10 @@
 use work::StepKey;
 
 use crate::{
-    decide::{Round, Slot},
     planner::Planner,
     rank::SpeedPreference,
+    round::Round,
+    slot::Slot,
     target::{Target, TargetInfo},
 };
 
--- a/crates/plan/src/preempt.rs
+++ b/crates/plan/src/preempt.rs
@@ -27,9 +27,10 @@
 
 use crate::{
     action::StopCause,
-    decide::{Round, Slot, rack_with_most_room, sum_tasks},
     permission::Permission,
     planner::Planner,
+    round::Round,
+    slot::{Slot, rack_with_most_room, sum_tasks},
     step::TaskState,
     target::{Phase, Run, Sharing, TargetId},
 };
--- a/crates/plan/src/probe.rs
+++ b/crates/plan/src/probe.rs
@@ -18,8 +18,8 @@
 use work::{Spec, StepKey};
 
 use crate::{
-    decide::Round,
     planner::Planner,
+    round::Round,
     search::{FullShapes, needs_only_room},
     step::{StepState, Task},
     target::Target,
--- a/crates/plan/src/search.rs
+++ b/crates/plan/src/search.rs
@@ -11,7 +11,7 @@
 use base::{Name, Resources};
 use work::{Policy, Step, StepKey};
 
-use crate::{decide::Round, planner::Planner, target::Sharing};
+use crate::{planner::Planner, round::Round, target::Sharing};
 
 /// One in this many searches rotates among lower-ranked steps.
 const ROTATION_DIVISOR: usize = 4;
