--- a/crates/plan/src/control.rs
+++ b/crates/plan/src/control.rs
@@ -2,10 +2,11 @@
 //!
 //! Targets on which both run are listed twice a second. By the listed response
 //! times, backfill there is paced; what was not paced down in time is stopped
-//! well within the time for which a task may be over its goal, and starts elsewhere
-//! if there is room. Kinds that are known to be harmless work on at full pace. Backfill beside a task that was over its goal
-//! moves to a target without such tasks as soon as there is room. All orders share one budget,
-//! of which raises of the pace get a half.
+//! well within the time for which a task may be over its goal, and starts
+//! elsewhere if there is room. Kinds that are known to be harmless work on at
+//! full pace. Backfill beside a task that was over its goal moves to a target
+//! without such tasks as soon as there is room. All orders share one budget, of
+//! which raises of the pace get a half.
 
 use std::{collections::HashMap, time::Duration};
 
--- a/crates/plan/src/crash.rs
+++ b/crates/plan/src/crash.rs
@@ -2,18 +2,20 @@
 //!
 //! A task may crash each target that starts it. A target that comes back as
 //! another process has crashed, unless it had been drained. The tasks of which
-//! runs may have been there are then suspects, except those that are cleared: by
-//! an equal task that is done, or by a run that has lasted. A suspect starts alone
-//! on its target if there is an empty one, and a step has one such target at a time
-//! until one of its tasks is done. A crash proves that a task is the cause only if
-//! no task of another job is in question, and its run is known to have begun or no
-//! other run was on the target: a target may crash before it answers the start. A
-//! task with three proofs is given up. Equal tasks of a step count together until
-//! one of them is done; a long-running task never is, but is kept apart.
+//! runs may have been there are then suspects, except those that are cleared:
+//! by an equal task that is done, or by a run that has lasted. A suspect starts
+//! alone on its target if there is an empty one, and a step has one such target
+//! at a time until one of its tasks is done. A crash proves that a task is the
+//! cause only if no task of another job is in question, and its run is known to
+//! have begun or no other run was on the target: a target may crash before it
+//! answers the start. A task with three proofs is given up. Equal tasks of a
+//! step count together until one of them is done; a long-running task never is,
+//! but is kept apart.
 //!
-//! Targets also crash for other reasons, often many at once. Crashes prove nothing
-//! while many targets without runs of the job crash or fall silent as well, unless
-//! a few other jobs may be the cause of all of these; only twelve of them have a task given up, and none counts while targets crash of which
+//! Targets also crash for other reasons, often many at once. Crashes prove
+//! nothing while many targets without runs of the job crash or fall silent as
+//! well, unless a few other jobs may be the cause of all of these; only twelve
+//! of them have a task given up, and none counts while targets crash of which
 //! no task can be the cause.
 
 use std::{collections::HashMap, time::Duration};
