--- a/crates/plan/src/crash.rs
+++ b/crates/plan/src/crash.rs
@@ -13,10 +13,11 @@
 //! but is kept apart.
 //!
 //! Targets also crash for other reasons, often many at once. Crashes prove
-//! nothing while many targets without runs of the job crash or fall silent as
-//! well, unless a few other jobs may be the cause of all of these; only twelve
-//! of them have a task given up, and none counts while targets crash of which
-//! no task can be the cause.
+//! nothing while many targets without runs of the job crash or become
+//! unreachable as well, unless a few other jobs may be the cause of all of
+//! these. A task under which twelve crashes have proved nothing is given up all
+//! the same. Crashes do not count at all while targets crash that no task can
+//! have crashed.
 
 use std::{collections::HashMap, time::Duration};
 
