--- a/crates/plan/src/crash.rs
+++ b/crates/plan/src/crash.rs
@@ -15,9 +15,9 @@
 //! Targets also crash for other reasons, often many at once. Crashes prove
 //! nothing while many targets without runs of the job crash or become
 //! unreachable as well, unless a few other jobs may be the cause of all of
-//! these. A task under which twelve crashes have proved nothing is given up all
-//! the same. Crashes do not count at all while targets crash that no task can
-//! have crashed.
+//! these. A task that was alone in twelve crashes is given up all the same,
+//! proven or not. Crashes do not count at all while targets crash that no task
+//! can have crashed.
 
 use std::{collections::HashMap, time::Duration};
 
