Test of evacuations during a store failure: tasks outlast the evacuation

last_known_evacuations_stay_in_force_while_the_store_is_down failed in 5 of 5 runs with all parts merged. Its tasks work for 10 s and it sleeps twice for 5 s before it revokes the evacuation: the first eight tasks then end just before, and the other eight start on the one target that was open, so that none is left for the evacuated one (traced: 8 starts and no run before the revocation, 16 starts on the other target half a second later). The tasks now work for 60 s; what is checked is the same.

--- a/crates/node/tests/cell/evacuation.rs
+++ b/crates/node/tests/cell/evacuation.rs
@@ -157,7 +157,8 @@
     let cell = start_cell(2, 2);
     cell.world.evacuate("dc-0", b"");
     wait_for_evacuations(&cell, 1);
-    submit(&cell, 0, "job", 16);
+    // Longer than the evacuation, so that half of the tasks still wait at its end.
+    expect_that!(cell.nodes[0].submit("job", "work:60000", step(16)), ok(eq(&())));
     wait_until("runs elsewhere", || cell.world.targets.running("job") == 8);
     for fault in [Fault::Silent, Fault::None] {
         for node in &cell.nodes {
