--- a/crates/plan/src/crash.rs
+++ b/crates/plan/src/crash.rs
@@ -2,8 +2,8 @@
 //!
 //! A task may crash each target that starts it. A target that comes back as
 //! another process has crashed, unless it had been drained. The tasks of which
-//! runs may have been there are then suspects, except those that are cleared:
-//! by an equal task that is done, or by a run that has lasted. A suspect starts
+//! runs may have been there are then suspects, except those that are cleared by
+//! a run that has ended well or has lasted. A suspect starts
 //! alone on its target if there is an empty one, and a step has one such target
 //! at a time until one of its tasks is done. A crash proves that a task is the
 //! cause only if no task of another job is in question, and its run is known to
@@ -310,8 +310,7 @@
         }
     }
 
-    /// Returns whether a task may be the cause of a crash: it is not cleared by
-    /// runs of equal tasks that ended well.
+    /// Returns whether a task may be the cause of a crash: it is not done.
     fn may_have_crashed(&self, task: &TaskKey) -> bool {
         self.step_state(&task.step).is_some_and(|state| state.may_crash(task.index))
     }
--- a/crates/plan/src/step.rs
+++ b/crates/plan/src/step.rs
@@ -281,13 +281,10 @@
         waiting.any(|task| task.is_suspect)
     }
 
-    /// Returns whether a run of the task has not ended well and the other tasks of
-    /// the step, which are equal, have not either.
+    /// Returns whether a task may crash its targets: none of its runs has ended well.
+    /// Other tasks of the step show nothing, as one task alone may be the faulty one.
     pub(crate) fn may_crash(&self, index: u32) -> bool {
-        let task = self.tasks.get(index as usize);
-        task.is_some_and(|task| {
-            task.state != TaskState::Done && (task.is_suspect || self.done_count == 0)
-        })
+        self.tasks.get(index as usize).is_some_and(|task| task.state != TaskState::Done)
     }
 
     /// Returns whether only one target at a time may run tasks of the step, since it
