Backfill makes room for tasks that find none

Seen by callers: a task that finds room on no target, since backfill holds the memory or the accelerators of all of them, never starts: backfill that runs until it is cancelled never ends. A task of lasting backfill itself waits while other tasks have all processor time, though its own isn't counted against a target.

Nothing made backfill yield but the pace beside a task with a goal, which frees no memory; preemption was for gangs only, and left backfill out.

Change: a step that has found no room for 0.5 s evicts backfill where the fewest runs are stopped; the room is reserved for it, or the evicted task, which waits as well, would take it back. Gangs evict backfill as part of preemption, also when they are late.

--- a/crates/plan/src/action.rs
+++ b/crates/plan/src/action.rs
@@ -84,7 +84,7 @@
     /// The run is backfill beside a task that was over its latency goal, and there
     /// is room on a target without such tasks.
     Paced,
-    /// The run is preempted to make room for a gang of this job.
+    /// The run is preempted to make room for this job.
     Moved(Name),
     /// An earlier stop order had no effect.
     Repeated,
--- a/crates/plan/src/control.rs
+++ b/crates/plan/src/control.rs
@@ -65,7 +65,7 @@
     /// What is known of the kinds of tasks.
     pub(crate) interference: Interference,
     pub(crate) has_goals: bool,
-    has_backfill: bool,
+    pub(crate) has_backfill: bool,
     next_check_at: Duration,
     next_move_at: Duration,
     /// Number of the target with which the next check begins, so that no target is
@@ -256,7 +256,7 @@
             .filter(|(_, run)| run.phase == Phase::Running && run.pace.percent() < 100);
         let movable = running.find(|(task, _)| {
             moves.searches += 1;
-            self.has_room_on(task, clean)
+            self.may_interrupt(task) && self.has_room_on(task, clean)
         });
         let movable = movable.map(|(task, run)| (task.clone(), run.number));
         drop(running);
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -187,10 +187,14 @@
         if self.reserve_room(key, step, &slots, advice, round, now) {
             return;
         }
+        let has_room = slots.iter().any(|slot| slot.tasks > 0);
         if advice.is_some() {
             self.request_step_advice(key, &spec, &slots, wanted, round, now);
             slots.retain(|slot| slot.has_ticket(valid_at));
         }
+        if !step.gang && !round.is_probing && self.is_starved(key, has_room, now) {
+            self.relieve(key, &spec, wanted, round, now);
+        }
         self.spare_cold(key, &mut slots, round);
         let preference = self.speed_preference(key, self.last_round_unix_ms);
         let is_suspect = self.step_state(key).is_some_and(StepState::has_waiting_suspects);
@@ -263,10 +267,9 @@
         let Some(state) = self.step_state(key) else {
             return Vec::new();
         };
-        let preemptible = if self.can_preempt_for(key, step) {
-            self.preemptible_room(self.priority(key), &mut round.preemptible)
-        } else {
-            &[]
+        let preemptible = match self.preemption_priority(key, step) {
+            Some(priority) => self.preemptible_room(priority, &mut round.preemptible),
+            None => &[],
         };
         let mut permissions = state.permissions.cursor();
         let open = round.open_targets.get(service).map_or(&[][..], Vec::as_slice);
@@ -358,8 +361,7 @@
         if !suits {
             return None;
         }
-        let is_mixed = Sharing::of(step) != Sharing::Any && !target().can_share_with(step);
-        let shares = !is_mixed || self.settings.interference.is_enabled;
+        let shares = Sharing::of(step) == Sharing::Any || self.may_share(id, step);
         let has_room = step.size.fits(&free) && shares;
         let mut tasks = if has_room { free.max_count(&step.size) } else { 0 };
         let mut tasks_when_empty = if step.gang { capacity.max_count(&step.size) } else { 0 };
@@ -411,6 +413,9 @@
             return;
         };
         state.waiting.remove(&index);
+        if state.waiting.is_empty() {
+            state.no_room_since = None;
+        }
         // All members of a gang have the same run number. Members that start
         // later in the round use the number of the first one.
         let last = if step.gang {
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -23,6 +23,7 @@
 mod decide;
 mod ends;
 mod evacuation;
+mod eviction;
 mod interference;
 mod job;
 mod lifecycle;
@@ -44,6 +45,7 @@
 mod sharing;
 mod slot;
 mod speed;
+mod starved;
 mod step;
 mod target;
 
--- a/crates/plan/src/preempt.rs
+++ b/crates/plan/src/preempt.rs
@@ -35,13 +35,13 @@
     target::{Phase, Run, Sharing, TargetId},
 };
 
-/// Room that is reserved for a gang.
+/// Room that is reserved for a step.
 #[derive(Clone, Debug)]
 pub(crate) struct Reservation {
-    /// Number of members that each target takes.
-    places: Vec<(TargetId, u32)>,
+    /// Number of tasks that each target takes.
+    pub(crate) places: Vec<(TargetId, u32)>,
     /// Time at which the reservation ends.
-    expires_at: Duration,
+    pub(crate) expires_at: Duration,
 }
 
 /// Cache of preemptible runs, shared by rounds within a short time. Each run is
@@ -60,16 +60,17 @@
 
 /// Run that may be preempted.
 #[derive(Clone, Debug)]
-struct Victim {
-    task: TaskKey,
-    run: u32,
-    size: Resources,
+pub(crate) struct Victim {
+    pub(crate) task: TaskKey,
+    pub(crate) run: u32,
+    /// Resources that the preemption frees.
+    pub(crate) size: Resources,
 }
 
-/// Target that may take members of a gang.
+/// Target that may take members of a gang, or other tasks of a step.
 #[derive(Debug)]
-struct Candidate {
-    target: TargetId,
+pub(crate) struct Candidate {
+    pub(crate) target: TargetId,
     /// Whether the step runs slower on this target.
     is_far: bool,
     free: Resources,
@@ -77,8 +78,8 @@
     victims: Vec<Victim>,
     /// Number of further members that the target can take.
     max_more: u32,
-    members: u32,
-    preempted: Vec<Victim>,
+    pub(crate) members: u32,
+    pub(crate) preempted: Vec<Victim>,
 }
 
 /// Cost of placing one more member on a target; the lowest is chosen first.
@@ -87,9 +88,35 @@
     is_far: bool,
     /// CPU of the runs to preempt, in thousandths of a core.
     preempted_milli: u64,
+    /// Number of runs of backfill to evict, whose CPU is free for others anyway.
+    evicted: usize,
 }
 
 impl Candidate {
+    pub(crate) fn new(
+        target: TargetId,
+        is_far: bool,
+        free: Resources,
+        victims: Vec<Victim>,
+        max_more: u32,
+    ) -> Self {
+        Self { target, is_far, free, victims, max_more, members: 0, preempted: Vec::new() }
+    }
+
+    /// Returns a target from which all victims are preempted, however many members are
+    /// placed.
+    pub(crate) fn cleared(
+        target: TargetId,
+        is_far: bool,
+        free: Resources,
+        victims: Vec<Victim>,
+        max_more: u32,
+    ) -> Self {
+        let free = victims.iter().fold(free, |free, victim| free + victim.size);
+        let preempted = victims;
+        Self { preempted, ..Self::new(target, is_far, free, Vec::new(), max_more) }
+    }
+
     /// Returns the cost of placing one more member, and the positions of the
     /// victims to preempt; `None` if there is no room to make.
     fn next_member(&self, size: Resources) -> Option<(Cost, Vec<usize>)> {
@@ -108,7 +135,10 @@
         }
         let preempted =
             chosen.iter().map(|index| u64::from(self.victims[*index].size.cpu_milli)).sum();
-        Some((Cost { is_far: self.is_far, preempted_milli: preempted }, chosen))
+        let is_backfill = |index: &&usize| self.victims[**index].size.cpu_milli == 0;
+        let evicted = chosen.iter().filter(is_backfill).count();
+        let cost = Cost { is_far: self.is_far, preempted_milli: preempted, evicted };
+        Some((cost, chosen))
     }
 
     /// Places one more member, at the expense of the chosen victims.
@@ -145,11 +175,18 @@
 const EXTRA_MEMBERS_DIVISOR: u32 = 3;
 
 impl Planner {
-    /// Returns whether runs may be preempted for a step.
-    pub(crate) fn can_preempt_for(&self, key: &StepKey, step: &Step) -> bool {
-        step.gang
-            && self.settings.preemption.max_per_task > 0
-            && self.is_in_time_and_entitled(key, self.last_round_unix_ms)
+    /// Returns the priority with which a step preempts runs; `None` if it preempts
+    /// none. Gangs that are late or beyond their team's share only evict backfill.
+    pub(crate) fn preemption_priority(&self, key: &StepKey, step: &Step) -> Option<u32> {
+        if !step.gang || step.is_backfill {
+            return None;
+        }
+        let can_preempt = self.settings.preemption.max_per_task > 0
+            && self.is_in_time_and_entitled(key, self.last_round_unix_ms);
+        if can_preempt {
+            return Some(self.priority(key));
+        }
+        self.control.has_backfill.then_some(u32::MAX)
     }
 
     /// Reserves room for a gang that cannot start yet, if its targets have
@@ -175,7 +212,7 @@
             return false;
         }
         let allowed: Vec<&Slot> = slots.iter().filter(|slot| slot.is_allowed()).collect();
-        let preempt_priority = self.can_preempt_for(key, step).then(|| self.priority(key));
+        let preempt_priority = self.preemption_priority(key, step);
         let with_preemption =
             |slots: &[&Slot]| sum_tasks(slots.iter().copied(), |slot| slot.tasks_with_preemption);
         let (usable, hold) = if with_preemption(&with_ticket) >= step.count {
@@ -209,9 +246,10 @@
             }
             HoldMode::HasTickets | HoldMode::UntilTickets => step.count,
         };
-        let Some(candidates) = choose_places(candidates, step.size, members) else {
+        let candidates = choose_places(candidates, step.size, members);
+        if candidates.iter().map(|candidate| candidate.members).sum::<u32>() < members {
             return false;
-        };
+        }
         let places: Vec<(TargetId, u32)> =
             candidates.iter().map(|candidate| (candidate.target, candidate.members)).collect();
         match hold {
@@ -262,14 +300,20 @@
         advice.is_some_and(|advice| self.request_advice(key, &targets, advice, round, now))
     }
 
-    fn preempt_run(&mut self, target: TargetId, victim: &Victim, key: &StepKey, now: Duration) {
+    pub(crate) fn preempt_run(
+        &mut self,
+        target: TargetId,
+        victim: &Victim,
+        key: &StepKey,
+        now: Duration,
+    ) {
         if let Some(state) = self.step_state_mut(&victim.task.step) {
             state.tasks[victim.task.index as usize].preemptions += 1;
         }
         self.stop_run(target, &victim.task, victim.run, StopCause::Moved(key.job.clone()), now);
     }
 
-    /// Starts a gang whose reserved room is free, or keeps holding the room.
+    /// Starts tasks whose reserved room is free, or keeps holding the room.
     pub(crate) fn place_reserved(&mut self, key: &StepKey, round: &mut Round, now: Duration) {
         let Some(reservation) = self.reservations.get(key).cloned() else {
             return;
@@ -283,6 +327,9 @@
         };
         let step = &spec.steps[usize::from(key.step)];
         let advice = self.config.policy(&spec.queue, &spec.policy).advice;
+        if !step.gang {
+            return self.place_singly(key, &spec, reservation, round, now);
+        }
         let has_tickets = self.has_tickets(key, &reservation.places, advice, now);
         let has_room = reservation
             .places
@@ -307,7 +354,45 @@
         }
     }
 
-    /// Returns whether the room reserved for a gang is still of use.
+    /// Starts the tasks of a step that is no gang on the targets whose reserved room is
+    /// free, and keeps holding the room on the others.
+    fn place_singly(
+        &mut self,
+        key: &StepKey,
+        spec: &Arc<Spec>,
+        reservation: Reservation,
+        round: &mut Round,
+        now: Duration,
+    ) {
+        let step = &spec.steps[usize::from(key.step)];
+        let advice = self.config.policy(&spec.queue, &spec.policy).advice;
+        let mut held = Vec::new();
+        for (id, tasks) in reservation.places {
+            let allowed = self.allowed_tasks(&spec.team, step.size, round);
+            let can_start = (step.size * tasks).fits(&round.free(id))
+                && self.may_share(id, step)
+                && tasks <= allowed.min(self.startable_count(key))
+                && self.has_tickets(key, &[(id, tasks)], advice, now);
+            round.allocate(id, self.held_room(id, step, tasks));
+            if !can_start {
+                held.push((id, tasks));
+                continue;
+            }
+            for _ in 0..tasks {
+                self.start_next_task(key, spec, id, now);
+            }
+        }
+        if held.is_empty() {
+            self.reservations.remove(key);
+        } else if let Some(reservation) = self.reservations.get_mut(key) {
+            reservation.places = held;
+        }
+        if self.step_state(key).is_some_and(|state| state.waiting.is_empty()) {
+            self.unqueue_step(key);
+        }
+    }
+
+    /// Returns whether the reserved room is still of use.
     fn is_reservation_valid(
         &self,
         key: &StepKey,
@@ -315,9 +400,12 @@
         reservation: &Reservation,
         now: Duration,
     ) -> bool {
-        let is_waiting = self
-            .step_state(key)
-            .is_some_and(|state| state.waiting.len() == state.tasks.len() && !state.has_runs());
+        let is_gang = spec.steps[usize::from(key.step)].gang;
+        let tasks = reservation.places.iter().map(|(_, tasks)| *tasks as usize).sum::<usize>();
+        let is_waiting = self.step_state(key).is_some_and(|state| {
+            let is_whole = state.waiting.len() == state.tasks.len() && !state.has_runs();
+            if is_gang { is_whole } else { state.waiting.len() >= tasks }
+        });
         let service = &self.config.policy(&spec.queue, &spec.policy).service;
         let is_open = |id: TargetId| {
             let target = &self.targets[id.0 as usize];
@@ -338,7 +426,7 @@
         permission == Some(&Permission::Refused)
     }
 
-    fn has_ticket(&self, key: &StepKey, id: TargetId, now: Duration) -> bool {
+    pub(crate) fn has_ticket(&self, key: &StepKey, id: TargetId, now: Duration) -> bool {
         let valid_at = now + self.settings.ticket_margin;
         let permission = self.step_state(key).and_then(|state| state.permissions.get(id));
         permission.is_some_and(|permission| permission.has_ticket(valid_at))
@@ -366,19 +454,13 @@
                     self.can_preempt(task, run, priority, &mut round.preemptible)
                 })
             })
-            .map(|(task, run)| Victim { task: task.clone(), run: run.number, size: run.size })
+            .map(|(task, run)| self.victim(task, run))
             .collect();
         victims.sort_by_key(|victim| victim.size.cpu_milli);
         let rack = &self.targets[slot.target.0 as usize].info.rack;
-        Candidate {
-            target: slot.target,
-            is_far: near.is_some_and(|near| near != rack),
-            free: round.free(slot.target),
-            victims,
-            max_more: slot.tasks_with_preemption,
-            members: 0,
-            preempted: Vec::new(),
-        }
+        let is_far = near.is_some_and(|near| near != rack);
+        let free = round.free(slot.target);
+        Candidate::new(slot.target, is_far, free, victims, slot.tasks_with_preemption)
     }
 
     /// Returns whether a run may be preempted for steps of a priority.
@@ -389,6 +471,11 @@
         priority: u32,
         preemptible: &mut Preemptible,
     ) -> bool {
+        if run.sharing == Sharing::Backfill {
+            // The members of a gang are placed at once, so that runs of steps with a
+            // limit can't be counted one by one.
+            return self.can_evict(task, run) && self.max_unavailable(&task.step).is_none();
+        }
         if run.phase != Phase::Running || run.sharing != Sharing::Any {
             return false;
         }
@@ -434,7 +521,8 @@
                     .runs
                     .iter()
                     .filter(|(task, run)| self.can_preempt(task, run, priority, preemptible));
-                preemptible_runs.fold(Resources::ZERO, |sum, (_, run)| sum + run.size)
+                preemptible_runs
+                    .fold(Resources::ZERO, |sum, (_, run)| sum + self.preempted_size(run))
             });
             let rooms = rooms.collect();
             preemptible.rooms_by_priority.insert(priority, rooms);
@@ -461,14 +549,14 @@
     }
 }
 
-/// Chooses targets for the members of a gang: near their data and one another
-/// where that matters, with the fewest cores preempted. Returns `None` if there
-/// is no room for all members.
-fn choose_places(
+/// Chooses targets for the members of a gang, or other tasks: near their data and one
+/// another where that matters, with the fewest cores and runs preempted. Returns the
+/// chosen targets, which have room for fewer members if there is no more.
+pub(crate) fn choose_places(
     mut candidates: Vec<Candidate>,
     size: Resources,
     members: u32,
-) -> Option<Vec<Candidate>> {
+) -> Vec<Candidate> {
     let mut next = BinaryHeap::new();
     for (index, candidate) in candidates.iter().enumerate() {
         if let Some((cost, chosen)) = candidate.next_member(size) {
@@ -476,7 +564,9 @@
         }
     }
     for _ in 0..members {
-        let Reverse((_, index, chosen)) = next.pop()?;
+        let Some(Reverse((_, index, chosen))) = next.pop() else {
+            break;
+        };
         let candidate = &mut candidates[index];
         candidate.take_member(size, chosen);
         if let Some((cost, chosen)) = candidate.next_member(size) {
@@ -484,5 +574,5 @@
         }
     }
     candidates.retain(|candidate| candidate.members > 0);
-    Some(candidates)
+    candidates
 }
--- a/crates/plan/src/progress.rs
+++ b/crates/plan/src/progress.rs
@@ -24,7 +24,13 @@
         let Some(step) = job.spec.steps.get(usize::from(listed.task.step.step)) else {
             return;
         };
-        if step.long_running || step.estimate_ms == 0 {
+        if step.long_running {
+            if let Some(run) = self.targets[id.0 as usize].runs.get_mut(&listed.task) {
+                run.progress = Some((listed.percent, now));
+            }
+            return;
+        }
+        if step.estimate_ms == 0 {
             return;
         }
         // The members of a gang advance at the speed of the slowest one, so
--- a/crates/plan/src/search.rs
+++ b/crates/plan/src/search.rs
@@ -158,11 +158,9 @@
             self.unqueue_step(key);
             return None;
         }
-        let held_back = self.held_back_tasks(key);
-        let waiting = (state.waiting.len() as u32).saturating_sub(held_back);
+        let waiting = self.startable_count(key);
         // A gang starts as a whole.
-        let is_held_back = waiting == 0 || step.gang && held_back > 0;
-        if is_held_back || job.awaited_record.is_some() && !step.after.is_empty() {
+        if waiting == 0 || step.gang && waiting < state.waiting.len() as u32 {
             return None;
         }
         if step.gang && state.has_runs() {
@@ -186,6 +184,31 @@
         }
         let is_full =
             needs_only_room(step, policy) && round.full_shapes.covers(&policy.service, step);
-        (!is_full).then_some(wanted)
+        if is_full {
+            self.is_starved(key, false, now);
+            return None;
+        }
+        Some(wanted)
+    }
+
+    /// Returns the number of waiting tasks of a step that can't have a run that is not
+    /// known, and whose predecessors are recorded as far as needed.
+    pub(crate) fn startable_count(&self, key: &StepKey) -> u32 {
+        let Some(state) = self.step_state(key) else {
+            return 0;
+        };
+        if self.awaits_record(key) {
+            return 0;
+        }
+        (state.waiting.len() as u32).saturating_sub(self.held_back_tasks(key))
+    }
+
+    /// Returns whether a step waits for the record of an end that may have been learnt
+    /// of before.
+    fn awaits_record(&self, key: &StepKey) -> bool {
+        self.jobs.get(&key.job).is_some_and(|job| {
+            let step = &job.spec.steps[usize::from(key.step)];
+            job.awaited_record.is_some() && !step.after.is_empty()
+        })
     }
 }
--- a/crates/plan/src/settings.rs
+++ b/crates/plan/src/settings.rs
@@ -71,6 +71,9 @@
     pub preemption: Preemption,
     /// Handling of tasks that slow each other down.
     pub interference: Interference,
+    /// Time for which a task finds no room before backfill is evicted for it. Most
+    /// full targets have room again sooner, and evicted work is lost.
+    pub eviction_delay: Duration,
     /// Maximum number of keys that a batch writes or removes.
     pub max_keys_per_batch: usize,
     /// Maximum time for which progress that ends no job is delayed before it is
@@ -106,7 +109,7 @@
     pub slack: Duration,
     /// Progress in percent from which a run is no longer preempted.
     pub max_done_percent: u32,
-    /// Time for which room is reserved for a gang. A stop takes up to 1 s, and
+    /// Time for which room is reserved for a step. A stop takes up to 1 s, and
     /// tickets may have to be requested again meanwhile.
     pub reservation_timeout: Duration,
 }
@@ -179,6 +182,7 @@
             max_targets_per_request: 100,
             preemption: Preemption::default(),
             interference: Interference::default(),
+            eviction_delay: Duration::from_millis(500),
             max_keys_per_batch: 29,
             max_progress_delay: Duration::from_millis(300),
             max_closed_runs: 1000,
--- a/crates/plan/src/step.rs
+++ b/crates/plan/src/step.rs
@@ -1,6 +1,9 @@
 //! State of one step and its tasks.
 
-use std::collections::{BTreeSet, HashSet};
+use std::{
+    collections::{BTreeSet, HashSet},
+    time::Duration,
+};
 
 use base::Name;
 use smallvec::{SmallVec, smallvec};
@@ -94,6 +97,8 @@
     pub(crate) is_open: bool,
     /// Whether no task of the step can have been started in an earlier term.
     pub(crate) is_unbegun: bool,
+    /// Time since when no target has had room for the waiting tasks.
+    pub(crate) no_room_since: Option<Duration>,
 }
 
 impl StepState {
@@ -119,6 +124,7 @@
             requested: None,
             is_open: false,
             is_unbegun: false,
+            no_room_since: None,
         };
         let Some(progress) = progress else {
             return state;
--- a/crates/plan/tests/decisions/main.rs
+++ b/crates/plan/tests/decisions/main.rs
@@ -8,6 +8,7 @@
 mod cell;
 mod crashes;
 mod evacuation;
+mod eviction;
 mod gangs;
 mod leases;
 mod lifecycle;
--- a/crates/work/src/spec.rs
+++ b/crates/work/src/spec.rs
@@ -83,6 +83,11 @@
     /// stored jobs that name none, so that their size doesn't change.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub image: Option<Name>,
+    /// Number of tasks that may be away at the same time because the scheduler has
+    /// stopped them; `None` if there is no limit. Absent from stored jobs without one,
+    /// so that their size doesn't change.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub max_unavailable: Option<u32>,
 }
 
 impl Spec {
