A handover names the jobs of which all runs are known

Seen by callers: after a kill of the leader and then a handover, jobs accepted in between wait for up to 6.4 s (22.5 s, if a target has restarted), with idle targets, for a target that has been silent since before they were accepted.

The leader after the kill doesn't know what earlier terms have started on a target that has listed nothing to it, so that the handover tells of it only that it is held. But all runs of the jobs accepted in its own term are in its account. The handover didn't say which jobs these are, and its successor held up all jobs.

Change: the handover names these jobs, 2,000 at most, and for each target with other unknown runs the runs of these jobs there. In the next term their tasks wait only for targets with a run of theirs, or with an end of the job that is not recorded. A successor passes on what it was told. The node keeps what it was handed over as one value.

Two tests of the planner and one with nodes fail if no job is named as known.

--- a/crates/node/src/leadership.rs
+++ b/crates/node/src/leadership.rs
@@ -19,7 +19,7 @@
 //! has ended.
 
 use std::{
-    collections::{HashSet, VecDeque},
+    collections::VecDeque,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -30,16 +30,14 @@
 use base::{Name, clock, emit};
 use bytes::Bytes;
 use futures::{FutureExt, StreamExt, stream::FuturesUnordered};
-use plan::SpeedRecord;
 use platform::{Commit, CommitOutcome, Entry, Error, Event, Lease, Revision, Write};
 use tokio::time::{self, MissedTickBehavior};
-use work::TaskKey;
 
 use crate::{
     context::{Context, Leader, RETRY_BACKOFF, jitter},
     decode::decode,
     keys,
-    link::{Holding, PeerFrame, Succession},
+    link::{PeerFrame, Succession},
     placer::{self, guard::Guard},
 };
 
@@ -86,17 +84,8 @@
     /// by a confirmed one, in milliseconds since the machine started;
     /// [`NONE_UNCONFIRMED`] if there is none.
     unconfirmed_since_ms: AtomicU64,
-    /// Targets that did not answer the previous leader, each with all runs that
-    /// may be on it; empty unless the previous leader handed over.
-    pub(crate) unreachable_targets: Vec<(Name, Vec<(TaskKey, u32)>)>,
-    /// Targets whose lease may be longer than the previous leader has granted.
-    pub(crate) restarted: HashSet<Name>,
-    /// Targets with an unconfirmed process, as known to the previous leader.
-    pub(crate) unconfirmed: HashSet<Name>,
-    /// Usual speeds of the targets; `None` unless the previous leader handed over.
-    pub(crate) speeds: Option<SpeedRecord>,
-    /// What the previous leader knew of the held targets.
-    pub(crate) holdings: Vec<Holding>,
+    /// What the previous leader handed over; empty without a handover.
+    pub(crate) succession: Succession,
 }
 
 /// Prerequisites for taking the leadership.
@@ -239,20 +228,9 @@
     let Some(handed_over) = succession else {
         return Ok(None);
     };
-    let Succession { revision, unreachable_targets, restarted, unconfirmed, speeds, holdings } =
-        handed_over;
-    let acquired = acquire_with(ctx, candidate, Revision(revision)).await?;
-    Ok(acquired.map(|(leadership, leader)| {
-        let leadership = Leadership {
-            unreachable_targets,
-            restarted,
-            unconfirmed,
-            speeds,
-            holdings,
-            ..leadership
-        };
-        (leadership, leader)
-    }))
+    let acquired = acquire_with(ctx, candidate, Revision(handed_over.revision)).await?;
+    Ok(acquired
+        .map(|(leadership, leader)| (Leadership { succession: handed_over, ..leadership }, leader)))
 }
 
 /// Takes the leadership if the leader key still has the expected revision.
@@ -327,11 +305,7 @@
         lease,
         valid_until_ms: AtomicU64::new(0),
         unconfirmed_since_ms: AtomicU64::new(NONE_UNCONFIRMED),
-        unreachable_targets: Vec::new(),
-        restarted: HashSet::new(),
-        unconfirmed: HashSet::new(),
-        speeds: None,
-        holdings: Vec::new(),
+        succession: Succession::default(),
     };
     leadership.extend(requested_at, granted.saturating_sub(lease_margin(ctx)));
     Ok(Some((leadership, leader)))
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -104,7 +104,7 @@
 }
 
 /// State that the leader hands over to its successor.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Succession {
     /// Revision of the leader key.
     pub(crate) revision: u64,
@@ -124,6 +124,9 @@
     /// What is known of the held targets.
     #[serde(default)]
     pub(crate) holdings: Vec<Holding>,
+    /// Jobs of which the holdings name all runs.
+    #[serde(default)]
+    pub(crate) known_jobs: Vec<Name>,
 }
 
 /// What a leader knows of a held target when it hands over.
@@ -133,6 +136,9 @@
     pub(crate) target: Name,
     /// All runs that may be on the target; `None` if some are unknown.
     pub(crate) runs: Option<Vec<(TaskKey, u32)>>,
+    /// All runs of the known jobs that may be on the target, if others are unknown.
+    #[serde(default)]
+    pub(crate) known_runs: Option<Vec<(TaskKey, u32)>>,
     /// Jobs with ends on the target that are not recorded.
     pub(crate) ended_jobs: Vec<Name>,
     /// Time after which all leases of the target have expired, in milliseconds.
@@ -145,7 +151,7 @@
 impl Holding {
     /// Returns the number of runs that are named.
     pub(crate) fn run_count(&self) -> usize {
-        self.runs.as_ref().map_or(0, Vec::len)
+        [&self.runs, &self.known_runs].into_iter().flatten().map(Vec::len).sum()
     }
 }
 
@@ -154,6 +160,7 @@
         Self {
             target: known.target,
             runs: known.runs,
+            known_runs: known.known_runs,
             ended_jobs: known.ended_jobs,
             // Rounded up, as a wait must not be too short.
             lapse_left_ms: known.lapse_left.as_millis() as u64 + 1,
@@ -167,6 +174,7 @@
         Self {
             target: handed_over.target,
             runs: handed_over.runs,
+            known_runs: handed_over.known_runs,
             ended_jobs: handed_over.ended_jobs,
             lapse_left: Duration::from_millis(handed_over.lapse_left_ms),
             order_age: Duration::from_millis(handed_over.order_age_ms),
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -197,11 +197,13 @@
         let confirmed_at = ctx.evacuations.confirmed_at();
         planner.evacuate(ctx.evacuations.current(), confirmed_at, now);
         let mut processes = recorded.closed.processes();
-        processes.restarted.extend(leadership.restarted.iter().cloned());
-        processes.unconfirmed.extend(leadership.unconfirmed.iter().cloned());
+        let succession = &leadership.succession;
+        processes.restarted.extend(succession.restarted.iter().cloned());
+        processes.unconfirmed.extend(succession.unconfirmed.iter().cloned());
         planner.inherit_processes(processes, now);
+        planner.inherit_known_jobs(succession.known_jobs.iter().cloned());
         planner
-            .inherit_holdings(leadership.holdings.iter().cloned().map(Into::into).collect(), now);
+            .inherit_holdings(succession.holdings.iter().cloned().map(Into::into).collect(), now);
         planner.expect_instances(expected_instances);
         for (id, spec, progress) in recorded.jobs {
             if spec.task_count() > work::MAX_TASKS {
@@ -215,7 +217,7 @@
         // In records of earlier releases, closed targets may have been opened since.
         let is_valid = recorded.closed.is_lasting || recorded.closed.term + 1 == leadership.term;
         let closed = recorded.closed.closed.iter().filter(|_| is_valid);
-        for (target, runs) in leadership.unreachable_targets.iter().chain(closed.clone()) {
+        for (target, runs) in succession.unreachable_targets.iter().chain(closed.clone()) {
             planner.adopt_unreachable(target, runs, now);
         }
         // They get no work before they are recorded as open, so that the record holds
--- a/crates/node/src/placer/speeds.rs
+++ b/crates/node/src/placer/speeds.rs
@@ -64,7 +64,7 @@
     /// which are newer, or else those in the store.
     pub(super) fn inherit_speeds(&mut self, stored: Option<SpeedRecord>, now: Duration) {
         self.speeds.stored = stored.unwrap_or_default();
-        let handed_over = self.leadership.speeds.as_ref();
+        let handed_over = self.leadership.succession.speeds.as_ref();
         let record = handed_over.unwrap_or(&self.speeds.stored);
         if !record.targets.is_empty() || !record.queues.is_empty() {
             emit!(self.ctx.log, info, SpeedsInherited; "targets" => record.targets.len(),
--- a/crates/node/src/placer/succession.rs
+++ b/crates/node/src/placer/succession.rs
@@ -83,9 +83,11 @@
         self.note_last_orders(events);
         let unreachable_targets = self.planner.unreachable_targets(clock::now());
         let processes = self.planner.processes(&HashSet::new(), clock::now());
-        let holdings: Vec<_> =
-            self.planner.holdings(clock::now()).into_iter().map(Into::into).collect();
-        let entries = holdings.len() + holdings.iter().map(Holding::run_count).sum::<usize>();
+        let holdings = self.planner.holdings(clock::now());
+        let known_jobs = self.planner.known_jobs(&holdings);
+        let holdings: Vec<Holding> = holdings.into_iter().map(Into::into).collect();
+        let runs = holdings.iter().map(Holding::run_count).sum::<usize>();
+        let entries = holdings.len() + runs + known_jobs.len();
         send_frame(
             sender,
             LeaderFrame::Succeed(Succession {
@@ -95,6 +97,7 @@
                 unconfirmed: processes.unconfirmed,
                 speeds: Some(self.planner.speeds(clock::now())),
                 holdings,
+                known_jobs,
             }),
         );
         // The frame must be sent before the links are closed.
--- a/crates/node/tests/cell/recovery.rs
+++ b/crates/node/tests/cell/recovery.rs
@@ -110,3 +110,30 @@
     cell.wait_for_state(last, "job", JobState::Complete);
     expect_that!(cell.world.targets.violations(), is_empty());
 }
+
+#[gtest]
+fn job_accepted_after_a_kill_does_not_wait_after_a_handover_for_a_lost_target() {
+    // The leader after the kill handed over before the lost target had listed anything;
+    // its successor held up all jobs for that target.
+    const WORK: Duration = Duration::from_secs(2);
+    let mut cell = Cell::start(3, 3);
+    let lost = Name::from("target-0");
+    let killed = cell.leader();
+    cell.world.targets.set_fault(&lost, Fault::Silent);
+    cell.nodes[killed].kill();
+    let second = cell.leader();
+    let last = (0..3).find(|number| ![killed, second].contains(number));
+    let last = last.expect("there are three nodes");
+    let submit = |id: &str, count: u32, work: &str| {
+        wait_until("an accepted job", || cell.nodes[last].submit(id, work, step(count)).is_ok());
+    };
+    submit("running", 16, "work:2000");
+    wait_until("running tasks", || cell.world.targets.running("running") == 16);
+    let began_at = Instant::now();
+    submit("waiting", 4, "work:100");
+    cell.nodes[second].stop();
+    wait_until_within(WORK + SOON, "a start", || cell.world.targets.starts("waiting") == 4);
+    expect_that!(began_at.elapsed(), lt(WORK + SOON));
+    cell.wait_for_state(last, "waiting", JobState::Complete);
+    expect_that!(cell.world.targets.violations(), is_empty());
+}
--- a/crates/plan/src/adopt.rs
+++ b/crates/plan/src/adopt.rs
@@ -136,6 +136,20 @@
         runs
     }
 
+    /// Returns the runs of known jobs that may exist on a target.
+    pub(crate) fn possible_known_runs(&self, target: &Target) -> Vec<(TaskKey, u32)> {
+        let mut runs: Vec<(TaskKey, u32)> =
+            target.runs.iter().map(|(task, run)| (task.clone(), run.number)).collect();
+        if self.unverified_targets.contains_key(&target.info.id) {
+            let inherited = [&self.inherited_runs, &self.inherited_known_runs];
+            let inherited = inherited.iter().filter_map(|runs| runs.get(&target.info.id));
+            let inherited = inherited.flatten();
+            runs.extend(inherited.filter(|(task, _)| !target.runs.contains_key(task)).cloned());
+        }
+        runs.retain(|(task, _)| self.is_known_job(&task.step.job));
+        runs
+    }
+
     fn closed(&self, target: &Target) -> ClosedTarget {
         (target.info.id.clone(), self.possible_runs(target))
     }
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -103,6 +103,10 @@
     /// All runs of earlier terms that may exist on a target, as far as known from
     /// an earlier placer.
     pub(crate) inherited_runs: HashMap<Name, Vec<(TaskKey, u32)>>,
+    /// All runs of the known jobs that may exist on a target, where others are unknown.
+    pub(crate) inherited_known_runs: HashMap<Name, Vec<(TaskKey, u32)>>,
+    /// Jobs of earlier terms that have no other runs than the handed-over ones.
+    pub(crate) known_jobs: HashSet<Name>,
     /// Jobs with ends on a target that an earlier placer has not recorded.
     pub(crate) inherited_ends: HashMap<Name, Vec<Name>>,
     /// Last orders that may have been sent to targets in earlier terms, as far as
--- a/crates/plan/src/recovery.rs
+++ b/crates/plan/src/recovery.rs
@@ -6,6 +6,8 @@
 //!
 //! - on a target whose possible runs are known from the handover of the
 //!   leadership or from the record of closed targets, unless it is among them;
+//! - beside the handed-over ones, if its job was accepted in the term of the placer that
+//!   has handed over, which started all its runs;
 //! - anywhere, if its step has not begun: a listed run of an earlier term belongs
 //!   to a task that its step depends on, so that no placer has taken that task for
 //!   done and begun the step.
@@ -29,6 +31,10 @@
     target::TargetId,
 };
 
+/// Maximum number of jobs whose runs are all told in a handover. Each takes some 20
+/// bytes of the frame.
+const MAX_KNOWN_JOBS: usize = 2000;
+
 /// What a placer knows of a held target when it hands over the leadership.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Holding {
@@ -36,6 +42,9 @@
     pub target: Name,
     /// All runs that may exist on the target; `None` if some are unknown.
     pub runs: Option<Vec<(TaskKey, u32)>>,
+    /// All runs of the known jobs that may exist on the target, if others are unknown;
+    /// `None` if they are not told.
+    pub known_runs: Option<Vec<(TaskKey, u32)>>,
     /// Jobs with ends of runs on the target that are not recorded.
     pub ended_jobs: Vec<Name>,
     /// Time after which all leases have expired that the target may hold.
@@ -78,11 +87,26 @@
     jobs: HashMap<Name, Duration>,
 }
 
+impl UnknownRuns {
+    /// Adds the runs that may be on a target.
+    fn add_runs<'a>(
+        &mut self,
+        runs: impl IntoIterator<Item = &'a (TaskKey, u32)>,
+        until: Duration,
+    ) {
+        for (task, _) in runs {
+            let tasks = self.tasks.entry(task.step.clone()).or_default();
+            let known = tasks.entry(task.index).or_insert(until);
+            *known = (*known).max(until);
+        }
+    }
+}
+
 impl Planner {
     /// Takes over what the previous placer knew of the held targets. To be called
     /// after the processes are taken over and before any target is.
     pub fn inherit_holdings(&mut self, holdings: Vec<Holding>, now: Duration) {
-        for Holding { target, runs, ended_jobs, lapse_left, order_age } in holdings {
+        for Holding { target, runs, known_runs, ended_jobs, lapse_left, order_age } in holdings {
             let last_order_at = now.saturating_sub(order_age);
             let lapsed_at = now + lapse_left;
             let mut expired_at = lapsed_at;
@@ -94,6 +118,8 @@
             self.last_orders.insert(target.clone(), last_order);
             if let Some(runs) = runs {
                 self.inherited_runs.insert(target.clone(), runs);
+            } else if let Some(runs) = known_runs {
+                self.inherited_known_runs.insert(target.clone(), runs);
             }
             if !ended_jobs.is_empty() {
                 self.inherited_ends.insert(target.clone(), ended_jobs);
@@ -103,6 +129,31 @@
         self.refresh_unknown_runs();
     }
 
+    /// Takes over which jobs have no other runs than the handed-over ones. To be called
+    /// with the holdings of the same placer.
+    pub fn inherit_known_jobs(&mut self, jobs: impl IntoIterator<Item = Name>) {
+        self.known_jobs.extend(jobs);
+    }
+
+    /// Returns the jobs of which all runs are named in these holdings, for the next
+    /// placer. Empty if the holdings name all runs, of whatever job.
+    pub fn known_jobs(&self, holdings: &[Holding]) -> Vec<Name> {
+        let is_told = |holding: &Holding| holding.runs.is_some() || holding.known_runs.is_some();
+        if holdings.iter().all(|holding| holding.runs.is_some()) || !holdings.iter().all(is_told) {
+            return Vec::new();
+        }
+        let open = self.jobs.iter().filter(|(_, job)| !job.state.is_final());
+        let known = open.map(|(id, _)| id).filter(|id| self.is_known_job(id));
+        known.take(MAX_KNOWN_JOBS).cloned().collect()
+    }
+
+    /// Returns whether all runs of a job that may exist are known: it was accepted in
+    /// this term, or in that of a placer which has told all of them.
+    pub(crate) fn is_known_job(&self, id: &Name) -> bool {
+        self.known_jobs.contains(id)
+            || self.jobs.get(id).is_some_and(|job| job.origin == Origin::Own)
+    }
+
     /// Returns what is known of the held targets, for the next placer. To be called
     /// when no further order can be sent. Targets without contact come first in the
     /// limit for the runs in it.
@@ -127,6 +178,13 @@
             };
             let runs = runs.filter(|runs| runs.len() <= left);
             left -= runs.as_ref().map_or(0, Vec::len);
+            let known_runs = match (&runs, target) {
+                (Some(_), _) => None,
+                (None, Some(target)) => Some(self.possible_known_runs(target)),
+                (None, None) => self.inherited_known_runs.get(&name).cloned(),
+            };
+            let known_runs = known_runs.filter(|runs| runs.len() <= left);
+            left -= known_runs.as_ref().map_or(0, Vec::len);
             let unrecorded = target.into_iter().flat_map(|target| &target.unrecorded_ends);
             let inherited = self.inherited_ends.get(&name).into_iter().flatten();
             let inherited = inherited.filter(|_| self.unverified_targets.contains_key(&name));
@@ -144,6 +202,7 @@
             holdings.push(Holding {
                 target: name,
                 runs,
+                known_runs,
                 ended_jobs: ended_jobs.into_iter().collect(),
                 lapse_left: until.saturating_sub(now),
                 order_age: now.saturating_sub(last_order_at),
@@ -168,14 +227,12 @@
                 *known = (*known).max(*until);
             }
             match self.inherited_runs.get(target) {
-                None => unknown.any_until = unknown.any_until.max(Some(*until)),
-                Some(runs) => {
-                    for (task, _) in runs {
-                        let tasks = unknown.tasks.entry(task.step.clone()).or_default();
-                        let known = tasks.entry(task.index).or_insert(*until);
-                        *known = (*known).max(*until);
-                    }
+                None => {
+                    unknown.any_until = unknown.any_until.max(Some(*until));
+                    let known = self.inherited_known_runs.get(target);
+                    unknown.add_runs(known.into_iter().flatten(), *until);
                 }
+                Some(runs) => unknown.add_runs(runs, *until),
             }
         }
         self.unknown_runs = unknown;
@@ -189,19 +246,26 @@
             return None;
         }
         let is_unbegun = self.step_state(&task.step).is_some_and(|state| state.is_unbegun);
-        let UnknownRuns { any_until, tasks, jobs } = &self.unknown_runs;
-        let any_until = (*any_until).max(jobs.get(&task.step.job).copied());
-        let known = tasks.get(&task.step).and_then(|tasks| tasks.get(&task.index)).copied();
-        any_until.filter(|_| !is_unbegun).max(known)
+        let tasks = self.unknown_runs.tasks.get(&task.step);
+        let known = tasks.and_then(|tasks| tasks.get(&task.index)).copied();
+        self.any_unknown_until(&task.step.job).filter(|_| !is_unbegun).max(known)
+    }
+
+    /// Returns until when any task of a job may have a run that is not known; `None` if
+    /// only certain tasks may have one.
+    fn any_unknown_until(&self, job: &Name) -> Option<Duration> {
+        let UnknownRuns { any_until, jobs, .. } = &self.unknown_runs;
+        any_until.filter(|_| !self.known_jobs.contains(job)).max(jobs.get(job).copied())
     }
 
     /// Returns whether the tasks of a step need to be looked at one by one.
     fn has_unknown_runs(&self, key: &StepKey) -> bool {
         let is_inherited =
             self.jobs.get(&key.job).is_some_and(|job| job.origin == Origin::Inherited);
-        let UnknownRuns { any_until, tasks, jobs } = &self.unknown_runs;
-        let is_any = any_until.is_some() || jobs.contains_key(&key.job);
-        is_inherited && !self.is_recovered() && (is_any || tasks.contains_key(key))
+        let is_any = self.any_unknown_until(&key.job).is_some();
+        is_inherited
+            && !self.is_recovered()
+            && (is_any || self.unknown_runs.tasks.contains_key(key))
     }
 
     /// Returns the number of waiting tasks of a step that may have a run that is not
@@ -210,9 +274,7 @@
         let Some(state) = self.step_state(key).filter(|_| self.has_unknown_runs(key)) else {
             return 0;
         };
-        let UnknownRuns { any_until, jobs, .. } = &self.unknown_runs;
-        let is_any = any_until.is_some() || jobs.contains_key(&key.job);
-        if is_any && !state.is_unbegun {
+        if self.any_unknown_until(&key.job).is_some() && !state.is_unbegun {
             return state.waiting.len() as u32;
         }
         let tasks = self.unknown_runs.tasks.get(key);
--- a/crates/plan/tests/decisions/cell.rs
+++ b/crates/plan/tests/decisions/cell.rs
@@ -507,6 +507,7 @@
         let held = self.planner.held_targets(self.now);
         let mut planner = Planner::new(Settings::default(), 2, held, self.now);
         planner.inherit_processes(processes, self.now);
+        planner.inherit_known_jobs(self.planner.known_jobs(&holdings));
         planner.inherit_holdings(holdings, self.now);
         planner.configure(Arc::new(self.config.clone()));
         for (id, spec) in &self.specs {
--- a/crates/plan/tests/decisions/random_faults.rs
+++ b/crates/plan/tests/decisions/random_faults.rs
@@ -35,6 +35,9 @@
 /// Further days, on which a task ran twice once.
 const FAILED_DAYS: [u64; 3] = [271, 1371, 1945];
 
+/// Further days, on which tasks waited for long once: after a kill and a handover.
+const DELAYED_DAYS: [u64; 1] = [494];
+
 /// Returns the days that the environment names.
 fn named_days() -> Option<Range<u64>> {
     let days = env::var("RANDOM_FAULTS").ok()?;
@@ -91,6 +94,13 @@
     }
 }
 
+#[gtest]
+fn no_task_waits_for_long_on_days_on_which_one_did() {
+    for seed in DELAYED_DAYS {
+        play_checked(seed, Orders::Bound);
+    }
+}
+
 #[gtest]
 fn day_of_random_faults_is_deterministic() {
     for seed in DAYS.take(10) {
--- a/crates/plan/tests/decisions/random_faults/leader.rs
+++ b/crates/plan/tests/decisions/random_faults/leader.rs
@@ -77,6 +77,7 @@
     pub unreachable: Vec<ClosedTarget>,
     pub processes: ProcessRecord,
     pub holdings: Vec<Holding>,
+    pub known_jobs: Vec<Name>,
 }
 
 impl Handover {
@@ -157,6 +158,7 @@
         let mut planner = Planner::new(settings, term, held.clone(), now);
         planner.configure(config);
         planner.inherit_processes(processes, now);
+        planner.inherit_known_jobs(handover.known_jobs);
         planner.inherit_holdings(handover.holdings, now);
         for (id, spec) in &store.jobs {
             planner.inherit(id, spec.clone(), store.progress.get(id), now);
@@ -324,7 +326,9 @@
         let unreachable = self.planner.unreachable_targets(now);
         let processes = self.planner.processes(&HashSet::new(), now);
         let holdings = self.planner.holdings(now);
-        self.effects.push(Effect::End(Some(Handover { unreachable, processes, holdings })));
+        let known_jobs = self.planner.known_jobs(&holdings);
+        let handover = Handover { unreachable, processes, holdings, known_jobs };
+        self.effects.push(Effect::End(Some(handover)));
     }
 
     fn record_batches(&mut self, now: Duration) {
--- a/crates/plan/tests/decisions/recovery.rs
+++ b/crates/plan/tests/decisions/recovery.rs
@@ -187,6 +187,62 @@
     expect_that!(starts.iter().any(|start| &*start.task.step.job == "done"), eq(true));
 }
 
+/// Names of the jobs of these starts, in order.
+fn jobs_of(starts: &[Start]) -> Vec<String> {
+    let mut jobs: Vec<String> =
+        starts.iter().map(|start| start.task.step.job.to_string()).collect();
+    jobs.sort();
+    jobs
+}
+
+#[gtest]
+fn job_accepted_after_a_kill_does_not_wait_after_a_handover_for_an_earlier_silent_target() {
+    // The leader after the kill hands over before the last target has listed anything;
+    // its successor held up all jobs for that target (random day 494).
+    let mut cell = Cell::new(3);
+    cell.accept("earlier", vec![step(1)]);
+    let mut next = cell.take_over_without_listings();
+    next.list_nothing("target-1");
+    next.accept("later", vec![step(1)]);
+    for _ in 0..2 {
+        next = hand_over(next);
+        next.advance(SOON);
+    }
+    next.list_nothing_on_others("target-2");
+    expect_that!(jobs_of(&next.decide_starts()), eq(&["later"]));
+    next.advance(LEASE);
+    next.list_nothing_on_others("target-2");
+    expect_that!(jobs_of(&next.decide_starts()), eq(&["earlier"]));
+}
+
+#[gtest]
+fn tasks_of_known_jobs_wait_for_a_silent_target_that_may_have_their_runs() {
+    // The target has further ends, so that not all of its runs are known.
+    let mut cell = Cell::new(3);
+    cell.make_unreachable("target-2");
+    cell.accept("earlier", vec![step(1)]);
+    let mut next = cell.take_over_without_listings();
+    next.accept("running", vec![step(1)]);
+    let running = start_one(&mut next);
+    next.accept("done", vec![step(1)]);
+    let done = start_one(&mut next);
+    let silent = running.target.clone();
+    assert_that!(done.target, eq(&silent));
+    next.end_runs_of_many(std::slice::from_ref(&done));
+    next.accept("waiting", vec![step(1)]);
+    for _ in 0..2 {
+        let unreachable = next.planner.unreachable_targets(next.now);
+        let holdings = next.planner.holdings(next.now);
+        next = next.take_over_with_holdings(&unreachable, holdings);
+        next.advance(SOON);
+    }
+    next.list_nothing_on_others(&silent);
+    expect_that!(jobs_of(&next.decide_starts()), eq(&["waiting"]));
+    next.advance(LEASE);
+    next.list_nothing_on_others(&silent);
+    expect_that!(jobs_of(&next.decide_starts()), eq(&["done", "earlier", "running"]));
+}
+
 #[gtest]
 fn second_handover_within_a_second_delays_no_task_that_has_no_run_on_a_silent_target() {
     let mut cell = Cell::new(3);
