Steps without room cost nothing in cells without backfill

Each step that had found no room for 0.5 s looked at all targets of its pool once more in each round, to find backfill to evict, also where there is none. Found by reading, not measured. The time without room is only noted once a step of backfill was seen. What a step waits for is looked up as before, without a second pass.

No change of decisions: plan's tests pass.

--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -192,8 +192,11 @@
             self.request_step_advice(key, &spec, &slots, wanted, round, now);
             slots.retain(|slot| slot.has_ticket(valid_at));
         }
-        if !step.gang && !round.is_probing && self.is_starved(key, has_room, now) {
-            self.relieve(key, &spec, wanted, round, now);
+        if !step.gang && !round.is_probing {
+            self.note_room(key, has_room, now);
+            if self.is_starved(key, now) {
+                self.relieve(key, &spec, wanted, round, now);
+            }
         }
         self.spare_cold(key, &mut slots, round);
         let preference = self.speed_preference(key, self.last_round_unix_ms);
--- a/crates/plan/src/eviction.rs
+++ b/crates/plan/src/eviction.rs
@@ -38,9 +38,6 @@
         round: &mut Round,
         now: Duration,
     ) {
-        if !self.control.has_backfill {
-            return;
-        }
         let eviction = |id: &TargetId| self.eviction(key, step, *id, round.free(*id));
         let candidates: Vec<Candidate> = usable.iter().filter_map(eviction).collect();
         let candidates = choose_places(candidates, step.size, wanted.min(MAX_TASKS_PER_ROUND));
--- a/crates/plan/src/job.rs
+++ b/crates/plan/src/job.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use work::{JobState, Progress, Spec, StepProgress};
+use work::{JobState, Progress, Spec, Step, StepProgress};
 
 use crate::{rank::Chains, share::Entitlement, step::StepState};
 
@@ -77,6 +77,11 @@
         self.occurrences.insert(number, states.collect());
     }
 
+    /// Returns whether a step may not begin before an end is recorded.
+    pub(crate) fn awaits_record(&self, step: &Step) -> bool {
+        self.awaited_record.is_some() && !step.after.is_empty()
+    }
+
     /// Returns whether all occurrences have begun and all their steps are done.
     pub(crate) fn is_done(&self) -> bool {
         self.next_occurrence == self.spec.occurrences()
--- a/crates/plan/src/recovery.rs
+++ b/crates/plan/src/recovery.rs
@@ -262,10 +262,10 @@
     fn has_unknown_runs(&self, key: &StepKey) -> bool {
         let is_inherited =
             self.jobs.get(&key.job).is_some_and(|job| job.origin == Origin::Inherited);
-        let is_any = self.any_unknown_until(&key.job).is_some();
+        let is_any = || self.any_unknown_until(&key.job).is_some();
         is_inherited
             && !self.is_recovered()
-            && (is_any || self.unknown_runs.tasks.contains_key(key))
+            && (self.unknown_runs.tasks.contains_key(key) || is_any())
     }
 
     /// Returns the number of waiting tasks of a step that may have a run that is not
--- a/crates/plan/src/search.rs
+++ b/crates/plan/src/search.rs
@@ -158,9 +158,11 @@
             self.unqueue_step(key);
             return None;
         }
-        let waiting = self.startable_count(key);
+        let held_back = self.held_back_tasks(key);
+        let waiting = (state.waiting.len() as u32).saturating_sub(held_back);
         // A gang starts as a whole.
-        if waiting == 0 || step.gang && waiting < state.waiting.len() as u32 {
+        let is_held_back = waiting == 0 || step.gang && held_back > 0;
+        if is_held_back || job.awaits_record(step) {
             return None;
         }
         if step.gang && state.has_runs() {
@@ -185,7 +187,7 @@
         let is_full =
             needs_only_room(step, policy) && round.full_shapes.covers(&policy.service, step);
         if is_full {
-            self.is_starved(key, false, now);
+            self.note_room(key, false, now);
             return None;
         }
         Some(wanted)
@@ -197,18 +199,13 @@
         let Some(state) = self.step_state(key) else {
             return 0;
         };
-        if self.awaits_record(key) {
+        let is_awaited = self.jobs.get(&key.job).is_none_or(|job| {
+            let step = &job.spec.steps[usize::from(key.step)];
+            job.awaits_record(step)
+        });
+        if is_awaited {
             return 0;
         }
         (state.waiting.len() as u32).saturating_sub(self.held_back_tasks(key))
     }
-
-    /// Returns whether a step waits for the record of an end that may have been learnt
-    /// of before.
-    fn awaits_record(&self, key: &StepKey) -> bool {
-        self.jobs.get(&key.job).is_some_and(|job| {
-            let step = &job.spec.steps[usize::from(key.step)];
-            job.awaited_record.is_some() && !step.after.is_empty()
-        })
-    }
 }
--- a/crates/plan/src/starved.rs
+++ b/crates/plan/src/starved.rs
@@ -12,18 +12,22 @@
 use crate::{planner::Planner, round::Round, target::TargetId};
 
 impl Planner {
-    /// Notes whether a step has found room. Returns whether it has found none for long
-    /// enough that something has to be done about it.
-    pub(crate) fn is_starved(&mut self, key: &StepKey, has_room: bool, now: Duration) -> bool {
-        let delay = self.settings.eviction_delay;
-        let Some(state) = self.step_state_mut(key) else {
-            return false;
-        };
-        if has_room {
-            state.no_room_since = None;
-            return false;
+    /// Notes whether a step has found room. Without backfill, nothing is done for steps
+    /// that have found none.
+    pub(crate) fn note_room(&mut self, key: &StepKey, has_room: bool, now: Duration) {
+        if self.control.has_backfill
+            && let Some(state) = self.step_state_mut(key)
+        {
+            let since = state.no_room_since.unwrap_or(now);
+            state.no_room_since = (!has_room).then_some(since);
         }
-        now.saturating_sub(*state.no_room_since.get_or_insert(now)) >= delay
+    }
+
+    /// Returns whether a step has found no room for long enough that something has to be
+    /// done about it.
+    pub(crate) fn is_starved(&self, key: &StepKey, now: Duration) -> bool {
+        let since = self.step_state(key).and_then(|state| state.no_room_since);
+        since.is_some_and(|since| now.saturating_sub(since) >= self.settings.eviction_delay)
     }
 
     /// Makes room for up to `wanted` tasks of a step that has found none for some time,
