Room kept for a step is not used beyond its limit on a target

Seen in a test, by reading before: a start of the step that is carried out late on a target with room kept for the step counted for nothing, and the next task was started beside it, beyond the limit of its tasks on one target (ROUTE, antiAffinity). Cause: the limit is looked at when backfill is evicted, and not again when its room is free. The test fails without the check. Only cells with backfill get there.

--- a/crates/plan/src/preempt.rs
+++ b/crates/plan/src/preempt.rs
@@ -369,7 +369,9 @@
         let mut held = Vec::new();
         for (id, tasks) in reservation.places {
             let allowed = self.allowed_tasks(&spec.team, step.size, round);
+            let there = self.step_state(key).map_or(0, |state| state.count_on(id));
             let can_start = (step.size * tasks).fits(&round.free(id))
+                && step.max_per_target.is_none_or(|max| there + tasks <= max)
                 && self.may_share(id, step)
                 && tasks <= allowed.min(self.startable_count(key))
                 && self.has_tickets(key, &[(id, tasks)], advice, now);
--- a/crates/plan/tests/decisions/eviction.rs
+++ b/crates/plan/tests/decisions/eviction.rs
@@ -5,7 +5,7 @@
 use base::{Name, Resources};
 use googletest::prelude::*;
 use plan::{AdviceRequest, Interference, Settings, Start, StartAnswer, Stop, StopCause};
-use work::{Advice, End, Step};
+use work::{Advice, End, Step, StepKey, TaskKey};
 
 use crate::cell::{Cell, small_step};
 
@@ -271,3 +271,20 @@
     expect_that!(cell.decide_starts(), is_empty());
     expect_that!(cell.take_advice_requests().len(), eq(1));
 }
+
+#[gtest]
+fn late_start_of_the_step_keeps_other_tasks_off_the_reserved_target() {
+    // It counts for the limit of tasks on one target.
+    let (mut cell, runs) = full_cell(1, backfill(2));
+    let max_per_target = Some(1);
+    cell.accept("web", vec![Step { count: 2, max_per_target, ..service() }]);
+    let stops = evicted(&mut cell, &runs);
+    assert_that!(stops.len(), eq(1));
+    // An order that was taken for refused is carried out after all.
+    let step = StepKey { job: Name::from("web"), ..runs[0].task.step.clone() };
+    let late = Start { task: TaskKey { step, index: 1 }, ..runs[0].clone() };
+    let listed: Vec<Start> = runs.iter().cloned().chain([late]).collect();
+    cell.list_progress(&listed, |_| 100);
+    end_stopped(&mut cell, &runs, &stops[0]);
+    expect_that!(cell.decide_starts(), is_empty());
+}
