Backfill that may not share targets is not evicted

Services ran there as with the setting on, so that the test's claim about them no longer held, but the setting is to turn sharing off, not to give backfill less than before.

With the setting off everything is as before eviction now, also that a service may have no run (docs/OPERATIONS.md); the test is as it was, and passes. The code for targets that have to be cleared goes. Nothing changes with the setting on.

--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -364,7 +364,8 @@
         if !suits {
             return None;
         }
-        let shares = Sharing::of(step) == Sharing::Any || self.may_share(id, step);
+        let is_mixed = Sharing::of(step) != Sharing::Any && !target().can_share_with(step);
+        let shares = !is_mixed || self.settings.interference.is_enabled;
         let has_room = step.size.fits(&free) && shares;
         let mut tasks = if has_room { free.max_count(&step.size) } else { 0 };
         let mut tasks_when_empty = if step.gang { capacity.max_count(&step.size) } else { 0 };
--- a/crates/plan/src/eviction.rs
+++ b/crates/plan/src/eviction.rs
@@ -5,7 +5,9 @@
 //! that runs until its job is cancelled never ends. A step that has found no room
 //! for some time therefore evicts backfill where that frees room for its tasks with
 //! the fewest runs lost. The room is reserved for the step, so that the evicted
-//! tasks don't take it back. Gangs do the same as part of preemption.
+//! tasks don't take it back. Gangs do the same as part of preemption. If backfill and
+//! tasks with a latency goal may not share targets, backfill counts like other work
+//! and is not evicted.
 
 use std::time::Duration;
 
@@ -48,10 +50,7 @@
             if !candidate.preempted.iter().all(|victim| self.may_interrupt(&victim.task)) {
                 continue;
             }
-            round.allocate(
-                candidate.target,
-                self.held_room(candidate.target, step, candidate.members),
-            );
+            round.allocate(candidate.target, step.size * candidate.members);
             for victim in candidate.preempted {
                 self.preempt_run(candidate.target, &victim, key, now);
             }
@@ -97,23 +96,7 @@
         }
         victims.sort_by_key(|victim| victim.size.memory_mib);
         let is_far = step.data_rack.as_ref().is_some_and(|rack| *rack != target.info.rack);
-        if self.may_share(id, step) {
-            return Some(Candidate::new(id, is_far, free, victims, max_more));
-        }
-        let is_backfill = |run: &&Run| run.sharing == Sharing::Backfill;
-        let is_cleared = victims.len() == target.runs.values().filter(is_backfill).count();
-        is_cleared.then(|| Candidate::cleared(id, is_far, free, victims, max_more))
-    }
-
-    /// Returns the resources to hold for tasks of a step on a target: all of them while
-    /// runs have to leave that may not run beside the tasks, so that no others follow.
-    pub(crate) fn held_room(&self, id: TargetId, step: &Step, tasks: u32) -> Resources {
-        if self.may_share(id, step) { step.size * tasks } else { Resources::MAX }
-    }
-
-    /// Returns whether tasks of a step may run beside the runs on a target.
-    pub(crate) fn may_share(&self, id: TargetId, step: &Step) -> bool {
-        self.settings.interference.is_enabled || self.targets[id.0 as usize].can_share_with(step)
+        Some(Candidate::new(id, is_far, free, victims, max_more))
     }
 
     /// Returns whether a run is backfill that may be evicted.
@@ -133,7 +116,7 @@
 
     /// Returns the resources that other tasks gain by the end of a run.
     pub(crate) fn preempted_size(&self, run: &Run) -> Resources {
-        if run.sharing == Sharing::Backfill && self.settings.interference.is_enabled {
+        if run.sharing == Sharing::Backfill {
             // Its processor time is free for them already.
             return Resources { cpu_milli: 0, ..run.size };
         }
--- a/crates/plan/src/preempt.rs
+++ b/crates/plan/src/preempt.rs
@@ -103,20 +103,6 @@
         Self { target, is_far, free, victims, max_more, members: 0, preempted: Vec::new() }
     }
 
-    /// Returns a target from which all victims are preempted, however many members are
-    /// placed.
-    pub(crate) fn cleared(
-        target: TargetId,
-        is_far: bool,
-        free: Resources,
-        victims: Vec<Victim>,
-        max_more: u32,
-    ) -> Self {
-        let free = victims.iter().fold(free, |free, victim| free + victim.size);
-        let preempted = victims;
-        Self { preempted, ..Self::new(target, is_far, free, Vec::new(), max_more) }
-    }
-
     /// Returns the cost of placing one more member, and the positions of the
     /// victims to preempt; `None` if there is no room to make.
     fn next_member(&self, size: Resources) -> Option<(Cost, Vec<usize>)> {
@@ -186,7 +172,7 @@
         if can_preempt {
             return Some(self.priority(key));
         }
-        self.control.has_backfill.then_some(u32::MAX)
+        self.evicts_backfill().then_some(u32::MAX)
     }
 
     /// Reserves room for a gang that cannot start yet, if its targets have
@@ -372,10 +358,9 @@
             let there = self.step_state(key).map_or(0, |state| state.count_on(id));
             let can_start = (step.size * tasks).fits(&round.free(id))
                 && step.max_per_target.is_none_or(|max| there + tasks <= max)
-                && self.may_share(id, step)
                 && tasks <= allowed.min(self.startable_count(key))
                 && self.has_tickets(key, &[(id, tasks)], advice, now);
-            round.allocate(id, self.held_room(id, step, tasks));
+            round.allocate(id, step.size * tasks);
             if !can_start {
                 held.push((id, tasks));
                 continue;
@@ -476,7 +461,9 @@
         if run.sharing == Sharing::Backfill {
             // The members of a gang are placed at once, so that runs of steps with a
             // limit can't be counted one by one.
-            return self.can_evict(task, run) && self.max_unavailable(&task.step).is_none();
+            return self.evicts_backfill()
+                && self.can_evict(task, run)
+                && self.max_unavailable(&task.step).is_none();
         }
         if run.phase != Phase::Running || run.sharing != Sharing::Any {
             return false;
--- a/crates/plan/src/starved.rs
+++ b/crates/plan/src/starved.rs
@@ -12,10 +12,15 @@
 use crate::{planner::Planner, round::Round, target::TargetId};
 
 impl Planner {
-    /// Notes whether a step has found room. Without backfill, nothing is done for steps
-    /// that have found none.
+    /// Returns whether the cell has backfill that yields to other tasks.
+    pub(crate) fn evicts_backfill(&self) -> bool {
+        self.control.has_backfill && self.settings.interference.is_enabled
+    }
+
+    /// Notes whether a step has found room. Without backfill that yields, nothing is done
+    /// for steps that have found none.
     pub(crate) fn note_room(&mut self, key: &StepKey, has_room: bool, now: Duration) {
-        if self.control.has_backfill
+        if self.evicts_backfill()
             && let Some(state) = self.step_state_mut(key)
         {
             let since = state.no_room_since.unwrap_or(now);
@@ -53,9 +58,6 @@
         if !step.is_backfill {
             return self.evict_backfill(key, step, &usable, wanted, round, now);
         }
-        if !self.settings.interference.is_enabled {
-            return;
-        }
         for target in self.targets_with_memory(key, step, usable, wanted, round) {
             round.allocate_task(target, step, true);
             self.start_next_task(key, spec, target, now);
