--- /dev/null
+++ b/review/harness-3/src/main.rs
@@ -0,0 +1,28 @@
+//! Runs one case: `case NAME RECORD`. Exit 1 if the rule was broken, 0 if it held, 2 if the case
+//! could not run. With TROUBLE=0 there is no disruption.
+
+mod cell;
+mod crashes;
+mod http;
+mod record;
+mod runner;
+mod store;
+
+use std::{process::ExitCode, sync::Arc};
+
+use record::Record;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().collect();
+    let [_, name, path] = args.as_slice() else {
+        cell::give_up("usage: case NAME RECORD");
+    };
+    let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let record = Arc::new(Record::new(path, true));
+    let is_broken = match name.as_str() {
+        "crashes" => crashes::run(&record, has_trouble),
+        _ => cell::give_up("there is no such case"),
+    };
+    record.note(if is_broken { "BROKEN" } else { "held" });
+    ExitCode::from(u8::from(is_broken))
+}
--- /dev/null
+++ b/review/harness-3/src/runner.rs
@@ -0,0 +1,289 @@
+//! A runner, as PROTOCOL.md describes it, that can crash and start again under its id.
+
+use std::{
+    collections::BTreeMap,
+    net::TcpListener,
+    sync::{Arc, Condvar, Mutex, MutexGuard},
+    thread,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use serde_json::{Value, json};
+
+use crate::{
+    http::{Request, Server},
+    record::Record,
+    store::Store,
+};
+
+/// Longest lease, `holdMaxMs`.
+pub const HOLD_MAX_MS: u64 = 6000;
+/// Interval between entries in the store, `heartbeatMs`.
+const BEAT: Duration = Duration::from_millis(1500);
+/// Ends that one answer holds.
+const MAX_ENDS: usize = 500;
+
+#[derive(Clone)]
+struct Run {
+    number: u64,
+    began: Instant,
+    length: Duration,
+}
+
+struct State {
+    born: u64,
+    began: Instant,
+    fence: u64,
+    deadline_ms: u64,
+    running: BTreeMap<String, Run>,
+    /// Number, task, run, how.
+    ends: Vec<(u64, String, u64, &'static str)>,
+    last_end: u64,
+    /// Highest run that was stopped or has ended, by task.
+    highest: BTreeMap<String, u64>,
+    is_up: bool,
+}
+
+pub struct Runner {
+    pub id: String,
+    state: Mutex<State>,
+    changed: Condvar,
+    server: Mutex<Option<Server>>,
+    record: Arc<Record>,
+    /// Work of each task, from its job's `spec`.
+    pub capacity: (u32, u32),
+}
+
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64)
+}
+
+impl State {
+    fn new() -> Self {
+        Self {
+            born: unix_ms(),
+            began: Instant::now(),
+            fence: 0,
+            deadline_ms: 0,
+            running: BTreeMap::new(),
+            ends: Vec::new(),
+            last_end: 0,
+            highest: BTreeMap::new(),
+            is_up: true,
+        }
+    }
+
+    fn clock_ms(&self) -> u64 {
+        self.began.elapsed().as_millis() as u64
+    }
+
+    fn end(&mut self, task: &str, how: &'static str, record: &Record, id: &str) {
+        if let Some(run) = self.running.remove(task) {
+            self.last_end += 1;
+            self.ends.push((self.last_end, task.to_owned(), run.number, how));
+            let highest = self.highest.entry(task.to_owned()).or_default();
+            *highest = (*highest).max(run.number);
+            record.end(id, task, run.number, how);
+        }
+    }
+}
+
+impl Runner {
+    pub fn start(
+        number: usize,
+        listener: TcpListener,
+        capacity: (u32, u32),
+        store: &Arc<Store>,
+        record: &Arc<Record>,
+    ) -> Arc<Self> {
+        let runner = Arc::new(Self {
+            id: format!("runner-{number:02}"),
+            state: Mutex::new(State::new()),
+            changed: Condvar::new(),
+            server: Mutex::new(None),
+            record: Arc::clone(record),
+            capacity,
+        });
+        let served = Arc::clone(&runner);
+        let server = Server::start(listener, Arc::new(move |request| served.answer(&request)));
+        let address = server.address.clone();
+        *runner.server.lock().unwrap() = Some(server);
+        let ticking = Arc::clone(&runner);
+        thread::spawn(move || {
+            loop {
+                thread::sleep(Duration::from_millis(10));
+                ticking.tick();
+            }
+        });
+        let (listed, store) = (Arc::clone(&runner), Arc::clone(store));
+        thread::spawn(move || {
+            let mut seq = 0;
+            let mut missed = 0;
+            loop {
+                let (is_up, born) = {
+                    let state = listed.state.lock().unwrap();
+                    (state.is_up, state.born)
+                };
+                if is_up {
+                    missed = 0;
+                    seq += 1;
+                    let (cpu, memory) = listed.capacity;
+                    let rack = format!("r1-{}", number / 8);
+                    store.put(
+                        &format!("servers/{}", listed.id),
+                        &json!({
+                            "service": "pool", "addr": address, "zone": "zone-a", "version": "1",
+                            "slots": 8, "state": "ready", "coldLeftMs": 0, "seq": seq,
+                            "born": born, "labels": ["a", rack],
+                            "capacity": {"cpu": cpu, "memMb": memory, "gpu": 0},
+                        }),
+                    );
+                } else {
+                    missed += 1;
+                    if missed == 3 {
+                        store.delete(&format!("servers/{}", listed.id));
+                    }
+                }
+                // A runner that has started again writes its entry at once.
+                let end = Instant::now() + BEAT;
+                while Instant::now() < end {
+                    thread::sleep(Duration::from_millis(20));
+                    let state = listed.state.lock().unwrap();
+                    if state.is_up && state.born != born {
+                        break;
+                    }
+                }
+            }
+        });
+        runner
+    }
+
+    /// Kills the process: what runs here is gone, and calls get no answer.
+    pub fn crash(&self) {
+        let mut state = self.state.lock().unwrap();
+        let lost: Vec<String> = state.running.keys().cloned().collect();
+        self.record.note(&format!("{} crashes with {} tasks: {}", self.id, lost.len(), lost.join(" ")));
+        for (task, run) in std::mem::take(&mut state.running) {
+            self.record.lost(&self.id, &task, run.number);
+        }
+        state.is_up = false;
+        drop(state);
+        self.server.lock().unwrap().as_ref().expect("the runner serves").down();
+    }
+
+    /// Starts the process again, which knows nothing of before.
+    pub fn restart(&self) {
+        *self.state.lock().unwrap() = State::new();
+        self.server.lock().unwrap().as_ref().expect("the runner serves").up();
+        self.record.note(&format!("{} has started again", self.id));
+    }
+
+    /// Returns the names of the tasks that run here.
+    pub fn running(&self) -> Vec<String> {
+        self.state.lock().unwrap().running.keys().cloned().collect()
+    }
+
+    fn tick(&self) {
+        let mut state = self.state.lock().unwrap();
+        if !state.is_up {
+            return;
+        }
+        let is_over = state.clock_ms() >= state.deadline_ms;
+        let ended = state.running.iter().filter(|(_, run)| is_over || run.began.elapsed() >= run.length);
+        let ended: Vec<String> = ended.map(|(task, _)| task.clone()).collect();
+        for task in &ended {
+            state.end(task, if is_over { "lapsed" } else { "done" }, &self.record, &self.id);
+        }
+        if !ended.is_empty() {
+            self.changed.notify_all();
+        }
+    }
+
+    fn grant(state: &mut State, body: &Value) {
+        if let Some(until) = body["deadlineMs"].as_u64() {
+            let longest = state.clock_ms() + HOLD_MAX_MS;
+            state.deadline_ms = state.deadline_ms.max(until.min(longest));
+        }
+    }
+
+    fn answer(&self, request: &Request) -> Option<(u16, Value)> {
+        let body = &request.body;
+        let mut state = self.state.lock().unwrap();
+        if !state.is_up {
+            return None;
+        }
+        let clock = state.clock_ms();
+        if !request.instance.is_empty() && request.instance != self.id {
+            return Some((421, json!({"clockMs": clock})));
+        }
+        let fence = body["fencingToken"].as_u64().unwrap_or(0);
+        let refused = |reason: &str| Some((409, json!({"clockMs": clock, "reason": reason})));
+        if fence < state.fence {
+            return refused("fence");
+        }
+        state.fence = fence;
+        let task = body["task"].as_str().unwrap_or_default().to_owned();
+        let number = body["runId"].as_u64().unwrap_or(0);
+        match request.path.as_str() {
+            "/api/run-start" => {
+                if state.running.get(&task).is_some_and(|run| run.number == number) {
+                    return Some((200, json!({"clockMs": clock})));
+                }
+                let highest = state.highest.get(&task).copied().unwrap_or(0);
+                let known = state.running.get(&task).map_or(0, |run| run.number);
+                if body["deadlineMs"].as_u64().unwrap_or(0) <= clock {
+                    return refused("late");
+                }
+                Self::grant(&mut state, body);
+                if number <= highest.max(known) {
+                    return refused("old");
+                }
+                let spec = body["spec"].as_str().unwrap_or_default();
+                // The spec of a job says how long its tasks work, in milliseconds.
+                let length = Duration::from_millis(spec.parse().unwrap_or(1000));
+                state.running.insert(task.clone(), Run { number, began: Instant::now(), length });
+                self.record.begin(&self.id, &task, number);
+                Some((200, json!({"clockMs": clock})))
+            }
+            "/api/run-stop" => {
+                let highest = state.highest.entry(task.clone()).or_default();
+                *highest = (*highest).max(number);
+                if state.running.get(&task).is_some_and(|run| run.number <= number) {
+                    state.end(&task, "stopped", &self.record, &self.id);
+                    self.changed.notify_all();
+                }
+                Some((200, json!({"clockMs": clock})))
+            }
+            "/api/hold" => {
+                Self::grant(&mut state, body);
+                let seen = body["lastSeen"].as_u64().unwrap_or(0);
+                state.ends.retain(|(end, ..)| *end > seen);
+                let born = state.born;
+                let end = Instant::now()
+                    + Duration::from_millis(body["waitMs"].as_u64().unwrap_or(0).min(2000));
+                while state.ends.is_empty() && state.is_up && state.born == born {
+                    let left = end.saturating_duration_since(Instant::now());
+                    if left.is_zero() {
+                        break;
+                    }
+                    state = self.changed.wait_timeout(state, left.min(Duration::from_millis(50))).unwrap().0;
+                }
+                (state.is_up && state.born == born).then(|| (200, Self::lists(&state)))
+            }
+            _ => Some((404, json!({}))),
+        }
+    }
+
+    fn lists(state: &MutexGuard<'_, State>) -> Value {
+        let percent = |run: &Run| {
+            (run.began.elapsed().as_millis() * 100 / run.length.as_millis().max(1)).min(100) as u64
+        };
+        let running = state.running.iter();
+        let running: Vec<Value> =
+            running.map(|(task, run)| json!([task, run.number, "", percent(run), 0])).collect();
+        let ends = state.ends.iter().take(MAX_ENDS);
+        let ends: Vec<Value> =
+            ends.map(|(end, task, run, how)| json!([end, task, run, how, ""])).collect();
+        json!({"clockMs": state.clock_ms(), "born": state.born, "running": running, "finished": ends})
+    }
+}
