--- a/review/harness-3/src/cell.rs
+++ b/review/harness-3/src/cell.rs
@@ -3,7 +3,7 @@
 use std::{
     fs,
     net::TcpListener,
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::Arc,
     thread,
@@ -24,11 +24,34 @@
 pub const HOST: &str = "pool.example";
 pub const PREFIX: &str = "/batch/";
 pub const KEY: &str = "key-1";
+/// Number of the log event that a node has taken the lead (docs/EVENTS.md).
+const LEAD_ACQUIRED: u64 = 500;
 
 struct Node {
     process: Child,
     clients: String,
     readiness: String,
+    settings: PathBuf,
+    log: PathBuf,
+}
+
+impl Node {
+    fn start(clients: String, readiness: String, settings: PathBuf, log: PathBuf) -> Self {
+        let process = spawn(&settings, &log);
+        Self { process, clients, readiness, settings, log }
+    }
+}
+
+/// Starts the program of the deploy file. The limit on descriptors holds for each process.
+fn spawn(settings: &Path, log: &Path) -> Child {
+    let log = fs::OpenOptions::new().create(true).append(true).open(log);
+    Command::new("sh")
+        .args(["-c", &format!("ulimit -n 4100 && exec {PROGRAM}")])
+        .env("SKYLARKSPAN_CONFIG", settings)
+        .stdout(log.map_or(Stdio::null(), Stdio::from))
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap_or_else(|error| give_up(&format!("{PROGRAM}: {error}")))
 }
 
 pub struct Cell {
@@ -52,7 +75,7 @@
 
 impl Cell {
     /// Starts the store, the runners and the nodes, and waits until all nodes are ready.
-    pub fn start(record: Arc<Record>, nodes: usize, runners: usize, capacity: (u32, u32)) -> Self {
+    pub fn start(record: Arc<Record>, nodes: usize, runners: usize, capacity: (u32, u32), max_cpu: u32) -> Self {
         // All ports of the run are held while they are picked. Those of the nodes are released
         // together, just before the nodes start; connections leave from other addresses.
         let (store_port, runner_ports) = (listen(), (0..runners).map(|_| listen()).collect::<Vec<_>>());
@@ -77,7 +100,7 @@
                 "limits": {"maxBodyBytes": 262_144},
                 "tenants": [{
                     "name": "team", "apiKeys": [KEY], "weight": 100,
-                    "maxCount": {"cpu": 0, "memMb": 0, "gpu": 0},
+                    "maxCount": {"cpu": max_cpu, "memMb": 0, "gpu": 0},
                 }],
             }),
         );
@@ -99,17 +122,9 @@
                     "hold_max_ms": HOLD_MAX_MS, "status_s": 120, "evacuate_ms": ""},
             });
             let path = folder.join(format!("node-{number}.jsonc"));
-            let log = fs::File::create(folder.join(format!("node-{number}.log")));
             fs::write(&path, settings.to_string()).unwrap_or_else(|error| give_up(&error.to_string()));
-            // The limit on descriptors holds for each process.
-            let process = Command::new("sh")
-                .args(["-c", &format!("ulimit -n 4100 && exec {PROGRAM}")])
-                .env("SKYLARKSPAN_CONFIG", &path)
-                .stdout(log.map_or(Stdio::null(), Stdio::from))
-                .stderr(Stdio::null())
-                .spawn()
-                .unwrap_or_else(|error| give_up(&format!("{PROGRAM}: {error}")));
-            Node { process, clients: ports[0].clone(), readiness: ports[1].clone() }
+            let log = folder.join(format!("node-{number}.log"));
+            Node::start(ports[0].clone(), ports[1].clone(), path, log)
         });
         let nodes = nodes.collect();
         let mut cell = Self { store, runners, record, nodes, folder, _servers: vec![server] };
@@ -164,6 +179,32 @@
         Some((status, body["state"].as_str().unwrap_or_default().to_owned()))
     }
 
+    /// Returns the node that has last taken the lead, by its log.
+    pub fn leader(&self) -> Option<usize> {
+        let last = |node: &Node| {
+            let text = fs::read_to_string(&node.log).unwrap_or_default();
+            let lines = text.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+            let taken = lines.filter(|line| line["event"] == LEAD_ACQUIRED);
+            taken.filter_map(|line| line["term"].as_u64()).max()
+        };
+        let terms = self.nodes.iter().enumerate().filter_map(|(n, node)| Some((last(node)?, n)));
+        terms.max().map(|(_, node)| node)
+    }
+
+    /// Kills a node with SIGKILL.
+    pub fn kill(&mut self, node: usize) {
+        let _ = self.nodes[node].process.kill();
+        let _ = self.nodes[node].process.wait();
+        self.record.note(&format!("node {node} is killed"));
+    }
+
+    /// Starts a node again that was killed.
+    pub fn restart(&mut self, node: usize) {
+        let Node { settings, log, .. } = &self.nodes[node];
+        self.nodes[node].process = spawn(settings, log);
+        self.record.note(&format!("node {node} has started again"));
+    }
+
     /// Sends a signal to a node.
     pub fn signal(&self, node: usize, signal: &str) {
         let pid = self.nodes[node].process.id().to_string();
--- a/review/harness-3/src/crashes.rs
+++ b/review/harness-3/src/crashes.rs
@@ -21,7 +21,7 @@
 const JOB: &str = "5c0e7a21d94b36f8";
 
 pub fn run(record: &Arc<Record>, has_trouble: bool) -> bool {
-    let mut cell = Cell::start(Arc::clone(record), 3, RUNNERS, (CORES, 65_536));
+    let mut cell = Cell::start(Arc::clone(record), 3, RUNNERS, (CORES, 65_536), 0);
     thread::sleep(Duration::from_secs(4));
     let body = json!({
         "spec": WORK_MS.to_string(),
--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -4,6 +4,7 @@
 mod cell;
 mod crashes;
 mod http;
+mod quota;
 mod record;
 mod runner;
 mod store;
@@ -21,6 +22,7 @@
     let record = Arc::new(Record::new(path, true));
     let is_broken = match name.as_str() {
         "crashes" => crashes::run(&record, has_trouble),
+        "quota" => quota::run(&record, has_trouble),
         _ => cell::give_up("there is no such case"),
     };
     record.note(if is_broken { "BROKEN" } else { "held" });
--- a/review/harness-3/src/runner.rs
+++ b/review/harness-3/src/runner.rs
@@ -42,6 +42,8 @@
     /// Highest run that was stopped or has ended, by task.
     highest: BTreeMap<String, u64>,
     is_up: bool,
+    /// Whether the runner is partitioned from all nodes.
+    is_cut: bool,
 }
 
 pub struct Runner {
@@ -70,6 +72,7 @@
             last_end: 0,
             highest: BTreeMap::new(),
             is_up: true,
+            is_cut: false,
         }
     }
 
@@ -183,6 +186,24 @@
         self.state.lock().unwrap().running.keys().cloned().collect()
     }
 
+    /// Partitions the runner from all nodes, silently, or heals that.
+    pub fn set_cut(&self, is_cut: bool) {
+        self.state.lock().unwrap().is_cut = is_cut;
+        self.changed.notify_all();
+        self.record.note(&format!("{} is cut off: {is_cut}", self.id));
+    }
+
+    /// Returns `None` if the process is down, or the request came during a cut, which it
+    /// does not outlast.
+    fn wait_while_cut(&self) -> Option<MutexGuard<'_, State>> {
+        let mut state = self.state.lock().unwrap();
+        let was_cut = state.is_cut;
+        while state.is_cut {
+            state = self.changed.wait(state).unwrap();
+        }
+        (state.is_up && !was_cut).then_some(state)
+    }
+
     fn tick(&self) {
         let mut state = self.state.lock().unwrap();
         if !state.is_up {
@@ -208,10 +229,7 @@
 
     fn answer(&self, request: &Request) -> Option<(u16, Value)> {
         let body = &request.body;
-        let mut state = self.state.lock().unwrap();
-        if !state.is_up {
-            return None;
-        }
+        let mut state = self.wait_while_cut()?;
         let clock = state.clock_ms();
         if !request.instance.is_empty() && request.instance != self.id {
             return Some((421, json!({"clockMs": clock})));
@@ -261,13 +279,20 @@
                 let born = state.born;
                 let end = Instant::now()
                     + Duration::from_millis(body["waitMs"].as_u64().unwrap_or(0).min(2000));
-                while state.ends.is_empty() && state.is_up && state.born == born {
+                while state.ends.is_empty() && state.is_up && state.born == born && !state.is_cut {
                     let left = end.saturating_duration_since(Instant::now());
                     if left.is_zero() {
                         break;
                     }
                     state = self.changed.wait_timeout(state, left.min(Duration::from_millis(50))).unwrap().0;
                 }
+                while state.is_cut {
+                    // The answer is lost.
+                    state = self.changed.wait(state).unwrap();
+                    if !state.is_cut {
+                        return None;
+                    }
+                }
                 (state.is_up && state.born == born).then(|| (200, Self::lists(&state)))
             }
             _ => Some((404, json!({}))),
