--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -8,6 +8,7 @@
 mod record;
 mod runner;
 mod store;
+mod surge;
 
 use std::{process::ExitCode, sync::Arc};
 
@@ -22,6 +23,7 @@
     let record = Arc::new(Record::new(path, true));
     let is_broken = match name.as_str() {
         "crashes" => crashes::run(&record, has_trouble),
+        "surge" => surge::run(&record, has_trouble),
         "quota" => quota::run(&record, has_trouble),
         _ => cell::give_up("there is no such case"),
     };
--- a/review/harness-3/src/record.rs
+++ b/review/harness-3/src/record.rs
@@ -22,6 +22,8 @@
     began: Instant,
     file: Mutex<File>,
     tasks: Mutex<BTreeMap<String, Seen>>,
+    /// Begins and ends of runs: time, task, and how it ended or `starts`.
+    events: Mutex<Vec<(f64, String, String)>>,
     /// Whether each begin and end of a run is written.
     pub is_full: bool,
 }
@@ -29,7 +31,7 @@
 impl Record {
     pub fn new(path: &str, is_full: bool) -> Self {
         let file = Mutex::new(File::create(path).expect("the record can be written"));
-        Self { began: Instant::now(), file, tasks: Mutex::default(), is_full }
+        Self { began: Instant::now(), file, tasks: Mutex::default(), events: Mutex::default(), is_full }
     }
 
     pub fn elapsed_s(&self) -> f64 {
@@ -44,14 +46,27 @@
         change(self.tasks.lock().unwrap().entry(task.to_owned()).or_default());
     }
 
+    fn event(&self, task: &str, how: &str) {
+        let at = self.elapsed_s();
+        self.events.lock().unwrap().push((at, task.to_owned(), how.to_owned()));
+    }
+
+    /// Returns the begins and ends of the runs of a job.
+    pub fn events(&self, job: &str) -> Vec<(f64, String, String)> {
+        let events = self.events.lock().unwrap();
+        events.iter().filter(|(_, task, _)| task.starts_with(job)).cloned().collect()
+    }
+
     pub fn begin(&self, runner: &str, task: &str, run: u64) {
         self.change(task, |seen| seen.starts += 1);
+        self.event(task, "starts");
         if self.is_full {
             self.note(&format!("{runner} starts {task} run {run}"));
         }
     }
 
     pub fn end(&self, runner: &str, task: &str, run: u64, how: &str) {
+        self.event(task, how);
         self.change(task, |seen| match how {
             "done" => seen.done += 1,
             "failed" => seen.failed += 1,
@@ -62,6 +77,12 @@
         }
     }
 
+    pub fn paced(&self, runner: &str, task: &str, percent: u64) {
+        if self.is_full {
+            self.note(&format!("{runner} paces {task} to {percent}"));
+        }
+    }
+
     pub fn lost(&self, runner: &str, task: &str, run: u64) {
         self.change(task, |seen| seen.lost += 1);
         if self.is_full {
--- a/review/harness-3/src/runner.rs
+++ b/review/harness-3/src/runner.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::BTreeMap,
     net::TcpListener,
-    sync::{Arc, Condvar, Mutex, MutexGuard},
+    sync::{
+        Arc, Condvar, Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -23,11 +26,58 @@
 /// Ends that one answer holds.
 const MAX_ENDS: usize = 500;
 
+/// Time that a lasting task takes to be at work.
+const STARTUP: Duration = Duration::from_millis(300);
+/// Time until a pace takes effect, `paceMs`.
+const PACE: Duration = Duration::from_millis(100);
+/// Processor time of a task that fills, in thousandths of a core.
+const FILL_CPU: f64 = 2000.0;
+
+/// Tail of the response times of a task that serves its usual users, in milliseconds: alone,
+/// and what `FULL_FILLS` tasks that fill add to it.
+const ALONE_MS: f64 = 30.0;
+const DISTURBED_MS: f64 = 60.0;
+const FULL_FILLS: f64 = 16.0;
+
+/// What a task does, by the `spec` of its job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Works for a time.
+    Timed(Duration),
+    /// Lasts and serves its own users.
+    Serves,
+    /// Lasts and fills.
+    Fills,
+}
+
 #[derive(Clone)]
 struct Run {
     number: u64,
     began: Instant,
-    length: Duration,
+    kind: Kind,
+    /// Share in percent, and the one before, which holds until `paced_at` and `PACE`.
+    pace: (u64, u64),
+    paced_at: Instant,
+}
+
+impl Run {
+    fn is_over(&self) -> bool {
+        matches!(self.kind, Kind::Timed(length) if self.began.elapsed() >= length)
+    }
+
+    fn percent(&self) -> u64 {
+        match self.kind {
+            Kind::Timed(length) => {
+                (self.began.elapsed().as_millis() * 100 / length.as_millis().max(1)).min(100) as u64
+            }
+            Kind::Serves | Kind::Fills => if self.began.elapsed() >= STARTUP { 100 } else { 0 },
+        }
+    }
+
+    fn share(&self) -> f64 {
+        let (now, before) = self.pace;
+        (if self.paced_at.elapsed() >= PACE { now } else { before }) as f64 / 100.0
+    }
 }
 
 struct State {
@@ -52,8 +102,10 @@
     changed: Condvar,
     server: Mutex<Option<Server>>,
     record: Arc<Record>,
-    /// Work of each task, from its job's `spec`.
+    /// Processor time in thousandths of a core, and memory in MB.
     pub capacity: (u32, u32),
+    /// Users of the tasks that serve, in thousandths of the usual.
+    pub load: AtomicU64,
 }
 
 pub fn unix_ms() -> u64 {
@@ -106,6 +158,7 @@
             server: Mutex::new(None),
             record: Arc::clone(record),
             capacity,
+            load: AtomicU64::new(1000),
         });
         let served = Arc::clone(&runner);
         let server = Server::start(listener, Arc::new(move |request| served.answer(&request)));
@@ -186,6 +239,13 @@
         self.state.lock().unwrap().running.keys().cloned().collect()
     }
 
+    /// Returns the number of tasks of a job that are at work here.
+    pub fn at_work(&self, job: &str) -> usize {
+        let state = self.state.lock().unwrap();
+        let of_job = state.running.iter().filter(|(task, _)| task.starts_with(job));
+        of_job.filter(|(_, run)| run.percent() == 100).count()
+    }
+
     /// Partitions the runner from all nodes, silently, or heals that.
     pub fn set_cut(&self, is_cut: bool) {
         self.state.lock().unwrap().is_cut = is_cut;
@@ -210,7 +270,7 @@
             return;
         }
         let is_over = state.clock_ms() >= state.deadline_ms;
-        let ended = state.running.iter().filter(|(_, run)| is_over || run.began.elapsed() >= run.length);
+        let ended = state.running.iter().filter(|(_, run)| is_over || run.is_over());
         let ended: Vec<String> = ended.map(|(task, _)| task.clone()).collect();
         for task in &ended {
             state.end(task, if is_over { "lapsed" } else { "done" }, &self.record, &self.id);
@@ -257,9 +317,15 @@
                     return refused("old");
                 }
                 let spec = body["spec"].as_str().unwrap_or_default();
-                // The spec of a job says how long its tasks work, in milliseconds.
-                let length = Duration::from_millis(spec.parse().unwrap_or(1000));
-                state.running.insert(task.clone(), Run { number, began: Instant::now(), length });
+                // The spec of a job says what its tasks do, or how many milliseconds they work.
+                let kind = match spec {
+                    "serves" => Kind::Serves,
+                    "fills" => Kind::Fills,
+                    work_ms => Kind::Timed(Duration::from_millis(work_ms.parse().unwrap_or(1000))),
+                };
+                let now = Instant::now();
+                let run = Run { number, began: now, kind, pace: (100, 100), paced_at: now };
+                state.running.insert(task.clone(), run);
                 self.record.begin(&self.id, &task, number);
                 Some((200, json!({"clockMs": clock})))
             }
@@ -272,6 +338,14 @@
                 }
                 Some((200, json!({"clockMs": clock})))
             }
+            "/api/pace" => {
+                if let Some(run) = state.running.get_mut(&task).filter(|run| run.number == number) {
+                    run.pace = (body["percent"].as_u64().unwrap_or(100).min(100), run.pace.0);
+                    run.paced_at = Instant::now();
+                    self.record.paced(&self.id, &task, run.pace.0);
+                }
+                Some((200, json!({"clockMs": clock})))
+            }
             "/api/hold" => {
                 Self::grant(&mut state, body);
                 let seen = body["lastSeen"].as_u64().unwrap_or(0);
@@ -293,19 +367,31 @@
                         return None;
                     }
                 }
-                (state.is_up && state.born == born).then(|| (200, Self::lists(&state)))
+                (state.is_up && state.born == born).then(|| (200, self.lists(&state)))
             }
             _ => Some((404, json!({}))),
         }
     }
 
-    fn lists(state: &MutexGuard<'_, State>) -> Value {
-        let percent = |run: &Run| {
-            (run.began.elapsed().as_millis() * 100 / run.length.as_millis().max(1)).min(100) as u64
+    /// Returns the tail of the response times of a task that serves, in milliseconds. The tasks
+    /// that fill disturb it, and so does its own load.
+    fn tail_ms(&self, state: &State) -> u64 {
+        let fills = state.running.values().filter(|run| run.kind == Kind::Fills);
+        let disturbance = (fills.map(Run::share).sum::<f64>() / FULL_FILLS).min(1.0);
+        let load = self.load.load(Ordering::SeqCst) as f64 / 1000.0;
+        (load * (ALONE_MS + disturbance * DISTURBED_MS)) as u64
+    }
+
+    fn lists(&self, state: &MutexGuard<'_, State>) -> Value {
+        let figure = |run: &Run| match run.kind {
+            Kind::Timed(_) => 0,
+            Kind::Serves => self.tail_ms(state),
+            Kind::Fills => (run.share() * FILL_CPU) as u64,
         };
         let running = state.running.iter();
-        let running: Vec<Value> =
-            running.map(|(task, run)| json!([task, run.number, "", percent(run), 0])).collect();
+        let running: Vec<Value> = running
+            .map(|(task, run)| json!([task, run.number, "", run.percent(), figure(run)]))
+            .collect();
         let ends = state.ends.iter().take(MAX_ENDS);
         let ends: Vec<Value> =
             ends.map(|(end, task, run, how)| json!([end, task, run, how, ""])).collect();
