--- a/review/harness-3/src/cell.rs
+++ b/review/harness-3/src/cell.rs
@@ -55,7 +55,7 @@
 }
 
 pub struct Cell {
-    _store: Arc<Store>,
+    pub store: Arc<Store>,
     pub runners: Vec<Arc<Runner>>,
     pub record: Arc<Record>,
     nodes: Vec<Node>,
@@ -127,7 +127,7 @@
             Node::start(ports[0].clone(), ports[1].clone(), path, log)
         });
         let nodes = nodes.collect();
-        let mut cell = Self { _store: store, runners, record, nodes, folder, _servers: vec![server] };
+        let mut cell = Self { store, runners, record, nodes, folder, _servers: vec![server] };
         cell.wait_until_ready();
         cell
     }
@@ -153,10 +153,22 @@
 
     /// Makes a client's call at a node.
     pub fn call(&self, node: usize, method: &str, path: &str, body: Option<&Value>) -> Option<(u16, Value)> {
+        self.call_for(node, method, path, body, Duration::from_millis(3000))
+    }
+
+    /// Makes a client's call at a node, and leaves after a time.
+    pub fn call_for(
+        &self,
+        node: usize,
+        method: &str,
+        path: &str,
+        body: Option<&Value>,
+        time: Duration,
+    ) -> Option<(u16, Value)> {
         let key = format!("Token {KEY}");
         let headers = [("Host", HOST), ("Authorization", key.as_str()), ("X-Deadline-Ms", "3000")];
         let node = &self.nodes[node % self.nodes.len()];
-        http::call(&node.clients, method, path, &headers, body, Duration::from_millis(3000))
+        http::call(&node.clients, method, path, &headers, body, time)
     }
 
     /// Hands a job in, with up to 4 further attempts at the next nodes.
--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -4,6 +4,7 @@
 mod cell;
 mod crashes;
 mod gang;
+mod gone;
 mod http;
 mod quota;
 mod record;
@@ -24,6 +25,7 @@
     let record = Arc::new(Record::new(path, true));
     let is_broken = match name.as_str() {
         "crashes" => crashes::run(&record, has_trouble),
+        "gone" => gone::run(&record, has_trouble),
         "gang" => gang::run(&record, has_trouble),
         "surge" => surge::run(&record, has_trouble),
         "quota" => quota::run(&record, has_trouble),
--- a/review/harness-3/src/store.rs
+++ b/review/harness-3/src/store.rs
@@ -36,6 +36,8 @@
 pub struct Store {
     state: Mutex<State>,
     changed: Condvar,
+    /// Key prefix of a write whose answer is lost, and when it is done: once.
+    lost: Mutex<Option<(String, Duration)>>,
 }
 
 fn shown(key: &str, item: &Item) -> Value {
@@ -81,7 +83,7 @@
                 drop(expiring.lock());
             }
         });
-        let handler = Arc::new(move |request| Some(served.answer(&request)));
+        let handler = Arc::new(move |request| served.answer_or_lose(&request));
         (store, Server::start(listener, handler))
     }
 
@@ -114,6 +116,32 @@
         state
     }
 
+    /// Loses the answer to the next write of a key with this prefix, and does it late.
+    pub fn lose_next(&self, prefix: &str, late: Duration) {
+        *self.lost.lock().unwrap() = Some((prefix.to_owned(), late));
+    }
+
+    /// Returns whether a write is still to be lost.
+    pub fn is_losing(&self) -> bool {
+        self.lost.lock().unwrap().is_some()
+    }
+
+    fn answer_or_lose(&self, request: &Request) -> Option<(u16, Value)> {
+        if request.path == "/api/kv-txn" {
+            let writes = request.body["writes"].as_array().into_iter().flatten();
+            let mut keys = writes.filter_map(|row| row["key"].as_str());
+            let mut lost = self.lost.lock().unwrap();
+            let late = lost.take_if(|(prefix, _)| keys.any(|key| key.starts_with(prefix.as_str())));
+            drop(lost);
+            if let Some((_, late)) = late {
+                thread::sleep(late);
+                self.txn(&request.body);
+                return None;
+            }
+        }
+        Some(self.answer(request))
+    }
+
     fn answer(&self, request: &Request) -> (u16, Value) {
         // 4 ms an answer.
         thread::sleep(Duration::from_millis(4));
