Review case 15: a job that was never started waits 22 s for a lost runner after a kill

Seen: all nodes are killed while a job waits for room; one runner crashes, comes back under its id and is lost. The job begins 21 s after the traffic, with 11 of 12 runners empty for 15 s (LOST). At fault: crates/plan/src/recovery.rs and restarts.rs.

--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -6,6 +6,7 @@
 mod gang;
 mod gone;
 mod http;
+mod waiting;
 mod quota;
 mod record;
 mod runner;
@@ -25,6 +26,7 @@
     let record = Arc::new(Record::new(path, true));
     let is_broken = match name.as_str() {
         "crashes" => crashes::run(&record, has_trouble),
+        "waiting" => waiting::run(&record, has_trouble),
         "gone" => gone::run(&record, has_trouble),
         "gang" => gang::run(&record, has_trouble),
         "surge" => surge::run(&record, has_trouble),
