--- a/review/harness-3/src/cell.rs
+++ b/review/harness-3/src/cell.rs
@@ -63,10 +63,16 @@
     _servers: Vec<Server>,
 }
 
-/// Ends the case because it could not run.
+/// Ends the case because it could not run. `main` exits with 2; all nodes end as the stack unwinds.
 pub fn give_up(reason: &str) -> ! {
-    eprintln!("the case could not run: {reason}");
-    std::process::exit(2);
+    panic!("{reason}")
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
 }
 
 fn listen() -> TcpListener {
@@ -243,12 +249,27 @@
         }
     }
 
-    /// Returns the numbers of the nodes that have ended by themselves.
-    pub fn ended(&mut self) -> Vec<usize> {
-        let nodes = self.nodes.iter_mut().enumerate();
-        nodes
-            .filter_map(|(n, node)| matches!(node.process.try_wait(), Ok(Some(_))).then_some(n))
-            .collect()
+    /// Ends all processes, and gives up if a node doesn't run or listen.
+    pub fn finish(&mut self) {
+        for node in 0..self.nodes.len() {
+            let address = self.nodes[node].readiness.clone();
+            let end = Instant::now() + Duration::from_secs(3);
+            let ask = || {
+                http::call(&address, "GET", "/api/readyz", &[], None, Duration::from_secs(1))
+                    .is_some()
+            };
+            while !ask() {
+                if Instant::now() > end {
+                    self.stop();
+                    give_up("a node doesn't listen at the end");
+                }
+            }
+            if !matches!(self.nodes[node].process.try_wait(), Ok(None)) {
+                self.stop();
+                give_up("a node has ended by itself");
+            }
+        }
+        self.stop();
     }
 
     /// Ends all processes.
@@ -259,8 +280,12 @@
         }
         if std::env::var_os("KEEP").is_none() {
             let _ = fs::remove_dir_all(&self.folder);
-        } else {
-            eprintln!("kept {}", self.folder.display());
         }
     }
 }
+
+impl Drop for Cell {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
--- a/review/harness-3/src/crashes.rs
+++ b/review/harness-3/src/crashes.rs
@@ -58,15 +58,12 @@
             }
         }
     }
-    let ended = cell.ended();
-    cell.stop();
+    cell.finish();
     let seen = record.of_job(JOB);
     let failed: u32 = seen.iter().map(|task| task.failed).sum();
     let lost: u32 = seen.iter().map(|task| task.lost).sum();
     record.note(&format!(
-        "shown as {shown}; ends listed as failed: {failed}; runs lost with their runner: {lost}; \
-         nodes that ended by themselves: {}",
-        ended.len()
+        "shown as {shown}; ends listed as failed: {failed}; runs lost with their runner: {lost}"
     ));
     // LOST: shown as failed without cause; only ends `failed` count as attempts.
     shown == "failed" && failed == 0
--- a/review/harness-3/src/gang.rs
+++ b/review/harness-3/src/gang.rs
@@ -20,6 +20,8 @@
 const CALM: Duration = Duration::from_secs(12);
 /// `finish_s` of the site.
 const FINISH: Duration = Duration::from_secs(14);
+/// Time of the rule in which nothing runs.
+const IDLE: Duration = Duration::from_secs(3);
 const LONGEST_WAIT: Duration = Duration::from_secs(30);
 const GANG: &str = "5c0e7a21d94b36f8";
 const MEMBERS: u32 = 16;
@@ -60,13 +62,17 @@
         crate::cell::give_up("the gang was not accepted");
     }
     let accepted = Instant::now();
+    let mut since = None;
     let mut idle = Duration::ZERO;
     let mut shown = String::new();
-    while accepted.elapsed() < LONGEST_WAIT && shown != "complete" {
+    let is_done = || record.of_job(GANG).iter().any(|task| task.done > 0);
+    while accepted.elapsed() < LONGEST_WAIT && !is_done() {
         thread::sleep(Duration::from_millis(50));
         let busy: usize = cell.runners.iter().map(|runner| runner.running().len()).sum();
-        if busy == 0 && shown != "complete" {
-            idle = accepted.elapsed();
+        if busy > 0 || accepted.elapsed() < FINISH {
+            since = None;
+        } else {
+            idle = idle.max(since.get_or_insert_with(Instant::now).elapsed());
         }
         if let Some((status, state)) = cell.state(1, GANG)
             && state != shown
@@ -75,12 +81,14 @@
             shown = state;
         }
     }
-    cell.stop();
+    cell.finish();
     record.note(&format!(
-        "{GANG} was shown as {shown} and has waited {:.1} s beside empty runners",
-        idle.as_secs_f64()
+        "{GANG} was shown as {shown}; from 14 s after the traffic on, it waited {:.1} s at a stretch \
+         beside empty runners, and {} of its tasks had started",
+        idle.as_secs_f64(),
+        record.of_job(GANG).len()
     ));
     // LOST: `finish_s` after the end of the traffic, for 3 s, the job has nothing running while its
     // turn has come, and all runners are empty.
-    idle >= FINISH + Duration::from_secs(3)
+    idle >= IDLE
 }
--- a/review/harness-3/src/gone.rs
+++ b/review/harness-3/src/gone.rs
@@ -57,7 +57,7 @@
         let state = cell.state(second, JOB);
         record.note(&format!("GET {JOB}: {state:?}"));
     }
-    cell.stop();
+    cell.finish();
     let starts = record.events(JOB).into_iter().filter(|(_, _, how)| how == "starts");
     let late: Vec<f64> =
         starts.map(|(at, ..)| at - acknowledged).filter(|s| *s > CANCEL_S).collect();
--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -20,11 +20,12 @@
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().collect();
     let [_, name, path] = args.as_slice() else {
-        cell::give_up("usage: case NAME RECORD");
+        eprintln!("usage: case NAME RECORD");
+        return ExitCode::from(2);
     };
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let record = Arc::new(Record::new(path, true));
-    let is_broken = match name.as_str() {
+    let played = std::panic::catch_unwind(|| match name.as_str() {
         "crashes" => crashes::run(&record, has_trouble),
         "waiting" => waiting::run(&record, has_trouble),
         "gone" => gone::run(&record, has_trouble),
@@ -32,6 +33,10 @@
         "surge" => surge::run(&record, has_trouble),
         "quota" => quota::run(&record, has_trouble),
         _ => cell::give_up("there is no such case"),
+    });
+    // A case that could not run, or a stand-in that failed, shows nothing.
+    let Ok(is_broken) = played else {
+        return ExitCode::from(2);
     };
     record.note(if is_broken { "BROKEN" } else { "held" });
     ExitCode::from(u8::from(is_broken))
--- a/review/harness-3/src/quota.rs
+++ b/review/harness-3/src/quota.rs
@@ -119,7 +119,7 @@
     }
     is_over.store(true, Ordering::SeqCst);
     let most = watch.join().unwrap_or(0);
-    cell.stop();
+    cell.finish();
     record.note(&format!("the tenant had {most} running at most; maxCount is {MAX_CPU}"));
     most > BOUND_CPU
 }
--- a/review/harness-3/src/runner.rs
+++ b/review/harness-3/src/runner.rs
@@ -27,7 +27,7 @@
 const MAX_ENDS: usize = 500;
 
 /// Time that a lasting task takes to be at work.
-const STARTUP: Duration = Duration::from_millis(300);
+pub const STARTUP: Duration = Duration::from_millis(300);
 /// Time until a pace takes effect, `paceMs`.
 const PACE: Duration = Duration::from_millis(100);
 /// Processor time of a task that fills, in thousandths of a core.
--- a/review/harness-3/src/surge.rs
+++ b/review/harness-3/src/surge.rs
@@ -1,7 +1,7 @@
 //! Tasks that fill beside tasks that serve, whose users become more for a few seconds.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{Arc, atomic::Ordering},
     thread,
     time::{Duration, Instant},
@@ -9,7 +9,7 @@
 
 use serde_json::json;
 
-use crate::{cell::Cell, record::Record};
+use crate::{cell::Cell, record::Record, runner::STARTUP};
 
 const RUNNERS: usize = 48;
 const FILLS: u32 = 768;
@@ -61,23 +61,28 @@
     record.note("the burst ends");
     thread::sleep(Duration::from_secs(8));
     record.note(&format!("{} at work", at_work(&cell)));
-    cell.stop();
+    cell.finish();
     // AVAIL: a stop ends a task at work while MAY_MISS others are away, ended by such orders and
-    // not at work again.
-    let mut away: BTreeMap<String, f64> = BTreeMap::new();
+    // not started again. A task that was stopped before it was at work doesn't count.
+    let mut started: BTreeMap<String, f64> = BTreeMap::new();
+    let mut away: BTreeSet<String> = BTreeSet::new();
     let (mut stops, mut beyond, mut most) = (0, 0, 0);
     for (at, task, how) in record.events(FILLING) {
         if how == "starts" {
             away.remove(&task);
-        } else if how == "stopped" && at >= began {
+            started.insert(task, at);
+            continue;
+        }
+        let was_at_work = started.get(&task).is_some_and(|from| at - from >= STARTUP.as_secs_f64());
+        if how == "stopped" && at >= began && was_at_work {
             stops += 1;
             beyond += u32::from(away.len() >= MAY_MISS as usize);
-            away.insert(task, at);
+            away.insert(task);
             most = most.max(away.len());
         }
     }
     record.note(&format!(
-        "{stops} stops since the burst began, {beyond} of them with {MAY_MISS} others away or more; \
+        "{stops} stops of tasks at work since the burst began, {beyond} of them with {MAY_MISS} others away or more; \
          {most} away at most"
     ));
     beyond > 0
--- a/review/harness-3/src/waiting.rs
+++ b/review/harness-3/src/waiting.rs
@@ -67,7 +67,8 @@
     {
         thread::sleep(Duration::from_millis(50));
         let busy: usize = cell.runners.iter().map(|runner| runner.running().len()).sum();
-        if accepted.elapsed() < FINISH || busy > 0 || shown[1] == "complete" {
+        let is_done = record.of_job(SECOND).iter().filter(|task| task.done > 0).count() == 4;
+        if accepted.elapsed() < FINISH || busy > 0 || is_done {
             idle = None;
         } else {
             longest = longest.max(idle.get_or_insert_with(Instant::now).elapsed());
@@ -82,7 +83,7 @@
             }
         }
     }
-    cell.stop();
+    cell.finish();
     record.note(&format!(
         "from 14 s after the traffic on, nothing ran on any runner for {:.1} s while {SECOND} waited",
         longest.as_secs_f64()
