A task is given up only after crashes under the task itself

Cause: proven crashes of equal tasks count together until one of them is done, and so do the unproven ones. Three crashes under three tasks were taken for three under one.

Change: besides the counts as before, at least two targets must have crashed under the task that is given up. Of several tasks of a job on a crashed target, the one with most crashes counts as the cause, so that tasks which do crash their targets are given up when one of them runs again.

--- a/crates/plan/src/crash.rs
+++ b/crates/plan/src/crash.rs
@@ -9,8 +9,10 @@
 //! cause only if no task of another job is in question, and its run is known to
 //! have begun or no other run was on the target: a target may crash before it
 //! answers the start. A task with three proofs is given up. Equal tasks of a
-//! step count together until one of them is done; a long-running task never is,
-//! but is kept apart.
+//! step count together until one of them is done, but at least two targets must have
+//! crashed under the task that is given up: several that crash at once, each under
+//! another task, have another cause. A long-running task is never given up, but is
+//! kept apart.
 //!
 //! Targets also crash for other reasons, often many at once. Crashes prove
 //! nothing while many targets without runs of the job crash or become
@@ -19,7 +21,7 @@
 //! proven or not. Crashes do not count at all while targets crash that no task
 //! can have crashed.
 
-use std::{collections::HashMap, time::Duration};
+use std::{cmp::Reverse, collections::HashMap, time::Duration};
 
 use base::Name;
 use work::{JobState, Step, StepKey, TaskKey};
@@ -30,9 +32,14 @@
     target::{Availability, Phase, Run, Target, TargetId},
 };
 
-/// Number of proven crashes before a task is given up.
+/// Number of proven crashes, those under equal tasks included, before a task is given
+/// up.
 const MAX_CRASHES: u32 = 3;
 
+/// Number of crashes under the task itself before it is given up. Targets that crash
+/// at once for another reason do so under different tasks of a step.
+const MIN_OWN_CRASHES: usize = 2;
+
 /// Time for which a run has to last to clear its task.
 const CLEARING_TIME: Duration = Duration::from_secs(60);
 
@@ -217,6 +224,7 @@
         task.failed_targets.clear();
         task.crashed_runs.clear();
         task.unproven_crashes = 0;
+        task.lost_runs.clear();
         if std::mem::take(&mut task.is_suspect) {
             self.mark_unrecorded(&key.step.job, now);
         }
@@ -291,8 +299,12 @@
         // Only the tasks of one job can have been the cause. A start without an answer
         // may not have reached the target, so it counts only without other runs there.
         let is_proof = |run: &LostRun| jobs.len() == 1 && (run.has_begun || is_alone);
-        if let Some(position) = lost.iter().position(is_proof) {
-            // The crash counts once, whatever number of tasks of the job was there.
+        let proofs = lost.iter().enumerate().filter(|(_, run)| is_proof(run));
+        let cause =
+            proofs.max_by_key(|(position, run)| (self.own_crashes(&run.task), Reverse(*position)));
+        if let Some((position, _)) = cause {
+            // The crash counts once, whatever number of tasks of the job was there,
+            // and against the one that is most likely to be the cause.
             let cause = lost.swap_remove(position);
             let verdict = if self.recent_crashes.has_causeless(now) {
                 Verdict::Possible
@@ -315,6 +327,14 @@
         self.step_state(&task.step).is_some_and(|state| state.may_crash(task.index))
     }
 
+    /// Returns the number of targets that have crashed under a task, as far as it
+    /// matters.
+    fn own_crashes(&self, task: &TaskKey) -> usize {
+        let state = self.step_state(&task.step);
+        let task = state.and_then(|state| state.tasks.get(task.index as usize));
+        task.map_or(0, |task| task.lost_runs.len())
+    }
+
     /// Returns whether a suspect of another job than `job` runs on a target and may
     /// still be found to crash it.
     pub(crate) fn has_lone_suspect(&self, id: TargetId, job: &Name) -> bool {
@@ -403,6 +423,12 @@
             return;
         }
         task.is_suspect = true;
+        let is_under_task = lost.has_begun || verdict != Verdict::Possible;
+        if is_under_task && task.lost_runs.len() < MIN_OWN_CRASHES && !task.lost_runs.contains(run)
+        {
+            task.lost_runs.push(*run);
+        }
+        let own_crashes = task.lost_runs.len();
         let verdict = if is_long_running { Verdict::Possible } else { verdict };
         match verdict {
             Verdict::Proven => task.crashed_runs.push(*run),
@@ -411,6 +437,7 @@
         }
         let (crashes, unproven) = state.crash_counts(key.index);
         let is_given_up = verdict != Verdict::Possible
+            && own_crashes >= MIN_OWN_CRASHES
             && (crashes >= MAX_CRASHES || crashes + unproven >= MAX_LONE_CRASHES);
         let job = key.step.job.clone();
         self.mark_unrecorded(&job, now);
--- a/crates/plan/src/step.rs
+++ b/crates/plan/src/step.rs
@@ -58,6 +58,8 @@
     pub(crate) unproven_crashes: u32,
     /// Numbers of the runs that are proven to have crashed a target.
     pub(crate) crashed_runs: SmallVec<[u32; 4]>,
+    /// Numbers of runs during which a target has crashed, up to those that matter.
+    pub(crate) lost_runs: SmallVec<[u32; 2]>,
     /// Targets on which runs failed in this term, up to those that show that the
     /// task is faulty.
     pub(crate) failed_targets: SmallVec<[TargetId; 3]>,
@@ -111,6 +113,7 @@
             is_suspect: false,
             unproven_crashes: 0,
             crashed_runs: SmallVec::new(),
+            lost_runs: SmallVec::new(),
             failed_targets: SmallVec::new(),
             checkpoint: None,
             preemptions: 0,
@@ -148,6 +151,7 @@
             if let Some(task) = state.tasks.get_mut(*index as usize) {
                 task.is_suspect = true;
                 task.crashed_runs.clone_from(runs);
+                task.lost_runs = runs.iter().copied().collect();
             }
         }
         for (index, checkpoint) in &progress.checkpoints {
--- a/crates/plan/tests/decisions/crashes.rs
+++ b/crates/plan/tests/decisions/crashes.rs
@@ -7,7 +7,7 @@
 use plan::{Availability, Start, StartAnswer};
 use work::{End, JobState, Step};
 
-use crate::cell::{Cell, step};
+use crate::cell::{Cell, small_step, step};
 
 /// Number of crashed targets after which a task is given up.
 const MAX_CRASHES: usize = 3;
@@ -235,6 +235,102 @@
     expect_that!(target_of("third"), not(eq(&target_of("second"))));
 }
 
+/// Returns a step with `count` tasks, each as large as a target.
+fn large_step(count: u32) -> Step {
+    Step { size: small_step().size * 8, estimate_ms: 0, ..step(count) }
+}
+
+/// Crashes the targets of these runs, and lets them answer again.
+fn crash_targets(cell: &mut Cell, starts: &[Start]) {
+    for start in starts {
+        cell.restart_target(&start.target);
+        cell.list_nothing(&start.target);
+    }
+    cell.record_restarts();
+}
+
+#[gtest]
+fn sound_job_outlives_targets_that_crash_at_once_under_different_tasks() {
+    // Three targets that crash under one task each were taken for three crashes under
+    // the same task (review/11).
+    for step in [large_step(24), Step { gang: true, ..large_step(24) }] {
+        let mut cell = Cell::new(24);
+        cell.accept("job", vec![step]);
+        let mut running = cell.decide_starts();
+        cell.answer_starts(&running, &StartAnswer::Started);
+        cell.advance(Duration::from_secs(2));
+        let lost: Vec<Start> = running.drain(..MAX_CRASHES).collect();
+        crash_targets(&mut cell, &lost);
+        expect_that!(cell.state("job"), eq(JobState::Active));
+        // The rest of a gang is stopped.
+        let stops = cell.take_stops();
+        let is_stopped = |start: &Start| stops.iter().any(|stop| stop.task == start.task);
+        for start in running {
+            let end = if is_stopped(&start) { End::Stopped } else { End::Done };
+            cell.end_run(&start, end);
+        }
+        let again = cell.decide_starts();
+        cell.answer_starts(&again, &StartAnswer::Started);
+        for start in again {
+            cell.end_run(&start, End::Done);
+        }
+        cell.record();
+        expect_that!(cell.state("job"), eq(JobState::Complete));
+    }
+}
+
+#[gtest]
+fn sound_job_outlives_crashes_one_after_another_under_different_tasks() {
+    // Twelve tasks of 25 s, while a target crashes every 5 s (review/11).
+    let mut cell = Cell::new(12);
+    cell.accept("job", vec![large_step(12)]);
+    let mut running = cell.decide_starts();
+    cell.answer_starts(&running, &StartAnswer::Started);
+    for _ in 0..MAX_CRASHES {
+        cell.advance(Duration::from_secs(5));
+        let lost = running.remove(0);
+        crash_targets(&mut cell, &[lost]);
+        cell.list_running(&running);
+    }
+    cell.record();
+    expect_that!(cell.state("job"), eq(JobState::Active));
+}
+
+#[gtest]
+fn sound_jobs_outlive_a_wave_that_crashes_twelve_targets_of_each_at_once() {
+    // Unproven crashes under different tasks of a step counted together as well.
+    let mut cell = Cell::new(96);
+    for job in 0..4 {
+        cell.accept(&format!("job-{job}"), vec![large_step(24)]);
+    }
+    let starts = cell.decide_starts();
+    cell.answer_starts(&starts, &StartAnswer::Started);
+    cell.advance(Duration::from_secs(3));
+    let (mut lost, mut running): (Vec<Start>, Vec<Start>) = (Vec::new(), Vec::new());
+    for start in starts {
+        if start.task.index < 13 { lost.push(start) } else { running.push(start) }
+    }
+    lost.sort_by_key(|start| start.task.index);
+    crash_targets(&mut cell, &lost);
+    cell.record();
+    for job in 0..4 {
+        expect_that!(cell.state(&format!("job-{job}")), eq(JobState::Active));
+    }
+}
+
+#[gtest]
+fn equal_tasks_that_crash_their_targets_at_once_are_given_up_at_the_next_crash() {
+    let mut cell = Cell::new(24);
+    cell.accept("job", vec![large_step(8)]);
+    let starts = cell.decide_starts();
+    cell.answer_starts(&starts, &StartAnswer::Started);
+    cell.advance(Duration::from_millis(300));
+    crash_targets(&mut cell, &starts);
+    start_and_crash(&mut cell);
+    cell.record();
+    expect_that!(cell.state("job"), eq(JobState::Failed));
+}
+
 /// Days with crashes of targets, and with jobs that crash each target that starts
 /// one of their tasks.
 struct Day {
