Gangs and last attempts can end a suspicion

Cause: a suspected target is cleared by work that runs there, but a gang got one place on each, so that one with more members than targets never started, and a task whose failure would fail its job was never a probe. With all targets suspected and no other work, nothing could clear any.

Change: a gang that the sound targets of its pool could not hold even if empty uses all the room of suspected ones, after the sound ones. A task at its last attempt is a probe if no other work has used the target for twice the delay.

Ruled out: forgiving failures of jobs that have failed by their attempts (a sound job on two failing targets would acquit both); an end by time (a failing target would get full work each time).

--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -21,7 +21,7 @@
     round::{Headroom, ProbeTime, Round},
     search::{self, FullShapes},
     sharing::{Exposure, Harm},
-    slot::{Slot, choose_targets},
+    slot::{Slot, choose_targets, limit_probes},
     step::{StepState, TaskState},
     target::{Availability, Phase, Run, Sharing, Target, TargetId},
 };
@@ -172,6 +172,9 @@
         let policy = self.config.policy(&spec.queue, &spec.policy);
         let (service, advice) = (policy.service.clone(), policy.advice);
         let mut slots = self.slots(key, step, &service, advice, round);
+        if step.gang {
+            limit_probes(step, &mut slots);
+        }
         if slots.iter().any(|slot| !slot.is_reserved && slot.tasks > 0) {
             slots.retain(|slot| !slot.is_reserved);
         }
@@ -206,13 +209,15 @@
         if step.gang && (chosen.len() as u32) < wanted {
             return;
         }
-        for target in chosen {
+        for &target in &chosen {
             round.allocate_task(target, step, self.settings.interference.is_enabled);
-            if round.headrooms[target.0 as usize].probe.is_some() && !step.gang {
+            self.start_next_task(key, &spec, target, now);
+        }
+        for target in chosen {
+            if round.headrooms[target.0 as usize].probe.is_some() {
                 // One probe in a round is enough.
                 round.allocate(target, Resources::MAX);
             }
-            self.start_next_task(key, &spec, target, now);
         }
         if self.step_state(key).is_some_and(|state| state.waiting.is_empty()) {
             self.unqueue_step(key);
@@ -281,7 +286,8 @@
         let full = self.full_targets(key, step, state, advice, open.len());
         let exposure = self.exposure(key, step);
         let (soundness, is_plain) = (Soundness::of(state), !step.gang && advice.is_none());
-        let mut early = round.is_probing.then(|| self.probe_filter(key, service)).flatten();
+        let headrooms = &round.headrooms;
+        let mut early = round.is_probing.then(|| self.probe_filter(key, open, headrooms)).flatten();
         for (position, &id) in open.iter().enumerate() {
             let room = &round.headrooms[id.0 as usize];
             let target = &self.targets[id.0 as usize];
@@ -289,10 +295,11 @@
                 (None, _) => true,
                 (Some(ProbeTime::Due), None) if is_plain => !soundness.has_failed(),
                 (Some(_), None) if is_plain => false,
-                (Some(ProbeTime::Early), None) => false,
-                (Some(ProbeTime::Due), Some(_)) | (Some(_), None) => {
+                (Some(ProbeTime::Early), None) if !step.gang => false,
+                (Some(ProbeTime::Due), Some(early)) if !early.is_last_attempt() => {
                     room.takes_faulty || soundness != Soundness::Faulty
                 }
+                (Some(_), None) => room.takes_faulty || soundness != Soundness::Faulty,
                 (Some(_), Some(early)) => early.takes(target, self.last_round_at),
             };
             if !is_taken {
@@ -312,7 +319,8 @@
             let preemptible = preemptible.get(id.0 as usize).copied().unwrap_or_default();
             if let Some(slot) = self.slot(id, step, state, room, preemptible, exposure) {
                 let is_reserved = !step.gang && self.has_lone_suspect(id, &key.job);
-                let slot = Slot { ticket_expires_at, is_reserved, ..slot };
+                let has_failed = early.as_ref().is_some_and(|early| early.has_failed_on(id));
+                let slot = Slot { ticket_expires_at, is_reserved, has_failed, ..slot };
                 with_room += usize::from(slot.tasks > 0);
                 slots.push(slot);
             }
@@ -356,7 +364,7 @@
         preemptible: Resources,
         exposure: Option<Exposure>,
     ) -> Option<Slot> {
-        let Headroom { capacity, is_probed, speed_class, .. } = *room;
+        let Headroom { capacity, is_probed, probe, speed_class, .. } = *room;
         let free = room.free_for(step);
         let target = || &self.targets[id.0 as usize];
         let suits = step.size.fits(&capacity)
@@ -379,7 +387,9 @@
             tasks_with_preemption = tasks_with_preemption.min(max);
         }
         if is_probed {
-            tasks = tasks.min(1);
+            if !step.gang {
+                tasks = tasks.min(1);
+            }
             tasks_with_preemption = tasks_with_preemption.min(1);
         }
         let remaining = free - step.size;
@@ -392,6 +402,8 @@
             capacity,
             speed_class,
             harm: exposure.map_or(Harm::default(), |exposure| self.harm(id, exposure)),
+            probe,
+            has_failed: false,
             is_reserved: false,
             ticket_expires_at: None,
         })
--- a/crates/plan/src/probe.rs
+++ b/crates/plan/src/probe.rs
@@ -2,9 +2,10 @@
 //!
 //! A suspected target is probed when its back-off ends. Work that finds no room
 //! on other targets need not wait for that: it may probe sooner, but at most one
-//! task at a time and at a bounded rate, and only if a failure of the task would
-//! not fail its job. Otherwise sound tasks that failed for a common cause, as a
-//! database that is away, have all targets suspected and wait beside empty ones.
+//! task at a time and at a bounded rate. Otherwise sound tasks that failed for a common
+//! cause, as a database that is away, have all targets suspected and wait beside empty
+//! ones. A task whose failure would fail its job waits longer, for work that has more
+//! attempts left; if none comes, it is the probe.
 //!
 //! Work that is known to be sound goes first, since it tells most about the
 //! target, then the work of the teams with the fewest probes. Other than sound
@@ -15,14 +16,15 @@
 use std::{collections::HashMap, time::Duration};
 
 use base::Name;
+use smallvec::SmallVec;
 use work::{Spec, StepKey};
 
 use crate::{
     planner::Planner,
-    round::Round,
+    round::{Headroom, Round},
     search::{FullShapes, needs_only_room},
     step::{StepState, Task},
-    target::Target,
+    target::{Target, TargetId},
 };
 
 /// Maximum number of steps for which suspected targets are searched in one
@@ -88,11 +90,30 @@
     team: Name,
     /// Number of further targets that the team may use.
     left: usize,
+    /// Which targets to probe if a failure would fail the job; `None` if it would not.
+    last_attempt: Option<LastAttempt>,
+    /// Targets on which waiting tasks have failed.
+    failed_targets: SmallVec<[TargetId; 3]>,
+}
+
+/// Which targets get a task at its last attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LastAttempt {
+    /// Those that no other work has used when a regular probe was due.
+    Overdue,
+    /// Those that no other work has used for an early probe, as there is no sound
+    /// target in the pool.
+    EarlyOverdue,
 }
 
 impl ProbeFilter {
     /// Returns whether a suspected target takes a task of the step.
     pub(crate) fn takes(&mut self, target: &Target, now: Duration) -> bool {
+        match self.last_attempt {
+            Some(LastAttempt::Overdue) => return target.health.is_probe_overdue(now),
+            Some(LastAttempt::EarlyOverdue) => return target.health.is_early_probe_overdue(now),
+            None => {}
+        }
         if self.soundness == Soundness::Sound || target.health.is_early_probe_overdue(now) {
             return true;
         }
@@ -106,15 +127,38 @@
         }
         is_left
     }
+
+    /// Returns whether a failure of a waiting task of the step would fail its job.
+    pub(crate) fn is_last_attempt(&self) -> bool {
+        self.last_attempt.is_some()
+    }
+
+    /// Returns whether a waiting task of the step has failed on a target.
+    pub(crate) fn has_failed_on(&self, id: TargetId) -> bool {
+        self.failed_targets.contains(&id)
+    }
 }
 
 impl Planner {
-    /// Returns which early probes the tasks of a step may be.
-    pub(crate) fn probe_filter(&self, key: &StepKey, service: &Name) -> Option<ProbeFilter> {
+    /// Returns which early probes the tasks of a step may be, where `open` are the
+    /// targets of the pool that may get work.
+    pub(crate) fn probe_filter(
+        &self,
+        key: &StepKey,
+        open: &[TargetId],
+        headrooms: &[Headroom],
+    ) -> Option<ProbeFilter> {
         let (job, state) = self.jobs.get(&key.job).zip(self.step_state(key))?;
         let (soundness, team) = (Soundness::of(state), job.spec.team.clone());
+        let service = &self.config.policy(&job.spec.queue, &job.spec.policy).service;
         let left = self.probes_left(service, &team);
-        Some(ProbeFilter { soundness, team, left })
+        let is_sound = |id: &TargetId| headrooms[id.0 as usize].probe.is_none();
+        let last_attempt = self.has_last_attempts(key).then(|| {
+            if open.iter().any(is_sound) { LastAttempt::Overdue } else { LastAttempt::EarlyOverdue }
+        });
+        let waiting = state.waiting.iter().filter_map(|index| state.tasks.get(*index as usize));
+        let failed_targets = waiting.flat_map(|task| &task.failed_targets).copied().collect();
+        Some(ProbeFilter { soundness, team, left, last_attempt, failed_targets })
     }
 
     /// Removes and returns the probes since the last call.
@@ -165,18 +209,23 @@
         (count / 2).saturating_sub(taken)
     }
 
-    /// Returns whether a failure of any waiting task of a step would leave its job
-    /// another attempt, and the step needs nothing but room.
+    /// Returns whether a step needs nothing but room.
     fn may_probe(&self, key: &StepKey) -> bool {
+        self.jobs.get(&key.job).is_some_and(|job| {
+            let step = &job.spec.steps[usize::from(key.step)];
+            needs_only_room(step, self.config.policy(&job.spec.queue, &job.spec.policy))
+        })
+    }
+
+    /// Returns whether a failure of a waiting task of a step would fail its job.
+    fn has_last_attempts(&self, key: &StepKey) -> bool {
         let Some((job, state)) = self.jobs.get(&key.job).zip(self.step_state(key)) else {
             return false;
         };
         let spec: &Spec = &job.spec;
         let step = &spec.steps[usize::from(key.step)];
-        let policy = self.config.policy(&spec.queue, &spec.policy);
+        let max_attempts = self.config.policy(&spec.queue, &spec.policy).max_attempts;
         let mut waiting = state.waiting.iter().filter_map(|index| state.tasks.get(*index as usize));
-        needs_only_room(step, policy)
-            && (step.long_running
-                || waiting.all(|task| task.failed_runs.len() as u32 + 1 < policy.max_attempts))
+        !step.long_running && waiting.any(|task| task.failed_runs.len() as u32 + 1 >= max_attempts)
     }
 }
--- a/crates/plan/src/slot.rs
+++ b/crates/plan/src/slot.rs
@@ -5,7 +5,9 @@
 use base::{Name, Resources};
 use work::Step;
 
-use crate::{planner::Planner, rank::SpeedPreference, sharing::Harm, target::TargetId};
+use crate::{
+    planner::Planner, rank::SpeedPreference, round::ProbeTime, sharing::Harm, target::TargetId,
+};
 
 /// Target that suits a step, with the number of tasks of the step that it can
 /// take.
@@ -27,6 +29,11 @@
     /// How much a task of the step and the runs on the target slow each other
     /// down.
     pub(crate) harm: Harm,
+    /// When the target gets a probe; `None` if it is not suspected.
+    pub(crate) probe: Option<ProbeTime>,
+    /// Whether a task of the step has failed there that waits again, if the target is
+    /// to be probed by it.
+    pub(crate) has_failed: bool,
     /// Whether a suspect of another job has the target to itself while there is
     /// other room.
     pub(crate) is_reserved: bool,
@@ -55,7 +62,7 @@
 /// Chooses a target for each of up to `wanted` tasks: near the data, on one
 /// rack if that matters, where it neither slows nor is slowed down, by the
 /// preferred speed, and on the fullest targets first, so that large gaps remain.
-/// Tasks that may have crashed targets are kept apart and get empty targets, so
+/// Gangs use suspected targets last, since all members fail with one. Tasks that may have crashed targets are kept apart and get empty targets, so
 /// that the innocent ones are not lost with the cause again.
 pub(crate) fn choose_targets(
     step: &Step,
@@ -71,6 +78,7 @@
     };
     let is_shared =
         |slot: &Slot| is_suspect && !planner.targets[slot.target.0 as usize].runs.is_empty();
+    let is_doubtful = |slot: &Slot| slot.has_failed || step.gang && slot.probe.is_some();
     let rack_of = |slot: &Slot| &planner.targets[slot.target.0 as usize].info.rack;
     if step.same_rack
         && let Some(rack) = rack_with_most_room(&slots, |slot| slot.tasks, planner)
@@ -79,6 +87,7 @@
             let is_elsewhere = *rack_of(slot) != rack;
             let class = preference.order(slot.speed_class);
             (
+                is_doubtful(slot),
                 is_elsewhere,
                 has_suspects(slot),
                 is_shared(slot),
@@ -93,6 +102,7 @@
         slots.sort_by_cached_key(|slot| {
             let class = preference.order(slot.speed_class);
             (
+                is_doubtful(slot),
                 has_suspects(slot),
                 is_shared(slot),
                 slot.harm,
@@ -106,6 +116,21 @@
     each.take(wanted as usize).collect()
 }
 
+/// Limits the suspected targets that a gang uses. Its members fail together, so that
+/// several on one target are a single probe, but only a gang that sound targets could
+/// not hold even if they were empty uses more of a suspected one than a place.
+pub(crate) fn limit_probes(step: &Step, slots: &mut Vec<Slot>) {
+    let is_sound = |slot: &&Slot| slot.probe.is_none();
+    let sound_places = sum_tasks(slots.iter().filter(is_sound), |slot| slot.tasks_when_empty);
+    if sound_places < step.count {
+        return;
+    }
+    slots.retain(|slot| slot.probe != Some(ProbeTime::Early));
+    for slot in slots.iter_mut().filter(|slot| slot.probe.is_some()) {
+        slot.tasks = slot.tasks.min(1);
+    }
+}
+
 /// Returns the sum of one of the task counts of the slots, saturating.
 pub(crate) fn sum_tasks<'a>(
     slots: impl IntoIterator<Item = &'a Slot>,
--- a/crates/plan/tests/decisions/blame.rs
+++ b/crates/plan/tests/decisions/blame.rs
@@ -128,6 +128,156 @@
     expect_that!(starts.iter().filter(|start| job(start) == "sound").count(), eq(1));
 }
 
+/// Lets jobs fail until all targets are suspected and nothing runs.
+fn suspect_all(trial: &mut Trial) {
+    for number in 0..32 {
+        trial.cell.accept(&format!("faulty-{number}"), vec![step(2)]);
+    }
+    for _ in 0..6 {
+        trial.start();
+        trial.pass(fails_if_faulty);
+    }
+    for number in 0..32 {
+        trial.cell.cancel(&format!("faulty-{number}"));
+    }
+    trial.pass(fails_if_faulty);
+}
+
+/// Passes time until `count` tasks of a job have started, up to a limit. Returns the
+/// time.
+fn wait_for_starts(trial: &mut Trial, id: &str, count: usize) -> Duration {
+    let since = trial.cell.now;
+    let mut started = 0;
+    while started < count && trial.cell.now < since + Duration::from_secs(60) {
+        started += trial.start().iter().filter(|start| job(start) == id).count();
+        if started < count {
+            trial.pass(fails_if_faulty);
+        }
+    }
+    trial.cell.now.saturating_sub(since)
+}
+
+#[gtest]
+fn gang_with_more_members_than_targets_starts_although_all_targets_are_suspected() {
+    // Each suspected target took one member, and nothing else came that would have
+    // cleared it (review/14).
+    for long_running in [false, true] {
+        let mut trial = Trial::new();
+        suspect_all(&mut trial);
+        let gang = Step { gang: true, long_running, ..step(2 * TARGETS) };
+        trial.cell.accept("gang", vec![gang]);
+        let wait = wait_for_starts(&mut trial, "gang", 2 * TARGETS as usize);
+        expect_that!(wait, le(Duration::from_secs(3)), "long-running: {long_running}");
+    }
+}
+
+#[gtest]
+fn gang_starts_on_suspected_targets_beside_runs_that_keep_them_busy() {
+    let mut trial = Trial::new();
+    let lasting = Step { max_per_target: Some(1), long_running: true, ..step(TARGETS) };
+    trial.cell.accept("service", vec![lasting]);
+    trial.start();
+    for number in 0..32 {
+        trial.cell.accept(&format!("faulty-{number}"), vec![step(2)]);
+    }
+    let end_of = |start: &Start| fails_if_faulty(start).filter(|_| job(start) != "service");
+    for _ in 0..6 {
+        trial.start();
+        trial.pass(end_of);
+    }
+    for number in 0..32 {
+        trial.cell.cancel(&format!("faulty-{number}"));
+    }
+    trial.pass(end_of);
+    trial.cell.accept("gang", vec![Step { gang: true, ..step(2 * TARGETS) }]);
+    let accepted_at = trial.cell.now;
+    let mut started = 0;
+    while started == 0 && trial.cell.now < accepted_at + Duration::from_secs(60) {
+        started += trial.start().iter().filter(|start| job(start) == "gang").count();
+        trial.pass(end_of);
+    }
+    // A probe in 3 s that no other work has used.
+    expect_that!(trial.cell.now.saturating_sub(accepted_at), le(Duration::from_secs(6)));
+}
+
+#[gtest]
+fn gang_that_sound_targets_cannot_hold_uses_suspected_ones() {
+    let mut trial = Trial::new();
+    suspect_all(&mut trial);
+    // Two targets are cleared.
+    trial.cell.accept("sound", vec![step(2)]);
+    trial.start();
+    trial.pass(fails_if_faulty);
+    trial.cell.accept("gang", vec![Step { gang: true, ..step(5 * TARGETS) }]);
+    let wait = wait_for_starts(&mut trial, "gang", 5 * TARGETS as usize);
+    expect_that!(wait, le(Duration::from_secs(6)));
+}
+
+#[gtest]
+fn gang_leaves_a_failing_target_alone_that_others_can_do_without() {
+    let bad = "target-3";
+    let mut trial = Trial::new();
+    let end_of = |start: &Start| Some(if *start.target == *bad { End::Failed } else { End::Done });
+    let mut late = 0;
+    for number in 0..100 {
+        trial.cell.accept(&format!("small-{number}"), vec![step(24)]);
+        let gang = Step { gang: true, ..step(3 * TARGETS) };
+        trial.cell.accept(&format!("gang-{number}"), vec![gang]);
+        let starts = trial.start();
+        if number >= 20 {
+            late += starts.iter().filter(|start| *start.target == *bad).count();
+        }
+        trial.pass(end_of);
+    }
+    // Probes are at least 3 s apart, in 24 s.
+    expect_that!(late, le(8));
+}
+
+#[gtest]
+fn task_at_its_last_attempt_starts_although_all_targets_are_suspected() {
+    // No suspected target took it, and without other work it waited for good
+    // (review/14).
+    let mut trial = Trial::new();
+    suspect_all(&mut trial);
+    trial.cell.accept("job", vec![step(1)]);
+    for _ in 1..crate::cell::ATTEMPTS {
+        wait_for_starts(&mut trial, "job", 1);
+        trial.pass(|_| Some(End::Failed));
+    }
+    let wait = wait_for_starts(&mut trial, "job", 1);
+    expect_that!(wait, le(Duration::from_secs(6)));
+}
+
+#[gtest]
+fn task_at_its_last_attempt_leaves_a_failing_target_to_other_work() {
+    // All sound targets are busy.
+    let bad = "target-0";
+    let mut trial = Trial::new();
+    let lasting = Step { long_running: true, estimate_ms: 0, ..step(8 * TARGETS) };
+    for number in 0..4 {
+        trial.cell.accept(&format!("first-{number}"), vec![step(8)]);
+    }
+    let end_of = |start: &Start| (*start.target == *bad).then_some(End::Failed);
+    for _ in 0..4 {
+        trial.start();
+        trial.pass(end_of);
+    }
+    trial.cell.accept("service", vec![lasting]);
+    let (mut lasts, mut failures) = (0, std::collections::HashMap::new());
+    for round in 0..100 {
+        trial.cell.accept(&format!("small-{round}"), vec![step(1)]);
+        for start in trial.start() {
+            let failed = failures.entry(start.task.clone()).or_insert(0);
+            if *start.target == *bad && job(&start) != "service" {
+                lasts += usize::from(*failed + 1 == crate::cell::ATTEMPTS);
+                *failed += 1;
+            }
+        }
+        trial.pass(end_of);
+    }
+    expect_that!(lasts, eq(0));
+}
+
 /// Lets all runs of lasting jobs fail once, and returns how long some task of
 /// `job` waits.
 fn wait_after_failures(trial: &mut Trial, jobs: usize) -> Duration {
