The limit of a team counts all runs that may exist after a takeover

Cause: for targets that have not listed their runs in the term, only waiting tasks of open steps were counted. Jobs that had ended, runs of such jobs that are handed over, and steps that are not open by the record were left out; a job that ended before the recovery was over was removed from the store, so that the leader after that could not count it either.

Change: plan/src/unverified.rs counts what may run, apart from what is held back. It is bounded by the capacity of the silent targets, so that one of them no longer holds the limit of a team for all its waiting tasks. Jobs that end before the recovery is over are removed from the store after it, without further records.

Ruled out: recording which runs an ended job had left (a larger record of each cancelled job, for a bound that the capacity already gives).

--- a/crates/base/src/units.rs
+++ b/crates/base/src/units.rs
@@ -57,6 +57,11 @@
         self.zip(other, u32::min)
     }
 
+    /// Returns the larger amount in each dimension.
+    pub fn max(&self, other: &Self) -> Self {
+        self.zip(other, u32::max)
+    }
+
     /// Returns how many items of `size` fit into `self`; `u32::MAX` if `size` is
     /// zero.
     pub fn max_count(&self, size: &Self) -> u32 {
--- a/crates/node/src/placer/report.rs
+++ b/crates/node/src/placer/report.rs
@@ -38,16 +38,16 @@
             return;
         }
         self.recovery_logged_at = now;
-        let Some(Recovery { tasks, targets, unknown_targets, until }) = self.planner.recovery()
-        else {
+        let Some(recovery) = self.planner.recovery() else {
             return self.ctx.metrics.set_recovery(0, 0);
         };
+        let Recovery { tasks, targets, unknown_targets, until, teams, held_cpu_milli } = recovery;
         self.ctx.metrics.set_recovery(tasks, targets.len());
         let names = targets.iter().take(MAX_LOGGED_TARGETS).map(|name| &**name);
         emit!(self.ctx.log, info, RecoveryPending; "tasks" => tasks, "targets" => targets.len(),
             "unknown" => unknown_targets, "first" => names.collect::<Vec<_>>().join(","),
             "left_ms" => until.saturating_sub(now).as_millis() as u64,
-            "term" => self.leadership.term);
+            "teams" => teams.len(), "held_cpu_milli" => held_cpu_milli, "term" => self.leadership.term);
     }
 
     /// Logs the ends in a listing that were not applied yet.
--- a/crates/plan/src/batch.rs
+++ b/crates/plan/src/batch.rs
@@ -16,7 +16,11 @@
 use base::Name;
 use work::Progress;
 
-use crate::{job::AwaitedRecord, planner::Planner, target::TargetId};
+use crate::{
+    job::{AwaitedRecord, Job, Origin},
+    planner::Planner,
+    target::TargetId,
+};
 
 /// Records that are written in one change.
 #[derive(Debug)]
@@ -57,6 +61,13 @@
 }
 
 impl Planner {
+    /// Returns whether a job and all its runs have ended, those included that the
+    /// planner may not know.
+    pub(crate) fn has_ended_for_good(&self, job: &Job) -> bool {
+        let are_runs_known = job.origin == Origin::Own || self.is_recovered();
+        job.state.is_final() && job.run_count == 0 && are_runs_known
+    }
+
     /// Sets the time that recording takes at present.
     pub fn set_record_latency(&mut self, time: Duration) {
         self.record_latency = time.min(self.settings.max_progress_delay);
@@ -82,7 +93,7 @@
                 self.unrecorded_jobs.remove(&id);
                 continue;
             };
-            let is_removable = job.state.is_final() && job.run_count == 0;
+            let is_removable = self.has_ended_for_good(job);
             let retention = if is_removable { Retention::Remove } else { Retention::Keep };
             let record = Record { id, progress: job.progress(), retention };
             key_count += record.key_count();
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -240,23 +240,6 @@
         (limit != Resources::MAX).then(|| limit - self.team_usage.used(team))
     }
 
-    /// Returns what each team's runs may take on targets that have not answered
-    /// yet: at most the resources of all waiting tasks that may have such a run.
-    fn unverified_usage(&self) -> HashMap<Name, Resources> {
-        let mut unknown: HashMap<Name, Resources> = HashMap::new();
-        for key in &self.waiting_steps {
-            let Some(job) = self.jobs.get(&key.job) else {
-                continue;
-            };
-            if job.origin == Origin::Inherited {
-                let size = job.spec.steps[usize::from(key.step)].size;
-                *unknown.entry(job.spec.team.clone()).or_default() +=
-                    size * self.held_back_tasks(key);
-            }
-        }
-        unknown
-    }
-
     /// Returns the targets that suit a step and are not known to be refused,
     /// with or without room. Unless the step depends on racks or labels, only
     /// the first targets with room are examined in a large cell, so that the
--- a/crates/plan/src/ends.rs
+++ b/crates/plan/src/ends.rs
@@ -127,10 +127,10 @@
             }
             if let Some(job) = self.jobs.get_mut(&key.step.job) {
                 job.run_count -= 1;
-                if job.run_count == 0 && job.state.is_final() {
-                    // The stored job can be removed now.
-                    self.mark_unrecorded(&key.step.job, now);
-                }
+            }
+            if self.jobs.get(&key.step.job).is_some_and(|job| self.has_ended_for_good(job)) {
+                // The stored job can be removed now.
+                self.mark_unrecorded(&key.step.job, now);
             }
         }
         if let Some(checkpoint) = &checkpoint {
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -48,6 +48,7 @@
 mod starved;
 mod step;
 mod target;
+mod unverified;
 
 pub use action::{Action, AdviceRequest, Pace, RequestLength, Start, Stop, StopCause};
 pub use admit::Overload;
--- a/crates/plan/src/lifecycle.rs
+++ b/crates/plan/src/lifecycle.rs
@@ -16,6 +16,7 @@
             return;
         }
         self.has_cleared_ended_jobs = true;
+        self.ended_usage.clear();
         let ended = self.jobs.iter().filter(|(_, job)| job.state.is_final() && job.run_count == 0);
         let kept = ended.filter(|(_, job)| !job.spec.steps.is_empty());
         let unrecorded: Vec<Name> = kept.map(|(id, _)| id.clone()).collect();
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use base::Name;
+use base::{Name, Resources};
 use place::Health;
 use quota::Usage;
 use work::{Config, JobState, MAX_TASKS, Progress, Spec, StepKey, TaskKey};
@@ -112,6 +112,9 @@
     /// Last orders that may have been sent to targets in earlier terms, as far as
     /// known from an earlier placer.
     pub(crate) last_orders: HashMap<Name, LastOrder>,
+    /// What runs of jobs that have ended may take on targets of which no runs are
+    /// known, by team.
+    pub(crate) ended_usage: HashMap<Name, Resources>,
     /// Tasks that may have runs on targets that have not listed them.
     pub(crate) unknown_runs: UnknownRuns,
     /// Processes of the targets, as recorded by an earlier placer.
@@ -226,10 +229,11 @@
             let objective_ms = job.chains.objective_ms(&job.spec.policy);
             self.update_average_objective(&job.spec.queue, objective_ms);
         }
-        if !job.state.is_final() {
+        let is_ended = job.state.is_final();
+        if !is_ended {
             self.state_changes.push((id.clone(), job.state));
         }
-        if job.state.is_final() {
+        if is_ended {
             job.ended_at = Some(now);
             self.ended_jobs.insert((now, id.clone()));
         } else {
@@ -243,6 +247,9 @@
         }
         let begun: Vec<u32> = job.occurrences.keys().copied().collect();
         self.jobs.insert(id.clone(), job);
+        if is_ended {
+            self.note_ended_job(id);
+        }
         for occurrence in begun {
             self.open_steps(id, occurrence, now);
         }
@@ -262,6 +269,7 @@
     /// Ends a job and stops its runs.
     pub(crate) fn end_job(&mut self, id: &Name, state: JobState, now: Duration) {
         self.set_state(id, state);
+        self.note_ended_job(id);
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
--- a/crates/plan/src/recovery.rs
+++ b/crates/plan/src/recovery.rs
@@ -23,7 +23,7 @@
     time::Duration,
 };
 
-use base::Name;
+use base::{Name, Resources};
 use work::{StepKey, TaskKey};
 
 use crate::{
@@ -64,6 +64,11 @@
     pub unknown_targets: u32,
     /// Time at which the last of them stop waiting at the latest.
     pub until: Duration,
+    /// Teams with a limit that may have runs on these targets which are not charged
+    /// to them otherwise.
+    pub teams: Vec<Name>,
+    /// Processor time that these runs may take, in thousandths of a core.
+    pub held_cpu_milli: u64,
 }
 
 /// Last order that may have been sent to a target in earlier terms.
@@ -334,7 +339,8 @@
         }
     }
 
-    /// Returns which tasks wait for which targets; `None` if none does.
+    /// Returns which tasks wait for which targets, and which teams have less room
+    /// because of them; `None` if there are none.
     pub fn recovery(&self) -> Option<Recovery> {
         if self.is_recovered() {
             return None;
@@ -349,6 +355,13 @@
             recovery.until = recovery.until.max(*until);
         }
         recovery.targets.sort();
-        (recovery.tasks > 0).then_some(recovery)
+        for (team, size) in self.unverified_usage() {
+            if self.team_headroom(&team).is_some() && size != Resources::ZERO {
+                recovery.teams.push(team);
+                recovery.held_cpu_milli += u64::from(size.cpu_milli);
+            }
+        }
+        recovery.teams.sort();
+        (recovery.tasks > 0 || !recovery.teams.is_empty()).then_some(recovery)
     }
 }
--- a/crates/plan/tests/decisions/main.rs
+++ b/crates/plan/tests/decisions/main.rs
@@ -12,6 +12,7 @@
 mod gangs;
 mod leases;
 mod lifecycle;
+mod limits;
 mod placement;
 mod preempt;
 mod random_faults;
--- a/crates/plan/tests/decisions/recovery.rs
+++ b/crates/plan/tests/decisions/recovery.rs
@@ -360,6 +360,7 @@
         targets: vec![Name::from("target-1")],
         unknown_targets: 1,
         until: next.now + LEASE + Duration::from_millis(300),
+        ..Recovery::default()
     };
     expect_that!(next.planner.recovery(), some(eq(&expected)));
     next.list_running(&starts);
