Full targets are recorded as closed while their runs last

Cause: starts are not recorded, so that after a kill any task of an earlier job may be on a target that doesn't answer. That the target was full, and could take nothing else for seconds, was known to the leader only.

Change: a target without room for any task, whose runs have 4 s or more to go, is recorded as closed with its runs, and as open again 1.5 s before the first of them ends. The record also tells of which closed targets all runs have been listed; such a run counts for the lease only, as its start can't be carried out again. Both hold over several kills. Records of earlier releases are read as before. Closed full targets stay visible to gangs and evictions.

Starts: on the way of a start nothing is added; room of a run that ends more than 1.5 s early, on a closed target, waits for one answer of the store, which is asked at once. Store: at most one record in 2 s more for closing, and one when runs near their end (docs/design/recovery.md).

Ruled out: recording which jobs wait, or have begun (each start of a full cell, or each first start, waits for the store); a shorter wait for late orders.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -123,6 +123,7 @@
     EvacuationsUnconfirmed = 603, "evacuations not confirmed recently";
     EvacuationRead = 604, "evacuation of a data centre read";
     RecoveryPending = 611, "tasks wait for targets that have not listed their runs";
+    ClosedRecorded = 612, "other targets are recorded as closed";
     JobOversized = 621, "stored job has more tasks than are allowed; given up";
     TargetProbed = 622, "suspected target probed";
     SpeedsInherited = 641, "usual speeds of the targets taken over";
--- a/crates/node/src/placer/report.rs
+++ b/crates/node/src/placer/report.rs
@@ -1,6 +1,6 @@
 //! Log lines and counters for what the planner has concluded.
 
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
 use base::{Name, emit};
 use plan::{
@@ -50,6 +50,19 @@
             "teams" => teams.len(), "held_cpu_milli" => held_cpu_milli, "term" => self.leadership.term);
     }
 
+    /// Logs which targets are recorded as closed now.
+    pub(super) fn log_closed(&self, closed: &HashSet<Name>) {
+        let added: Vec<&str> = closed.difference(&self.closed).map(|name| &**name).collect();
+        let opened: Vec<&str> = self.closed.difference(closed).map(|name| &**name).collect();
+        if added.is_empty() && opened.is_empty() {
+            return;
+        }
+        let first = |names: &[&str]| names[..names.len().min(MAX_LOGGED_TARGETS)].join(",");
+        emit!(self.ctx.log, info, ClosedRecorded; "closed" => closed.len(),
+            "added" => added.len(), "first_added" => first(&added), "opened" => opened.len(),
+            "first_opened" => first(&opened), "term" => self.leadership.term);
+    }
+
     /// Logs the ends in a listing that were not applied yet.
     pub(super) fn log_ends(&self, target: &Name, listing: &Listing) {
         let seen = self.planner.last_end(target, listing.born_unix_ms);
--- a/crates/node/src/placer/run.rs
+++ b/crates/node/src/placer/run.rs
@@ -347,6 +347,9 @@
             self.ctx.metrics.limited_rounds.inc_by(self.planner.take_limited_rounds());
             self.next_round_at = now + duration * ROUND_INTERVAL_FACTOR;
         }
+        if self.planner.awaits_opening(now) {
+            self.record_held();
+        }
         self.log_recovery(now);
         for request in std::mem::take(&mut self.unsent_advice) {
             self.request_advice(request);
@@ -476,6 +479,7 @@
                     self.is_held_unrecorded = false;
                     self.held = held;
                     self.planner.set_closed_targets(&closed);
+                    self.log_closed(&closed);
                     self.closed = closed;
                     self.planner.set_recorded_restarts(&restarted);
                     self.restarted = restarted;
--- a/crates/node/src/placer/snapshot.rs
+++ b/crates/node/src/placer/snapshot.rs
@@ -71,6 +71,9 @@
     /// Targets with an unconfirmed process, whose lease may be prolonged again.
     #[serde(default)]
     unconfirmed: HashSet<Name>,
+    /// Closed targets whose runs have all been listed by their known process.
+    #[serde(default)]
+    listed: HashSet<Name>,
 }
 
 impl ClosedRecord {
@@ -86,6 +89,7 @@
             born_unix_ms: self.born_unix_ms.clone(),
             restarted: self.restarted.clone(),
             unconfirmed: self.unconfirmed.clone(),
+            listed: self.listed.clone(),
         }
     }
 }
@@ -112,7 +116,7 @@
 ) {
     let Snapshot { held, closed, processes, instances } = snapshot;
     let closed_names = closed.iter().map(|(name, _)| name.clone()).collect();
-    let ProcessRecord { born_unix_ms, restarted, unconfirmed } = processes;
+    let ProcessRecord { born_unix_ms, restarted, unconfirmed, listed } = processes;
     let record = ClosedRecord {
         term: leadership.term,
         is_lasting: true,
@@ -121,6 +125,7 @@
         born_unix_ms,
         restarted: restarted.clone(),
         unconfirmed,
+        listed,
     };
     let write = |key: &str, value: Vec<u8>| Write {
         key: key.to_owned(),
--- a/crates/plan/src/adopt.rs
+++ b/crates/plan/src/adopt.rs
@@ -51,10 +51,13 @@
         recorded: &HashSet<Name>,
         now: Duration,
     ) -> bool {
+        let can_close = |target: &Target| is_unavailable(target) || self.is_settled(target, now);
         let is_open_again =
-            |target: &Target| recorded.contains(&target.info.id) && !is_unavailable(target);
+            |target: &Target| recorded.contains(&target.info.id) && !can_close(target);
+        let may_close = |target: &&Target| is_unavailable(target) || self.may_close_settled(now);
+        let mut closable = self.closable_targets(held, now).filter(may_close);
         self.targets.iter().any(is_open_again)
-            || self.closable_targets(held, now).any(|target| !recorded.contains(&target.info.id))
+            || closable.any(|target| !recorded.contains(&target.info.id))
     }
 
     /// Closes the targets among `held` that can be closed, and returns these
@@ -65,7 +68,10 @@
         let closing: Vec<ClosedTarget> = closable.map(|target| self.closed(target)).collect();
         for (name, _) in &closing {
             let id = self.target_id(name);
-            self.targets[id.0 as usize].is_closed = true;
+            let target = &mut self.targets[id.0 as usize];
+            if !std::mem::replace(&mut target.is_closed, true) && !is_unavailable(target) {
+                self.last_closing_at = now;
+            }
         }
         closing
     }
@@ -77,13 +83,15 @@
         held: &HashSet<Name>,
         now: Duration,
     ) -> impl Iterator<Item = &Target> {
-        let can_close = move |target: &&Target| {
-            is_unavailable(target)
-                && held.contains(&target.info.id)
-                && self.has_known_runs(target, now)
+        let is_known = move |target: &&Target| {
+            held.contains(&target.info.id) && self.has_known_runs(target, now)
         };
         let mut left = self.settings.max_closed_runs;
-        self.targets.iter().filter(can_close).take_while(move |target| {
+        // Unavailable targets come first in the limit.
+        let unavailable = self.targets.iter().filter(|target| is_unavailable(target));
+        let others = self.targets.iter().filter(|target| !is_unavailable(target));
+        let settled = others.filter(move |target| self.is_settled(target, now));
+        unavailable.chain(settled).filter(is_known).take_while(move |target| {
             let runs = self.possible_runs(target).len();
             let fits = runs <= left;
             left = left.saturating_sub(runs);
@@ -228,6 +236,11 @@
             let listed = ListedRun { task, run, checkpoint: None, percent: 0, figure: None };
             self.adopt_run(id, &listed, granted_at, now);
         }
+        if self.inherited_processes.listed.contains(target) {
+            for run in self.targets[id.0 as usize].runs.values_mut() {
+                run.was_listed = true;
+            }
+        }
     }
 
     /// Takes over a run of an earlier placer, whose target may have been granted a
--- a/crates/plan/src/control.rs
+++ b/crates/plan/src/control.rs
@@ -276,6 +276,7 @@
             target.free().cpu_milli > 0
                 && target.runs.values().all(|run| run.latency.is_none())
                 && target.is_open(now, contact_timeout, idle_timeout)
+                && !target.is_closed
                 && !target.health.is_suspected()
         };
         targets.filter(|(_, target)| is_clean(target)).map(|(id, _)| id).collect()
--- a/crates/plan/src/decide.rs
+++ b/crates/plan/src/decide.rs
@@ -103,6 +103,8 @@
             .map(TargetId)
             .zip(&self.targets)
             .filter(|(_, target)| target.is_open(now, contact_timeout, idle_timeout))
+            // Runs may be preempted on a full target.
+            .filter(|(_, target)| !target.is_closed || self.is_settled(target, now))
             .collect();
         let sound_pools: HashSet<&Name> = open
             .iter()
@@ -357,7 +359,7 @@
         }
         let is_mixed = Sharing::of(step) != Sharing::Any && !target().can_share_with(step);
         let shares = !is_mixed || self.settings.interference.is_enabled;
-        let has_room = step.size.fits(&free) && shares;
+        let has_room = step.size.fits(&free) && shares && !target().is_closed;
         let mut tasks = if has_room { free.max_count(&step.size) } else { 0 };
         let mut tasks_when_empty = if step.gang { capacity.max_count(&step.size) } else { 0 };
         let with_preemption = free + preemptible;
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -41,6 +41,7 @@
 mod round;
 mod search;
 mod settings;
+mod settled;
 mod share;
 mod sharing;
 mod slot;
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -137,6 +137,10 @@
     pub(crate) average_objective_ms: HashMap<Name, u64>,
     /// Token bucket of each team.
     buckets: HashMap<Name, Bucket>,
+    /// Smallest task of the jobs of this term, in each dimension.
+    pub(crate) smallest_task: Option<Resources>,
+    /// Time at which full targets were last closed.
+    pub(crate) last_closing_at: Duration,
     /// Usual ratio of run time to estimate in each queue.
     pub(crate) run_baselines: HashMap<Name, Baseline>,
     /// Usual speeds of targets, as recorded by an earlier placer.
@@ -213,6 +217,7 @@
             return;
         }
         self.control.note_steps(&spec.steps);
+        spec.steps.iter().for_each(|step| self.note_task_size(step));
         // Versions whose count of tasks wrapped accepted such jobs. Their tasks
         // would not fit into memory.
         let is_oversized = spec.task_count() > MAX_TASKS;
--- a/crates/plan/src/preempt.rs
+++ b/crates/plan/src/preempt.rs
@@ -320,7 +320,7 @@
         let has_room = reservation
             .places
             .iter()
-            .all(|(id, members)| (step.size * *members).fits(&round.free(*id)));
+            .all(|(id, members)| self.has_room(*id, step.size * *members, round));
         let is_within_limit = self.allowed_tasks(&spec.team, step.size, round) >= step.count;
         if has_tickets && has_room && is_within_limit {
             self.reservations.remove(key);
@@ -356,7 +356,7 @@
         for (id, tasks) in reservation.places {
             let allowed = self.allowed_tasks(&spec.team, step.size, round);
             let there = self.step_state(key).map_or(0, |state| state.count_on(id));
-            let can_start = (step.size * tasks).fits(&round.free(id))
+            let can_start = self.has_room(id, step.size * tasks, round)
                 && step.max_per_target.is_none_or(|max| there + tasks <= max)
                 && tasks <= allowed.min(self.startable_count(key))
                 && self.has_tickets(key, &[(id, tasks)], advice, now);
@@ -379,6 +379,11 @@
         }
     }
 
+    /// Returns whether a target may be used and has this room.
+    pub(crate) fn has_room(&self, id: TargetId, size: Resources, round: &Round) -> bool {
+        !self.targets[id.0 as usize].is_closed && size.fits(&round.free(id))
+    }
+
     /// Returns whether the reserved room is still of use.
     fn is_reservation_valid(
         &self,
--- a/crates/plan/src/restarts.rs
+++ b/crates/plan/src/restarts.rs
@@ -38,6 +38,9 @@
     pub restarted: HashSet<Name>,
     /// Targets with an unconfirmed process, whose lease may be prolonged again.
     pub unconfirmed: HashSet<Name>,
+    /// Closed targets whose known process has listed all runs that may be on them, so
+    /// that no start of these is still to be carried out.
+    pub listed: HashSet<Name>,
 }
 
 impl Planner {
@@ -68,7 +71,14 @@
             let known = born.into_iter().find(|born| *born != 0)?;
             Some((name.clone(), known))
         };
+        let is_listed = |name: &&Name| {
+            let target = self.target_ids.get(*name).map(|id| &self.targets[id.0 as usize]);
+            target.is_some_and(|target| {
+                target.is_closed && target.runs.values().all(|run| run.is_listed || run.was_listed)
+            }) && !self.unverified_targets.contains_key(*name)
+        };
         ProcessRecord {
+            listed: held.iter().filter(is_listed).cloned().collect(),
             born_unix_ms: held.iter().filter_map(born).collect(),
             restarted: self.restarted_targets(now),
             unconfirmed: self.unconfirmed_targets(),
--- a/crates/plan/src/starved.rs
+++ b/crates/plan/src/starved.rs
@@ -95,7 +95,7 @@
         round: &Round,
     ) -> Vec<TargetId> {
         let needed = Resources { cpu_milli: 0, ..step.size };
-        usable.retain(|id| needed.fits(&round.free(*id)));
+        usable.retain(|id| self.has_room(*id, needed, round));
         let exposure = self.exposure(key, step);
         usable.sort_by_cached_key(|id| {
             let target = &self.targets[id.0 as usize];
--- a/crates/plan/src/target.rs
+++ b/crates/plan/src/target.rs
@@ -128,6 +128,8 @@
     pub(crate) last_sample: Option<(u32, Duration)>,
     /// Whether the target has listed the run.
     pub(crate) is_listed: bool,
+    /// Whether the target had listed the run to an earlier placer.
+    pub(crate) was_listed: bool,
     /// Whether the target is known to have begun the run.
     pub(crate) has_begun: bool,
     /// Whether the task may have crashed a target.
@@ -160,6 +162,7 @@
             progress: None,
             last_sample: None,
             is_listed: false,
+            was_listed: false,
             has_begun: false,
             is_suspect: false,
             started_at: None,
@@ -246,6 +249,8 @@
     pub(crate) is_closed: bool,
     /// Number of consecutive starts that were not answered.
     pub(crate) unanswered_starts: u32,
+    /// Time at which a start was last found to be unanswered.
+    pub(crate) unanswered_at: Option<Duration>,
     /// End of the back-off after unanswered starts.
     pub(crate) backoff_until: Duration,
 }
@@ -277,7 +282,8 @@
         unconfirmed_until: Option<Duration>,
     ) -> bool {
         let is_unconfirmed = || unconfirmed_until.is_some_and(|until| now <= until);
-        self.may_hold_lease(now) || !run.is_listed && is_unconfirmed()
+        let is_known = run.is_listed || run.was_listed;
+        self.may_hold_lease(now) || !is_known && is_unconfirmed()
     }
 
     /// Returns whether the target has ends that are not recorded or not listed yet.
@@ -329,7 +335,8 @@
         sharing == Sharing::Any || self.runs.values().all(|run| run.sharing.is_compatible(sharing))
     }
 
-    /// Returns whether the target may get new work, regardless of its health.
+    /// Returns whether the target may get new work, regardless of its health, once it
+    /// is not recorded as closed.
     pub(crate) fn is_open(
         &self,
         now: Duration,
@@ -346,7 +353,6 @@
             && self.is_same_process()
             && !self.has_unknown_runs
             && !self.has_unrecorded_restart(now)
-            && !self.is_closed
             && now >= self.backoff_until
             && !self.is_slow
     }
@@ -364,5 +370,6 @@
         const MAX_DOUBLINGS: u32 = 5;
         self.backoff_until = now + initial * (1 << self.unanswered_starts.min(MAX_DOUBLINGS));
         self.unanswered_starts += 1;
+        self.unanswered_at = Some(now);
     }
 }
--- a/crates/plan/tests/decisions/main.rs
+++ b/crates/plan/tests/decisions/main.rs
@@ -17,6 +17,7 @@
 mod preempt;
 mod random_faults;
 mod recovery;
+mod settled;
 mod sharing;
 mod speeds;
 mod takeover;
--- a/crates/plan/tests/decisions/random_faults/leader.rs
+++ b/crates/plan/tests/decisions/random_faults/leader.rs
@@ -105,7 +105,7 @@
 /// Write without an answer.
 enum Unwritten {
     Batch(Batch),
-    Snapshot(Snapshot),
+    Snapshot(Box<Snapshot>),
 }
 
 /// Whether the revision of the guard rules out late writes.
@@ -282,6 +282,9 @@
         if self.is_valid {
             self.planner.decide(now, unix_ms(now));
         }
+        if self.planner.awaits_opening(now) {
+            self.record_held(now);
+        }
         for action in self.planner.take_actions() {
             self.execute(action, now);
         }
@@ -396,7 +399,8 @@
                     }
                 }
             }
-            Some(Unwritten::Snapshot(Snapshot { held, closed, processes })) => {
+            Some(Unwritten::Snapshot(snapshot)) => {
+                let Snapshot { held, closed, processes } = *snapshot;
                 self.is_recording_held = false;
                 self.is_held_unrecorded = false;
                 self.held = held;
@@ -483,7 +487,7 @@
         });
         let closed = self.planner.close_targets(&held, now);
         let processes = self.planner.processes(&held, now);
-        let snapshot = Snapshot { held, closed, processes };
+        let snapshot = Box::new(Snapshot { held, closed, processes });
         self.write(Content::Snapshot(snapshot.clone()), Unwritten::Snapshot(snapshot));
     }
 }
--- a/crates/plan/tests/decisions/random_faults/store.rs
+++ b/crates/plan/tests/decisions/random_faults/store.rs
@@ -29,7 +29,7 @@
 #[derive(Clone)]
 pub enum Content {
     Progress(Vec<Record>),
-    Snapshot(Snapshot),
+    Snapshot(Box<Snapshot>),
 }
 
 /// Outcome of a write, as the leader learns it.
@@ -84,7 +84,7 @@
                 }
             }
             Content::Snapshot(snapshot) => {
-                self.snapshot = snapshot.clone();
+                self.snapshot = *snapshot.clone();
                 self.snapshot_term = write.term;
             }
         }
