Closed targets are opened at once only for room that is there

Work that waits had the record made at once also for full targets whose runs near their end, which the check each 0.5 s opens in time. In a full cell that is a record for each answer of the store. Read in the code, not measured.

Tests of plan pass; the doc comment of settled.rs is wrapped.

--- a/crates/plan/src/settled.rs
+++ b/crates/plan/src/settled.rs
@@ -3,9 +3,9 @@
 //! Such a target gets no work anyway, so that it can be recorded as closed with its
 //! runs. If the leader is lost and the target doesn't answer the next one, all runs
 //! on it are known, and no other task waits for it. That includes late orders: a
-//! target with a recent start that was not answered is not closed. The target is recorded as open
-//! again before its first run is expected to end. A run that ends sooner leaves room
-//! that can be used only once the target is recorded as open.
+//! target with a recent start that was not answered is not closed. The target is
+//! recorded as open again before its first run is expected to end. A run that ends
+//! sooner leaves room that can be used only once the target is recorded as open.
 
 use std::time::Duration;
 
@@ -73,7 +73,7 @@
             && self.targets.iter().any(|target| {
                 target.is_closed
                     && target.is_open(now, contact_timeout, idle_timeout)
-                    && !self.is_settled(target, now)
+                    && !self.is_full(target)
             })
     }
 
